--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,84 @@
+"""Runs the test suite with nose2 and reports the runner's own counts.
+
+Tests listed in KNOWN-RED.txt may fail; they are printed and do not change
+the verdict. A listed test that passes fails the run, so that the list
+cannot grow stale.
+"""
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from xml.etree import ElementTree
+
+_ROOT = Path(__file__).resolve().parent.parent
+_REPORT = _ROOT / 'build' / 'junit.xml'
+_KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TestCounts:
+    """Names of tests by result, as the test runner reported them."""
+
+    passed: frozenset[str]
+    failed: frozenset[str]
+    skipped: frozenset[str]
+
+
+def read_report(path: Path) -> TestCounts:
+    """Read a JUnit report written by nose2."""
+    passed, failed, skipped = set(), set(), set()
+    for case in ElementTree.parse(path).getroot().iter('testcase'):
+        name = f'{case.get("classname")}.{case.get("name")}'
+        if case.find('failure') is not None or case.find('error') is not None:
+            failed.add(name)
+        elif case.find('skipped') is not None:
+            skipped.add(name)
+        else:
+            passed.add(name)
+    return TestCounts(
+        passed=frozenset(passed),
+        failed=frozenset(failed),
+        skipped=frozenset(skipped),
+    )
+
+
+def read_known_red(path: Path) -> frozenset[str]:
+    """Read the names of tests that are known to fail."""
+    if not path.exists():
+        return frozenset()
+    prefix = 'test: '
+    lines = path.read_text().splitlines()
+    return frozenset(
+        line.removeprefix(prefix).strip()
+        for line in lines
+        if line.startswith(prefix)
+    )
+
+
+def main() -> int:
+    """Run nose2 and print the closing line."""
+    _REPORT.parent.mkdir(exist_ok=True)
+    _REPORT.unlink(missing_ok=True)
+    subprocess.run(
+        [sys.executable, '-m', 'nose2', *sys.argv[1:]], cwd=_ROOT, check=False
+    )
+    if not _REPORT.exists():
+        print('the test runner wrote no report; see its output above')
+        return 1
+    counts = read_report(_REPORT)
+    known_red = read_known_red(_KNOWN_RED)
+    unexpected = counts.failed - known_red
+    repaired = known_red & counts.passed
+    for name in sorted(counts.failed & known_red):
+        print(f'known red: {name}')
+    for name in sorted(unexpected):
+        print(f'failed: {name}')
+    for name in sorted(repaired):
+        print(f'listed in KNOWN-RED.txt but passes: {name}')
+    print(f'{len(counts.passed)} passed, {len(unexpected)} failed')
+    return 1 if unexpected or repaired or not counts.passed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
