--- /dev/null
+++ b/lavendergate/core/settings/document.py
@@ -0,0 +1,28 @@
+"""The settings tree as one immutable, versioned document."""
+
+from dataclasses import dataclass, field
+
+from lavendergate.core.types import SettingsVersion
+
+SettingValue = bool | int | float | str | tuple[str, ...]
+NodePath = str
+
+ROOT_PATH: NodePath = '/'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsDocument:
+    """Values that each node of the tree sets itself.
+
+    Parameters
+    ----------
+    version
+        Number of the last accepted change; 0 before the first one.
+    nodes
+        Path of a node to the keys that it overrides. Paths are ``/``,
+        ``/<region>``, ``/<region>/<group>`` and
+        ``/<region>/<group>/<caller>``.
+    """
+
+    version: SettingsVersion = SettingsVersion(0)
+    nodes: dict[NodePath, dict[str, SettingValue]] = field(default_factory=dict)
--- /dev/null
+++ b/lavendergate/rpc/service.py
@@ -0,0 +1,113 @@
+"""Unary services and calls over grpclib."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Stream
+
+from lavendergate.rpc import messages
+
+RequestT = TypeVar('RequestT')
+ReplyT = TypeVar('ReplyT')
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Method(Generic[RequestT, ReplyT]):
+    """A unary method: its path and the types of its messages."""
+
+    path: str
+    request_type: type[RequestT]
+    reply_type: type[ReplyT]
+
+
+ANNOUNCE = Method(
+    path='/lavendergate.Membership/Announce',
+    request_type=messages.AnnounceRequest,
+    reply_type=messages.AnnounceReply,
+)
+HEARTBEAT = Method(
+    path='/lavendergate.Membership/Heartbeat',
+    request_type=messages.HeartbeatRequest,
+    reply_type=messages.HeartbeatReply,
+)
+PROPOSE = Method(
+    path='/lavendergate.Control/Propose',
+    request_type=messages.ProposeRequest,
+    reply_type=messages.ProposeReply,
+)
+SWITCHOVER = Method(
+    path='/lavendergate.Control/Switchover',
+    request_type=messages.SwitchoverRequest,
+    reply_type=messages.SwitchoverReply,
+)
+STATUS = Method(
+    path='/lavendergate.Control/Status',
+    request_type=messages.StatusRequest,
+    reply_type=messages.StatusReply,
+)
+
+
+class UnaryService:
+    """Collection of unary methods that a grpclib server can serve.
+
+    Parameters
+    ----------
+    implementations
+        Method to the coroutine function that answers it.
+    """
+
+    def __init__(
+        self,
+        *,
+        implementations: Mapping[
+            Method[Any, Any], Callable[[Any], Awaitable[Any]]
+        ],
+    ) -> None:
+        self._implementations = implementations
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers in the form that grpclib expects."""
+        return {
+            method.path: Handler(
+                _answer_with(implementation),
+                Cardinality.UNARY_UNARY,
+                method.request_type,
+                method.reply_type,
+            )
+            for method, implementation in self._implementations.items()
+        }
+
+
+async def call(
+    channel: Channel,
+    method: Method[RequestT, ReplyT],
+    request: RequestT,
+    *,
+    timeout_s: float,
+) -> ReplyT:
+    """Call a unary method.
+
+    Raises
+    ------
+    grpclib.exceptions.GRPCError
+        If the peer answered with an error status.
+    OSError, TimeoutError
+        If the peer cannot be reached in time.
+    """
+    stub = UnaryUnaryMethod(
+        channel, method.path, method.request_type, method.reply_type
+    )
+    return await stub(request, timeout=timeout_s)
+
+
+def _answer_with(
+    implementation: Callable[[Any], Awaitable[Any]],
+) -> Callable[[Stream], Awaitable[None]]:
+    async def handle(stream: Stream) -> None:  # noqa: WPS430
+        request = await stream.recv_message()
+        await stream.send_message(await implementation(request))
+
+    return handle
