--- /dev/null
+++ b/lavendergate/observability/process_events.py
@@ -0,0 +1,84 @@
+"""Events 7xxx: start and stop of processes."""
+
+import enum
+
+from lavendergate.observability.event_type import Event, Level, define
+
+
+@enum.unique
+class ProcessEvent(Event):
+    """Events of the life of a process."""
+
+    process_started = define(
+        7001,
+        Level.info,
+        'lavendergated {software_version} started with roles {roles}',
+        extra=('address', 'incarnation', 'region', 'failure_domain', 'pid'),
+    )
+    process_serving = define(
+        7002,
+        Level.info,
+        'role {role} serves on {address}',
+        extra=('duration_ms',),
+    )
+    process_waiting = define(
+        7003,
+        Level.info,
+        'role {role} waits: {reason}',
+        'For a new cluster: "lavendergatectl cluster init".',
+    )
+    start_failed = define(
+        7004,
+        Level.error,
+        'the process does not start: {reason}',
+        'Correct the option that the reason names.',
+    )
+    drain_begun = define(
+        7010,
+        Level.info,
+        'drain begun with {connections} caller connections',
+        extra=('limit_s', 'in_flight', 'signal'),
+    )
+    drain_done = define(
+        7011,
+        Level.info,
+        'drain done after {duration_ms} ms, no request was cut',
+    )
+    drain_cut = define(
+        7012,
+        Level.warning,
+        'drain ended after {duration_ms} ms, {cut} requests were cut',
+        'Raise --drain-limit-s if requests of this kind are expected.',
+        extra=('reason', 'callers'),
+    )
+    process_stopped = define(
+        7020,
+        Level.info,
+        'the process stopped',
+        extra=('reason', 'duration_ms'),
+    )
+    process_stalled = define(
+        7030,
+        Level.warning,
+        'the process did not run for {stalled_ms} ms',
+        'Look for load on the host or a paused virtual machine.',
+    )
+    task_failed = define(
+        7031,
+        Level.error,
+        'task {task} failed and is started again: {reason}',
+        'Report the lines around this event to the developers.',
+        extra=('traceback',),
+    )
+    events_dropped = define(
+        7032,
+        Level.error,
+        '{dropped} events could not be written: {reason}',
+        'Check space and health of the disk with the data directory.',
+    )
+    credentials_missing = define(
+        7033,
+        Level.error,
+        'account {account} is not configured',
+        'Set the environment variable that the page of options names.',
+    )
--- /dev/null
+++ b/lavendergate/observability/settings_events.py
@@ -0,0 +1,80 @@
+"""Events 6xxx: changes of the settings tree."""
+
+import enum
+
+from lavendergate.observability.event_type import Event, Level, define
+
+_CHANGE = ('author', 'operation_id', 'changes', 'index')
+
+
+@enum.unique
+class SettingsEvent(Event):
+    """Events of settings changes. Values of keys are never fields."""
+
+    settings_accepted = define(
+        6001,
+        Level.info,
+        'settings version {settings_version} was accepted',
+        extra=_CHANGE,
+    )
+    settings_conflict = define(
+        6002,
+        Level.info,
+        'a change of settings version {base_version} was refused, the '
+        'version is {settings_version}',
+        'The operator looks at the difference and sends the change again.',
+        extra=_CHANGE,
+    )
+    settings_refused = define(
+        6003,
+        Level.info,
+        'a change of settings was refused: {reason}',
+        'The operator corrects the change.',
+        extra=_CHANGE,
+    )
+    settings_repeated = define(
+        6004,
+        Level.info,
+        'change {operation_id} was sent again and got its first answer',
+        extra=('author', 'settings_version'),
+    )
+    settings_in_force = define(
+        6005,
+        Level.info,
+        'settings version {settings_version} is in force on this host',
+        extra=('previous_version', 'duration_ms'),
+    )
+    settings_older_ignored = define(
+        6006,
+        Level.warning,
+        'settings version {offered_version} was ignored, {settings_version} '
+        'is in force',
+        'Look at the control host that offered it if this repeats.',
+        extra=('peer',),
+    )
+    settings_stale = define(
+        6007,
+        Level.warning,
+        'settings version {settings_version} was last confirmed {age_s} s ago',
+        'Check the connection of this host to control.',
+    )
+    settings_current = define(
+        6008,
+        Level.info,
+        'settings version {settings_version} is confirmed again',
+        extra=('stale_s',),
+    )
+    settings_everywhere = define(
+        6009,
+        Level.info,
+        'settings version {settings_version} is in force on all {proxies} '
+        'live proxies',
+        extra=('duration_ms',),
+    )
+    settings_unreadable = define(
+        6010,
+        Level.error,
+        'settings version {offered_version} was not taken: {reason}',
+        'The process is older than the control hosts: update it.',
+        extra=('settings_version',),
+    )
