--- a/lavendergate/observability/statement_events.py
+++ b/lavendergate/observability/statement_events.py
@@ -92,8 +92,8 @@
         1018,
         Level.warning,
         'transaction on group {group} ended without result: {reason}',
-        'The caller repeats the transaction; look at the member that the fields '
-        'name.',
+        'The caller repeats the transaction; look at the member that the '
+        'fields name.',
         extra=('caller', 'request_id', 'session', 'term'),
     )
     token_refused = define(
