--- /dev/null
+++ b/lavendergate/backends/mysql.py
@@ -0,0 +1,178 @@
+"""MySQL backend, built on aiomysql."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiomysql
+import anyio
+from pymysql.constants import ER
+
+from lavendergate.backends.base import (
+    Column,
+    ConnectionLostError,
+    MemberAddress,
+    QueryResult,
+    Row,
+    UpstreamBackend,
+    UpstreamConnection,
+    UpstreamError,
+    UpstreamUnreachableError,
+)
+
+_FIRST_ROWS = 200
+_ROWS_PER_BATCH = 500
+_DEFAULT_SQLSTATE = 'HY000'
+# Numbers from 2000 to 2999 are raised by the client library itself: the
+# connection failed and the member did not answer.
+_CLIENT_ERRORS = range(2000, 3000)
+_SQLSTATES = {
+    ER.DUP_ENTRY: '23000',
+    ER.NO_SUCH_TABLE: '42S02',
+    ER.PARSE_ERROR: '42000',
+    ER.BAD_FIELD_ERROR: '42S22',
+    ER.LOCK_DEADLOCK: '40001',
+    ER.ACCESS_DENIED_ERROR: '28000',
+}
+
+
+class MySqlConnection(UpstreamConnection):
+    """A connection of aiomysql that returns undecoded values."""
+
+    def __init__(self, *, connection: aiomysql.Connection) -> None:
+        self._connection = connection
+        self._awaiting_answer = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is open and no answer is outstanding."""
+        return not self._awaiting_answer and not self._connection.closed
+
+    async def execute(self, sql: str) -> QueryResult:
+        """Run a statement; see the base class."""
+        self._awaiting_answer = True
+        try:
+            query_result = await self._run(sql)
+        except aiomysql.MySQLError as error:
+            raise self._translate(error) from error
+        except (OSError, EOFError, AttributeError) as lost:
+            # aiomysql raises AttributeError when its reader was closed
+            # while a statement was waiting.
+            raise self._lose(str(lost)) from lost
+        except BaseException:
+            # A cancelled statement leaves its answer on the connection.
+            self.abort()
+            raise
+        if query_result.more_rows is None:
+            self._awaiting_answer = False
+        return query_result
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._awaiting_answer = True
+        self._connection.close()
+
+    async def _run(self, sql: str) -> QueryResult:
+        cursor = await self._connection.cursor(aiomysql.SSCursor)
+        await cursor.execute(sql)
+        if cursor.description is None:
+            return QueryResult(
+                rows=[],
+                affected_rows=max(cursor.rowcount, 0),
+                last_insert_id=cursor.lastrowid or 0,
+            )
+        rows = await cursor.fetchmany(_FIRST_ROWS)
+        if len(rows) < _FIRST_ROWS:
+            # Reads the end marker, so that the connection can be reused.
+            await cursor.close()
+            return QueryResult(columns=_columns(cursor), rows=rows)
+        return QueryResult(
+            columns=_columns(cursor),
+            rows=rows,
+            more_rows=self._stream(cursor),
+        )
+
+    async def _stream(self, cursor: Any) -> AsyncIterator[list[Row]]:
+        try:
+            while rows := await cursor.fetchmany(_ROWS_PER_BATCH):
+                yield rows
+            await cursor.close()
+        except aiomysql.MySQLError as error:
+            raise self._translate(error) from error
+        self._awaiting_answer = False
+
+    def _translate(self, error: aiomysql.MySQLError) -> Exception:
+        code = error.args[0] if error.args else 0
+        if not isinstance(code, int) or code == 0 or code in _CLIENT_ERRORS:
+            return self._lose(str(error))
+        self._awaiting_answer = False
+        return UpstreamError(
+            code=code,
+            sqlstate=_SQLSTATES.get(code, _DEFAULT_SQLSTATE),
+            message=str(error.args[1]),
+        )
+
+    def _lose(self, reason: str) -> ConnectionLostError:
+        self.abort()
+        return ConnectionLostError(reason)
+
+
+class MySqlBackend(UpstreamBackend):
+    """Opens MySQL connections with one account.
+
+    Parameters
+    ----------
+    user, password
+        Account on the upstreams.
+    program_name
+        Sent as a connection attribute, so that a member's connection list
+        tells which host and incarnation holds a connection.
+    """
+
+    def __init__(
+        self, *, user: str, password: str, program_name: str = 'lavendergate'
+    ) -> None:
+        self._user = user
+        self._password = password
+        self._program_name = program_name
+
+    async def connect(
+        self,
+        address: MemberAddress,
+        *,
+        database: str,
+        timeout_s: float,
+    ) -> UpstreamConnection:
+        """Open a connection; see the base class."""
+        try:
+            with anyio.fail_after(timeout_s):
+                connection = await aiomysql.connect(
+                    host=address.host,
+                    port=address.port,
+                    user=self._user,
+                    password=self._password,
+                    db=database,
+                    charset='utf8mb4',
+                    autocommit=True,
+                    use_unicode=False,
+                    conv={},
+                    program_name=self._program_name,
+                )
+        except (aiomysql.MySQLError, OSError, EOFError) as error:
+            raise UpstreamUnreachableError(
+                f'no connection to {address.host}:{address.port} '
+                f'within {timeout_s} s: {error}'
+            ) from error
+        return MySqlConnection(connection=connection)
+
+
+def _columns(cursor: Any) -> tuple[Column, ...]:
+    return tuple(
+        Column(
+            name=field.name,
+            type_code=field.type_code,
+            character_set=field.charsetnr,
+            flags=field.flags,
+            length=field.length,
+        )
+        for field in cursor._result.fields  # noqa: SLF001, WPS437
+    )
--- /dev/null
+++ b/lavendergate/filters/base.py
@@ -0,0 +1,156 @@
+"""Request, result and interface of the filters of the statement path."""
+
+import abc
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from lavendergate.backends.base import QueryResult, UpstreamConnection
+from lavendergate.controllers.connections import MemberPool
+from lavendergate.core.classification import StatementKind
+from lavendergate.core.errors import Outcome, StatementError
+from lavendergate.core.hints import NO_HINTS, Hints
+from lavendergate.core.settings.tree import (
+    DEFAULT_SETTINGS,
+    EffectiveSettings,
+)
+from lavendergate.core.tokens import EMPTY_TOKEN, SessionToken
+from lavendergate.core.types import CallerId, GroupId, LogPosition, Term
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamAnswerError:
+    """The member's own error answer; the statement ended with it."""
+
+    code: int
+    sqlstate: str
+    message: str
+    outcome: Outcome = Outcome.done
+
+
+StatementFailure = StatementError | UpstreamAnswerError
+StatementResult = Result[QueryResult, StatementFailure]
+
+
+@dataclass(kw_only=True, slots=True)
+class OpenTransaction:
+    """A transaction and the connection that belongs to it.
+
+    Parameters
+    ----------
+    term
+        Term of the group in which the transaction began.
+    is_pinned
+        Whether a statement left state on the connection, which is closed
+        for that reason when the transaction ends.
+    """
+
+    group_id: GroupId
+    term: Term
+    pool: MemberPool
+    connection: UpstreamConnection
+    is_pinned: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class SessionState:
+    """State of one caller's connection.
+
+    Parameters
+    ----------
+    token
+        Positions that the session wrote or read on this connection.
+    session_statements
+        ``SET`` statements of the caller; replayed on each upstream
+        connection that serves the session.
+    """
+
+    caller_id: CallerId = CallerId('')
+    group_id: GroupId | None = None
+    token: SessionToken = EMPTY_TOKEN
+    autocommit: bool = True
+    transaction: OpenTransaction | None = None
+    session_statements: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WrittenPosition:
+    """Position of a committed write that waits for its confirmation."""
+
+    group_id: GroupId
+    term: Term
+    position: LogPosition
+
+
+@dataclass(kw_only=True, slots=True)
+class StatementRequest:
+    """One statement on its way through the filters.
+
+    Parameters
+    ----------
+    arrived_at, deadline
+        Times on the runtime's clock, in seconds.
+    token
+        Positions that the answer must include: the session's own and those
+        of the hint. None if the caller named no token.
+    connection
+        Upstream connection for the statement, set by the routing filter.
+    written
+        Position of the write, set once it was committed on the primary.
+    """
+
+    session: SessionState
+    sql: str
+    attributes: Mapping[str, str]
+    arrived_at: float
+    deadline: float
+    hints: Hints = NO_HINTS
+    settings: EffectiveSettings = DEFAULT_SETTINGS
+    kind: StatementKind = StatementKind.write
+    token: SessionToken | None = None
+    term: Term = Term(0)
+    connection: UpstreamConnection | None = None
+    written: WrittenPosition | None = None
+
+
+Forward = Callable[[StatementRequest], Awaitable[StatementResult]]
+
+
+class Filter(abc.ABC):
+    """One step of the statement path."""
+
+    @abc.abstractmethod
+    async def handle(
+        self, request: StatementRequest, forward: Forward
+    ) -> StatementResult:
+        """Answer the request, or forward it to the next filter."""
+
+
+def build_chain(filters: Sequence[Filter]) -> Forward:
+    """Compose filters into one function; the first one runs first."""
+    forward: Forward = _unanswered
+    for step in reversed(filters):
+        forward = _bind(step, forward)
+    return forward
+
+
+def _bind(step: Filter, forward: Forward) -> Forward:
+    async def run(request: StatementRequest) -> StatementResult:  # noqa: WPS430
+        return await step.handle(request, forward)
+
+    return run
+
+
+async def _unanswered(request: StatementRequest) -> StatementResult:
+    raise RuntimeError('the last filter must answer the request')
+
+
+def answered(query_result: QueryResult) -> StatementResult:
+    """Return a result set or counts."""
+    return Ok(query_result)
+
+
+def failed(error: StatementFailure) -> StatementResult:
+    """Return an error."""
+    return Err(error)
--- /dev/null
+++ b/lavendergate/filters/classify.py
@@ -0,0 +1,55 @@
+"""Classifies a statement and refuses what the proxy does not support."""
+
+from lavendergate.core.classification import (
+    StatementKind,
+    classify,
+    refusal_advice,
+)
+from lavendergate.core.errors import (
+    RefusedStatementError,
+    UnknownGroupError,
+    quoted,
+)
+from lavendergate.filters.base import (
+    Filter,
+    Forward,
+    StatementRequest,
+    StatementResult,
+    failed,
+)
+
+_PINNED_ADVICE = (
+    'begin a transaction first: the statement depends on the state of one '
+    'upstream connection'
+)
+_NEEDS_GROUP = frozenset((
+    StatementKind.read,
+    StatementKind.locking_read,
+    StatementKind.write,
+    StatementKind.pinned,
+    StatementKind.begin,
+))
+
+
+class ClassifyFilter(Filter):
+    """Sets the kind of the statement."""
+
+    async def handle(
+        self, request: StatementRequest, forward: Forward
+    ) -> StatementResult:
+        """Classify the statement, or refuse it."""
+        kind = classify(request.sql)
+        request.kind = kind
+        if kind is StatementKind.refused:
+            advice = refusal_advice(request.sql)
+            return failed(_refusal(request.sql, advice))
+        session = request.session
+        if kind is StatementKind.pinned and session.transaction is None:
+            return failed(_refusal(request.sql, _PINNED_ADVICE))
+        if kind in _NEEDS_GROUP and session.group_id is None:
+            return failed(UnknownGroupError(schema='(none selected)'))
+        return await forward(request)
+
+
+def _refusal(sql: str, advice: str) -> RefusedStatementError:
+    return RefusedStatementError(statement=quoted(sql), advice=advice)
--- /dev/null
+++ b/lavendergate/filters/confirm.py
@@ -0,0 +1,71 @@
+"""Holds back the answer to a write until a majority has it."""
+
+from collections.abc import Callable
+
+from result import Err
+
+from lavendergate.controllers.confirmation import GroupConfirmer
+from lavendergate.core.errors import UnknownOutcomeError
+from lavendergate.core.types import GroupId
+from lavendergate.filters.base import (
+    Filter,
+    Forward,
+    StatementRequest,
+    StatementResult,
+    WrittenPosition,
+    failed,
+)
+
+
+class ConfirmFilter(Filter):
+    """Confirms writes and moves the session's token forward.
+
+    Parameters
+    ----------
+    confirmer
+        Returns the confirmer of a group.
+    """
+
+    def __init__(
+        self, *, confirmer: Callable[[GroupId], GroupConfirmer]
+    ) -> None:
+        self._confirmer = confirmer
+
+    async def handle(
+        self, request: StatementRequest, forward: Forward
+    ) -> StatementResult:
+        """Forward the request; confirm what it wrote."""
+        outcome = await forward(request)
+        written = request.written
+        if written is None or outcome.is_err():
+            return outcome
+        if written.position.term != written.term:
+            # The member was promoted again between the routing decision and
+            # the commit; the confirmed term is that of the entry.
+            written = WrittenPosition(
+                group_id=written.group_id,
+                term=written.position.term,
+                position=written.position,
+            )
+        is_confirmed = await self._confirmer(written.group_id).confirm(
+            term=written.term,
+            position=written.position,
+            deadline=request.deadline,
+        )
+        if not is_confirmed:
+            return failed(
+                UnknownOutcomeError(
+                    reason=(
+                        'no majority confirmed the write at position '
+                        f'{written.position.position} of term '
+                        f'{written.term} before the deadline'
+                    )
+                )
+            )
+        advanced = request.session.token.advance(
+            written.group_id, written.position
+        )
+        if isinstance(advanced, Err):
+            return failed(advanced.err_value)
+        request.session.token = advanced.ok_value
+        return outcome
--- /dev/null
+++ b/lavendergate/filters/execute.py
@@ -0,0 +1,145 @@
+"""Runs the statement on the upstream connection."""
+
+from collections.abc import Coroutine
+
+import anyio
+
+from lavendergate.backends.base import (
+    ConnectionLostError,
+    QueryResult,
+    UpstreamConnection,
+    UpstreamError,
+)
+from lavendergate.controllers.confirmation import (
+    last_commit,
+    primary_status,
+)
+from lavendergate.core.classification import StatementKind
+from lavendergate.core.errors import UnknownOutcomeError
+from lavendergate.core.types import LOG_START, LogPosition
+from lavendergate.filters.base import (
+    Filter,
+    Forward,
+    StatementRequest,
+    StatementResult,
+    UpstreamAnswerError,
+    WrittenPosition,
+    answered,
+    failed,
+)
+
+
+_POSITION_LOST = UnknownOutcomeError(
+    reason='the write was committed but its position could not be read'
+)
+
+
+class ExecuteFilter(Filter):
+    """Last filter: sends the statement and reads the answer."""
+
+    async def handle(
+        self, request: StatementRequest, forward: Forward
+    ) -> StatementResult:
+        """Run the statement on the connection of the request."""
+        connection = request.connection
+        if connection is None:
+            raise RuntimeError('the routing filter set no connection')
+        executed = await run_before_deadline(
+            connection, request.sql, deadline=request.deadline
+        )
+        if executed.is_err() or request.kind is not StatementKind.write:
+            return executed
+        return await note_commit(request, connection, executed)
+
+
+async def run_before_deadline(
+    connection: UpstreamConnection, sql: str, *, deadline: float
+) -> StatementResult:
+    """Run a statement; a connection without an answer is closed.
+
+    The statement was sent, so that after the deadline, or when the
+    connection breaks, only `unknown` is true.
+    """
+    try:
+        with anyio.CancelScope(deadline=deadline):
+            return answered(await connection.execute(sql))
+    except UpstreamError as error:
+        return failed(upstream_answer(error))
+    except ConnectionLostError as error:
+        return failed(UnknownOutcomeError(reason=f'connection lost: {error}'))
+    return failed(
+        UnknownOutcomeError(reason='the member did not answer in time')
+    )
+
+
+async def note_commit(
+    request: StatementRequest,
+    connection: UpstreamConnection,
+    executed: StatementResult,
+) -> StatementResult:
+    """Read the position of the write that was just committed."""
+    position = await _position_before_deadline(
+        last_commit(connection), deadline=request.deadline
+    )
+    if position is None:
+        return failed(_POSITION_LOST)
+    if position != LOG_START:
+        _note(request, position)
+    return executed
+
+
+async def note_position(
+    request: StatementRequest, connection: UpstreamConnection
+) -> StatementResult | None:
+    """Have the primary's present position confirmed before the answer.
+
+    Returns
+    -------
+    StatementResult or None
+        An error if the position could not be read, otherwise None.
+    """
+    position = await _position_before_deadline(
+        _last_entry(connection), deadline=request.deadline
+    )
+    if position is None:
+        return failed(_POSITION_LOST)
+    _note(request, position)
+    return None
+
+
+async def _last_entry(connection: UpstreamConnection) -> LogPosition:
+    status = await primary_status(connection)
+    return status.last_entry
+
+
+async def _position_before_deadline(
+    reading: Coroutine[None, None, LogPosition], *, deadline: float
+) -> LogPosition | None:
+    try:
+        with anyio.CancelScope(deadline=deadline):
+            return await reading
+    except (ConnectionLostError, UpstreamError):
+        return None
+    return None
+
+
+def _note(request: StatementRequest, position: LogPosition) -> None:
+    group_id = request.session.group_id
+    if group_id is None:
+        raise RuntimeError('the classification requires a group')
+    request.written = WrittenPosition(
+        group_id=group_id, term=request.term, position=position
+    )
+
+
+def upstream_answer(error: UpstreamError) -> UpstreamAnswerError:
+    """Pass on the error that the member answered with."""
+    return UpstreamAnswerError(
+        code=error.code, sqlstate=error.sqlstate, message=error.message
+    )
+
+
+def no_rows() -> QueryResult:
+    """Return the answer of a statement without a result set."""
+    return QueryResult(rows=[])
+
--- /dev/null
+++ b/lavendergate/filters/transaction.py
@@ -0,0 +1,217 @@
+"""Keeps a transaction on one upstream connection."""
+
+from result import Err, Result
+
+from lavendergate.controllers.primary import PrimaryConnector
+from lavendergate.core.classification import StatementKind
+from lavendergate.core.errors import (
+    Outcome,
+    RefusedStatementError,
+    StatementError,
+    TransactionLostError,
+    quoted,
+)
+from lavendergate.core.sql_text import first_word
+from lavendergate.filters.at_most_once import AtMostOnce
+from lavendergate.filters.base import (
+    Filter,
+    Forward,
+    OpenTransaction,
+    StatementRequest,
+    StatementResult,
+    answered,
+    failed,
+)
+from lavendergate.filters.execute import (
+    no_rows,
+    note_commit,
+    run_before_deadline,
+)
+
+_STARTS_IMPLICITLY = frozenset((
+    StatementKind.read,
+    StatementKind.locking_read,
+    StatementKind.write,
+))
+# These commit the transaction at the member, so that the proxy would not
+# learn the position of the commit.
+_COMMIT_IMPLICITLY = frozenset((
+    'ALTER',
+    'ANALYZE',
+    'CREATE',
+    'DROP',
+    'OPTIMIZE',
+    'RENAME',
+    'TRUNCATE',
+))
+_DDL_ADVICE = 'commit the transaction first; this statement cannot be part of it'
+
+
+class TransactionFilter(Filter):
+    """Handles transaction control and statements inside a transaction.
+
+    Parameters
+    ----------
+    primaries
+        Lends connections to primaries.
+    at_most_once
+        Records request ids with a commit.
+    """
+
+    def __init__(
+        self, *, primaries: PrimaryConnector, at_most_once: AtMostOnce
+    ) -> None:
+        self._primaries = primaries
+        self._at_most_once = at_most_once
+        self._handlers = {
+            StatementKind.begin: self._begin,
+            StatementKind.commit: self._commit,
+            StatementKind.rollback: self._rollback,
+        }
+
+    async def handle(
+        self, request: StatementRequest, forward: Forward
+    ) -> StatementResult:
+        """Run transaction control here, and what is in a transaction."""
+        handler = self._handlers.get(request.kind)
+        if handler is not None:
+            return await handler(request)
+        session = request.session
+        if request.kind is StatementKind.write and not session.autocommit:
+            if first_word(request.sql) in _COMMIT_IMPLICITLY:
+                return await self._run_ddl(request, forward)
+        if session.transaction is None and not session.autocommit:
+            if request.kind in _STARTS_IMPLICITLY:
+                opened = await self._open(request)
+                if isinstance(opened, Err):
+                    return failed(opened.err_value)
+        if session.transaction is None:
+            return await forward(request)
+        return await self._run_inside(request, session.transaction)
+
+    async def _run_ddl(
+        self, request: StatementRequest, forward: Forward
+    ) -> StatementResult:
+        if request.session.transaction is not None:
+            return failed(_refuse_ddl(request))
+        return await forward(request)
+
+    async def _begin(self, request: StatementRequest) -> StatementResult:
+        if request.session.transaction is not None:
+            committed = await self._commit(request)
+            if committed.is_err():
+                return committed
+        opened = await self._open(request)
+        if isinstance(opened, Err):
+            return failed(opened.err_value)
+        return answered(no_rows())
+
+    async def _open(
+        self, request: StatementRequest
+    ) -> Result[OpenTransaction, StatementError]:
+        session = request.session
+        if session.group_id is None:
+            raise RuntimeError('the classification requires a group')
+        acquired = await self._primaries.acquire(
+            session.group_id,
+            deadline=request.deadline,
+            session_statements=session.session_statements,
+        )
+        if isinstance(acquired, Err):
+            return acquired
+        primary = acquired.ok_value
+        begun = await run_before_deadline(
+            primary.connection, 'BEGIN', deadline=request.deadline
+        )
+        if isinstance(begun, Err):
+            primary.release()
+            return Err(TransactionLostError(reason='BEGIN was not answered'))
+        session.transaction = OpenTransaction(
+            group_id=session.group_id,
+            term=primary.term,
+            pool=primary.pool,
+            connection=primary.connection,
+        )
+        return acquired.map(lambda _: session.transaction)
+
+    async def _run_inside(
+        self, request: StatementRequest, transaction: OpenTransaction
+    ) -> StatementResult:
+        if first_word(request.sql) in _COMMIT_IMPLICITLY:
+            return failed(_refuse_ddl(request))
+        if request.kind is StatementKind.pinned:
+            transaction.is_pinned = True
+        executed = await run_before_deadline(
+            transaction.connection, request.sql, deadline=request.deadline
+        )
+        if isinstance(executed, Err):
+            if executed.err_value.outcome is Outcome.unknown:
+                # No COMMIT was sent, so the member rolls back when it sees
+                # the closed connection.
+                self._end(request)
+                return failed(
+                    TransactionLostError(reason=executed.err_value.reason)
+                )
+            if executed.err_value.code == _DEADLOCK:
+                # The member has rolled the transaction back itself.
+                self._end(request)
+        return executed
+
+    async def _commit(self, request: StatementRequest) -> StatementResult:
+        transaction = request.session.transaction
+        if transaction is None:
+            return answered(no_rows())
+        try:
+            return await self._commit_open(request, transaction)
+        finally:
+            self._end(request)
+
+    async def _commit_open(
+        self, request: StatementRequest, transaction: OpenTransaction
+    ) -> StatementResult:
+        if self._at_most_once.applies_to(request):
+            repeated = await self._at_most_once.record_in_transaction(
+                request, transaction.connection
+            )
+            if repeated is not None:
+                return repeated
+        request.term = transaction.term
+        committed = await run_before_deadline(
+            transaction.connection, 'COMMIT', deadline=request.deadline
+        )
+        if committed.is_err():
+            return committed
+        return await note_commit(request, transaction.connection, committed)
+
+    async def _rollback(self, request: StatementRequest) -> StatementResult:
+        transaction = request.session.transaction
+        if transaction is not None:
+            # If the answer is lost the connection is closed, and the member
+            # rolls back when it sees that; nothing was committed either way.
+            await run_before_deadline(
+                transaction.connection, 'ROLLBACK', deadline=request.deadline
+            )
+            self._end(request)
+        return answered(no_rows())
+
+    def _end(self, request: StatementRequest) -> None:
+        end_transaction(request.session.transaction)
+        request.session.transaction = None
+
+
+def end_transaction(transaction: OpenTransaction | None) -> None:
+    """Give back the connection of a transaction."""
+    if transaction is None:
+        return
+    if transaction.is_pinned:
+        transaction.connection.abort()
+    transaction.pool.release(transaction.connection)
+
+
+def _refuse_ddl(request: StatementRequest) -> RefusedStatementError:
+    return RefusedStatementError(
+        statement=quoted(request.sql), advice=_DDL_ADVICE
+    )
+
+
+_DEADLOCK = 1213
--- /dev/null
+++ b/lavendergate/frontend/connection.py
@@ -0,0 +1,243 @@
+"""One caller's MySQL connection.
+
+mysql-mimic parses and frames the protocol. This module replaces the parts
+that a proxy needs otherwise: affected rows and the last insert id, the
+SQLSTATE of upstream errors, undecoded values, back-pressure on large
+results, bounds on packets, and a login that ends the connection when it
+fails.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+from mysql_mimic import packets, types
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+
+from lavendergate.backends.base import QueryResult, Row
+from lavendergate.core.errors import StatementError
+from lavendergate.frontend import results
+from lavendergate.frontend.session import CallerSession
+
+MAX_PACKET_BYTES = 16 * 1024 * 1024
+LOGIN_TIMEOUT_S = 10.0
+_ROWS_PER_DRAIN = 500
+_HEADER_BYTES = 4
+_FULL_PART_BYTES = 0xFFFFFF
+
+
+class BoundedStream(MysqlStream):
+    """A packet stream that refuses payloads above a bound."""
+
+    async def read(self) -> bytes:
+        """Read one payload, which may span several packets.
+
+        Raises
+        ------
+        ConnectionClosed
+            If the caller closed the connection, or sent more than
+            `MAX_PACKET_BYTES`; the rest of such a payload is not read.
+        """
+        payload = b''
+        while True:
+            part = await self._read_part(len(payload))
+            payload = payload + part if payload else part
+            if len(part) < _FULL_PART_BYTES:
+                return payload
+
+    async def _read_part(self, bytes_before: int) -> bytes:
+        try:
+            header = await self.reader.readexactly(_HEADER_BYTES)
+        except asyncio.IncompleteReadError as error:
+            raise ConnectionClosed from error
+        length = int.from_bytes(header[:3], 'little')
+        expected = next(self.seq)
+        if header[3] != expected or bytes_before + length > MAX_PACKET_BYTES:
+            await self._refuse(length + bytes_before)
+        try:
+            return await self.reader.readexactly(length)
+        except asyncio.IncompleteReadError as error:
+            raise ConnectionClosed from error
+
+    async def _refuse(self, length: int) -> None:
+        message = (
+            f'packet of {length} bytes is out of order or larger than the '
+            f'limit of {MAX_PACKET_BYTES} bytes; send smaller statements'
+        )
+        await self.write(
+            b''.join((
+                b'\xff',
+                types.uint_2(ErrorCode.MALFORMED_PACKET),
+                b'#08S01',
+                message.encode(),
+            ))
+        )
+        raise ConnectionClosed
+
+
+class CallerConnection(Connection):
+    """Protocol state of one caller's connection."""
+
+    session: CallerSession
+
+    @property
+    def server_charset(self) -> CharacterSet:
+        """Character set of results."""
+        return CharacterSet.utf8mb4
+
+    async def connection_phase(self) -> None:
+        """Log the caller in; a caller that is too slow is disconnected."""
+        async with asyncio.timeout(LOGIN_TIMEOUT_S):
+            await super().connection_phase()
+        if self.session.username is None:
+            # The library answers a failed login with an error and goes on.
+            raise MysqlError('login failed', ErrorCode.ACCESS_DENIED_ERROR)
+
+    async def handle_query(self, data: bytes) -> None:
+        """Answer COM_QUERY."""
+        sql, attributes = self._parse_query(data)
+        query_result = await self._run(sql, attributes)
+        if query_result is not None:
+            await self._answer(query_result, binary=False)
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Answer COM_STMT_EXECUTE."""
+        execute = packets.parse_com_stmt_execute(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+            get_stmt=self.get_stmt,
+        )
+        execute.stmt.param_buffers = None
+        query_result = await self._run(execute.sql, execute.query_attrs)
+        if query_result is None:
+            return
+        if execute.use_cursor and query_result.columns:
+            await self._open_cursor(execute.stmt, query_result)
+            return
+        await self._answer(query_result, binary=True)
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Answer COM_RESET_CONNECTION."""
+        await self.session.reset()
+        self.prepared_stmts.clear()
+        await self.stream.write(self.ok())
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Answer COM_INIT_DB."""
+        try:
+            await super().handle_init_db(data)
+        except StatementError as error:
+            await self._write_error(error)
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Answer COM_STMT_RESET, which resets one prepared statement."""
+        statement = self.get_stmt(packets.parse_com_stmt_reset(data).stmt_id)
+        statement.param_buffers = None
+        statement.cursor = None
+        await self.stream.write(self.ok())
+
+    def _parse_query(self, data: bytes) -> tuple[str, dict[str, str]]:
+        if types.Capabilities.CLIENT_QUERY_ATTRIBUTES in self.capabilities:
+            query = packets.parse_com_query(
+                capabilities=self.capabilities,
+                client_charset=self.client_charset,
+                data=data,
+            )
+            return query.sql, query.query_attrs
+        # Drivers send binary literals inside the statement's text, which
+        # need not be valid in the character set.
+        codec = self.client_charset.codec
+        return data.decode(codec, 'surrogateescape'), {}
+
+    async def _run(
+        self, sql: str, attributes: dict[str, str]
+    ) -> QueryResult | None:
+        try:
+            query_result = await self.session.run(sql, attributes)
+        except StatementError as error:
+            self._update_status()
+            await self._write_error(error)
+            return None
+        self._update_status()
+        return query_result
+
+    def _update_status(self) -> None:
+        flags = types.ServerStatus(0)
+        if self.session.autocommit:
+            flags |= types.ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.session.in_transaction:
+            flags |= types.ServerStatus.SERVER_STATUS_IN_TRANS
+        self.status_flags = flags
+
+    async def _write_error(self, error: StatementError) -> None:
+        message = str(error).encode('utf-8', 'replace')
+        sqlstate = error.sqlstate.encode('ascii')
+        await self.stream.write(
+            b''.join((
+                b'\xff',
+                types.uint_2(error.code),
+                b'#',
+                sqlstate,
+                message,
+            ))
+        )
+
+    async def _answer(self, query_result: QueryResult, *, binary: bool) -> None:
+        if not query_result.columns:
+            await self.stream.write(
+                self.ok(
+                    affected_rows=query_result.affected_rows,
+                    last_insert_id=query_result.last_insert_id,
+                )
+            )
+            return
+        self._write_columns(query_result)
+        encode = results.binary_row if binary else results.text_row
+        async for rows in _batches(query_result):
+            self.stream.write_many([
+                encode(row, query_result.columns) for row in rows
+            ])
+            if query_result.more_rows is not None:
+                # Waits for the caller, so that a large result does not
+                # collect in memory.
+                await self.stream.drain()
+        await self.stream.write(self.ok_or_eof())
+
+    def _write_columns(self, query_result: QueryResult) -> None:
+        header = [
+            packets.make_column_count(
+                capabilities=self.capabilities,
+                column_count=len(query_result.columns),
+            )
+        ]
+        header.extend(map(results.column_definition, query_result.columns))
+        if not self.deprecate_eof():
+            header.append(self.eof())
+        self.stream.write_many(header)
+
+    async def _open_cursor(
+        self, statement: Any, query_result: QueryResult
+    ) -> None:
+        self._write_columns(query_result)
+        statement.cursor = _binary_rows(query_result)
+        await self.stream.write(
+            self.ok_or_eof(flags=types.ServerStatus.SERVER_STATUS_CURSOR_EXISTS)
+        )
+
+
+async def _batches(query_result: QueryResult) -> AsyncIterator[list[Row]]:
+    for start in range(0, len(query_result.rows), _ROWS_PER_DRAIN):
+        yield query_result.rows[start : start + _ROWS_PER_DRAIN]
+    if query_result.more_rows is not None:
+        async for rows in query_result.more_rows:
+            yield rows
+
+
+async def _binary_rows(query_result: QueryResult) -> AsyncIterator[bytes]:
+    async for rows in _batches(query_result):
+        for row in rows:
+            yield results.binary_row(row, query_result.columns)
--- /dev/null
+++ b/lavendergate/frontend/server.py
@@ -0,0 +1,138 @@
+"""Listener for callers."""
+
+import asyncio
+import contextlib
+import ssl
+from collections.abc import Callable, Mapping
+
+from mysql_mimic import packets
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
+from mysql_mimic.control import LocalControl
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.stream import ConnectionClosed
+
+from lavendergate.frontend.connection import BoundedStream, CallerConnection
+from lavendergate.frontend.session import CallerSession
+
+_BACKLOG = 1024
+
+
+class CallerAccounts(IdentityProvider):
+    """Accounts of callers with ``mysql_native_password`` hashes.
+
+    Parameters
+    ----------
+    auth_strings
+        Caller name to its auth string, ``*`` and 40 hex digits.
+    """
+
+    def __init__(self, *, auth_strings: Mapping[str, str]) -> None:
+        self._auth_strings = {
+            name: auth_string.lstrip('*').lower()
+            for name, auth_string in auth_strings.items()
+        }
+
+    async def get_user(self, username: str) -> User | None:
+        """Return the account of a caller, or None if it is unknown."""
+        auth_string = self._auth_strings.get(username)
+        if auth_string is None:
+            return None
+        return User(
+            name=username,
+            auth_string=auth_string,
+            auth_plugin=NativePasswordAuthPlugin.name,
+        )
+
+
+class CallerListener:
+    """Accepts callers and serves each on its own connection.
+
+    Parameters
+    ----------
+    session_factory
+        Makes the session of a new connection.
+    accounts
+        Accounts that may log in.
+    tls
+        TLS context, or None for plain connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        session_factory: Callable[[], CallerSession],
+        accounts: CallerAccounts,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._session_factory = session_factory
+        self._accounts = accounts
+        self._tls = tls
+        self._control = LocalControl()
+        self._server: asyncio.Server | None = None
+        self._connections: dict[CallerConnection, asyncio.StreamWriter] = {}
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections of callers."""
+        return len(self._connections)
+
+    @property
+    def busy_count(self) -> int:
+        """Number of connections with a statement or transaction open."""
+        return sum(
+            connection.session.is_busy for connection in self._connections
+        )
+
+    async def start(self, host: str, port: int) -> None:
+        """Begin to accept callers."""
+        self._server = await asyncio.start_server(
+            self._serve, host, port, backlog=_BACKLOG
+        )
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> int:
+        """Close connections without open work; return how many are left."""
+        for connection, writer in list(self._connections.items()):
+            if not connection.session.is_busy:
+                writer.close()
+                self._connections.pop(connection, None)
+        return len(self._connections)
+
+    def close_all(self) -> int:
+        """Close all connections at once; return how many there were."""
+        count = len(self._connections)
+        for writer in self._connections.values():
+            writer.close()
+        return count
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = CallerConnection(
+            stream=BoundedStream(reader, writer),
+            session=self._session_factory(),
+            control=self._control,
+            identity_provider=self._accounts,
+            server_capabilities=_SERVER_CAPABILITIES,
+            ssl=self._tls,
+        )
+        connection.connection_id = await self._control.add(connection)
+        self._connections[connection] = writer
+        try:
+            await connection.start()
+        except (MysqlError, ConnectionClosed, OSError, EOFError, TimeoutError):
+            # The caller went away or failed to log in; it has its answer.
+            return
+        finally:
+            self._connections.pop(connection, None)
+            writer.close()
+            await self._control.remove(connection.connection_id)
+            with contextlib.suppress(OSError, EOFError):
+                await writer.wait_closed()
+
+
+_SERVER_CAPABILITIES = packets.DEFAULT_SERVER_CAPABILITIES
