--- /dev/null
+++ b/lavendergate/core/sql_text.py
@@ -0,0 +1,63 @@
+"""Lexical helpers for SQL text: comments, strings, leading words."""
+
+import re
+from collections.abc import Set as AbstractSet
+
+# Strings, quoted names and comments. An unterminated one extends to the end
+# of the text, so that nothing in it is taken for a keyword. Comments that
+# MySQL executes begin with an exclamation mark and stay as they are.
+_NOISE = re.compile(
+    r"""'(?:[^'\\]|\\.|'')*(?:'|\Z)
+    | "(?:[^"\\]|\\.|"")*(?:"|\Z)
+    | `(?:[^`]|``)*(?:`|\Z)
+    | /\*(?!!).*?(?:\*/|\Z)
+    | \#[^\n]*
+    | --(?=\s|\Z)[^\n]*""",
+    re.VERBOSE | re.DOTALL,
+)
+_LEADING = re.compile(
+    r'(?:[\s(;]+|/\*(?!!).*?\*/|\#[^\n]*(?:\n|\Z)|--\s[^\n]*(?:\n|\Z))*',
+    re.DOTALL,
+)
+_WORD = re.compile('[A-Za-z_]+')
+_SECOND_STATEMENT = re.compile(r';[\s;]*[^\s;]')
+_TOP_LEVEL = re.compile(r'[()]|[A-Za-z_]+')
+
+
+def masked(sql: str) -> str:
+    """Replace strings and quoted names by ``''``, and comments by a space."""
+    return _NOISE.sub(_replacement, sql)
+
+
+def first_word(sql: str) -> str:
+    """Return the first keyword in upper case, or an empty string."""
+    match = _WORD.match(sql)
+    if match is None:
+        leading = _LEADING.match(sql)
+        match = _WORD.match(sql, leading.end() if leading else 0)
+    return '' if match is None else match.group().upper()
+
+
+def has_second_statement(sql: str) -> bool:
+    """Tell whether text other than comments follows a semicolon."""
+    if sql.find(';') >= len(sql.rstrip('; \t\r\n')):
+        return False
+    return _SECOND_STATEMENT.search(masked(sql)) is not None
+
+
+def top_level_word(sql: str, words: AbstractSet[str]) -> str | None:
+    """Return the first of these keywords that is outside of parentheses."""
+    depth = 0
+    for match in _TOP_LEVEL.finditer(masked(sql).upper()):
+        token = match.group()
+        if token == '(':
+            depth += 1
+        elif token == ')':
+            depth -= 1
+        elif depth == 0 and token in words:
+            return token
+    return None
+
+
+def _replacement(match: re.Match[str]) -> str:
+    return ' ' if match.group()[0] in '/#-' else "''"
