Add the settings tree: schema, inheritance, checks and version guard

The state machine, the proxies and the command-line tool need one view of the settings. Values are checked against the schema before a change is proposed; apply_changes itself does not check, so that processes of different software versions come to the same document.

--- /dev/null
+++ b/lavendergate/core/settings/in_force.py
@@ -0,0 +1,82 @@
+"""Settings in force on one host."""
+
+import enum
+
+from lavendergate.core.settings.document import SettingsDocument
+from lavendergate.core.settings.resolution import SettingsTree
+from lavendergate.core.types import SettingsVersion
+
+
+@enum.unique
+class Offer(enum.Enum):
+    """What became of an offered document."""
+
+    taken = 'taken'
+    confirmed = 'confirmed'
+    older = 'older'
+
+
+class InForceSettings:
+    """Keeps the newest settings that the host was offered.
+
+    The version never goes back: a document from a control host that lags
+    behind, or a late answer, is refused. While control is unreachable the
+    last version stays in force and its age grows.
+
+    Parameters
+    ----------
+    now
+        Time of the start on the host's monotonic clock, in seconds.
+
+    Examples
+    --------
+    >>> settings = InForceSettings(now=0)
+    >>> settings.offer(SettingsDocument(version=SettingsVersion(2)), now=1)
+    <Offer.taken: 'taken'>
+    >>> settings.offer(SettingsDocument(version=SettingsVersion(1)), now=2)
+    <Offer.older: 'older'>
+    >>> settings.version, settings.age_s(now=4)
+    (2, 3)
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self._tree = SettingsTree(SettingsDocument())
+        self._confirmed_at = now
+
+    @property
+    def tree(self) -> SettingsTree:
+        """Tree of the version in force."""
+        return self._tree
+
+    @property
+    def version(self) -> SettingsVersion:
+        """Version in force; 0 before the first document."""
+        return self._tree.version
+
+    def age_s(self, now: float) -> float:
+        """Return the time since control last confirmed the version."""
+        return now - self._confirmed_at
+
+    def offer(self, document: SettingsDocument, now: float) -> Offer:
+        """Take a document if it is newer than the one in force."""
+        if document.version < self.version:
+            return Offer.older
+        if document.version == self.version:
+            self._confirmed_at = now
+            return Offer.confirmed
+        self._tree = SettingsTree(document)
+        self._confirmed_at = now
+        return Offer.taken
+
+    def confirm(self, version: SettingsVersion, now: float) -> bool:
+        """Note that control knows no newer version than this one.
+
+        Returns
+        -------
+        bool
+            Whether the version is the one in force.
+        """
+        is_current = version == self.version
+        if is_current:
+            self._confirmed_at = now
+        return is_current
--- /dev/null
+++ b/lavendergate/core/settings/schema.py
@@ -0,0 +1,193 @@
+"""Schema of the settings: type, unit, range, default and scope of each key."""
+
+from collections.abc import Mapping
+
+from lavendergate.core.settings.paths import NodeLevel
+from lavendergate.core.settings.spec import Kind, SettingSpec
+
+
+def _spec(spec: SettingSpec) -> tuple[str, SettingSpec]:
+    return spec.key, spec
+
+
+SCHEMA: Mapping[str, SettingSpec] = dict(
+    map(
+        _spec,
+        (
+            SettingSpec(
+                key='statement.deadline_ms',
+                kind=Kind.integer,
+                unit='ms',
+                minimum=10,
+                maximum=600_000,
+                default=2000,
+                scope=NodeLevel.caller,
+                description='Time for a statement without the hint '
+                'deadline_ms, from its arrival to its answer.',
+            ),
+            SettingSpec(
+                key='read.max_age_ms',
+                kind=Kind.integer,
+                unit='ms',
+                minimum=0,
+                maximum=86_400_000,
+                default=0,
+                scope=NodeLevel.caller,
+                is_risky=True,
+                description='Age of data that reads without the hint '
+                'max_age_ms accept; 0 means session consistency.',
+            ),
+            SettingSpec(
+                key='read.replica_wait_ms',
+                kind=Kind.integer,
+                unit='ms',
+                minimum=0,
+                maximum=1000,
+                default=5,
+                scope=NodeLevel.caller,
+                description='Longest wait of a read for a replica to reach '
+                "the session's position before the primary is used.",
+            ),
+            SettingSpec(
+                key='queue.limit',
+                kind=Kind.integer,
+                unit='statements',
+                minimum=1,
+                maximum=65_536,
+                default=256,
+                scope=NodeLevel.group,
+                description='Statements that wait in one proxy for a group; '
+                'further ones are shed.',
+            ),
+            SettingSpec(
+                key='queue.class',
+                kind=Kind.choice,
+                choices=('stale', 'session', 'write', 'billing'),
+                default=None,
+                scope=NodeLevel.caller,
+                description='Admission class of all statements of a caller; '
+                'without it the class follows from the statement.',
+            ),
+            SettingSpec(
+                key='caller.concurrency',
+                kind=Kind.integer,
+                unit='statements',
+                minimum=1,
+                maximum=10_000,
+                default=64,
+                scope=NodeLevel.caller,
+                description='Statements that one proxy runs at the same time '
+                'for a caller in a group.',
+            ),
+            SettingSpec(
+                key='retry.budget_percent',
+                kind=Kind.integer,
+                unit='%',
+                minimum=0,
+                maximum=50,
+                default=10,
+                scope=NodeLevel.caller,
+                description='Retries as a share of the requests of a caller '
+                'in a group; at least 1 per second is allowed.',
+            ),
+            SettingSpec(
+                key='group.members',
+                kind=Kind.integer,
+                unit='members',
+                minimum=1,
+                maximum=9,
+                default=3,
+                scope=NodeLevel.group,
+                is_risky=True,
+                description='Members up to which announced upstreams are '
+                'registered by themselves; later ones are spares.',
+            ),
+            SettingSpec(
+                key='failover.enabled',
+                kind=Kind.boolean,
+                default=True,
+                scope=NodeLevel.group,
+                is_risky=True,
+                description='Whether a failed primary is replaced without an '
+                'order of an operator.',
+            ),
+            SettingSpec(
+                key='failover.announcement_timeout_ms',
+                kind=Kind.integer,
+                unit='ms',
+                minimum=500,
+                maximum=2000,
+                default=600,
+                scope=NodeLevel.group,
+                is_risky=True,
+                description='Silence of a primary after which watchers probe '
+                'it. Members announce every 250 ms and expire after 2,000 ms.',
+            ),
+            SettingSpec(
+                key='failover.min_interval_s',
+                kind=Kind.integer,
+                unit='s',
+                minimum=0,
+                maximum=3600,
+                default=10,
+                scope=NodeLevel.group,
+                is_risky=True,
+                description='Shortest time between two automatic promotions '
+                'of a group.',
+            ),
+            SettingSpec(
+                key='request.retention_s',
+                kind=Kind.integer,
+                unit='s',
+                minimum=60,
+                maximum=2_592_000,
+                default=86_400,
+                scope=NodeLevel.group,
+                is_risky=True,
+                description='Time for which the record of a request id is '
+                'kept; afterwards the same id would run again.',
+            ),
+            SettingSpec(
+                key='token.signing_key',
+                kind=Kind.token_key,
+                default=None,
+                scope=NodeLevel.root,
+                is_risky=True,
+                is_secret=True,
+                description='Key that signs new session tokens.',
+            ),
+            SettingSpec(
+                key='token.accepted_keys',
+                kind=Kind.token_keys,
+                default=(),
+                scope=NodeLevel.root,
+                is_risky=True,
+                is_secret=True,
+                description='Former and coming keys whose tokens are '
+                'accepted besides those of the signing key.',
+            ),
+            SettingSpec(
+                key='ejection.factor',
+                kind=Kind.number,
+                unit='times the usual latency',
+                minimum=1.5,
+                maximum=100,
+                default=4.0,
+                scope=NodeLevel.group,
+                description='Latency of a member, relative to the other '
+                'members of its group, from which reads avoid it.',
+            ),
+            SettingSpec(
+                key='connection.idle_s',
+                kind=Kind.integer,
+                unit='s',
+                minimum=1,
+                maximum=3600,
+                default=30,
+                scope=NodeLevel.group,
+                description='Time after which an unused connection to a '
+                'member is closed.',
+            ),
+        ),
+    )
+)
--- /dev/null
+++ b/lavendergate/core/settings/tree.py
@@ -0,0 +1,226 @@
+"""Changes of the settings tree: check, apply, compare and weigh."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from lavendergate.core.commands import SettingChange
+from lavendergate.core.settings.document import (
+    NodePath,
+    SettingsDocument,
+    SettingValue,
+)
+from lavendergate.core.settings.paths import Place, lineage
+from lavendergate.core.settings.resolution import (
+    EffectiveSettings,
+    Origin,
+    SettingsTree,
+    effective,
+    explain,
+)
+from lavendergate.core.settings.schema import SCHEMA
+from lavendergate.core.settings.validation import (
+    ChangeProblem,
+    cross_problems,
+    single_problems,
+)
+from lavendergate.core.types import SettingsVersion
+
+__all__ = (
+    'AffectedPlace',
+    'ChangeProblem',
+    'EffectiveSettings',
+    'Origin',
+    'SettingDifference',
+    'SettingsTree',
+    'affected',
+    'apply_changes',
+    'diff',
+    'effective',
+    'explain',
+    'reverse_changes',
+    'risk',
+    'validate_change',
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingDifference:
+    """A key of a node that differs between two documents.
+
+    Parameters
+    ----------
+    before, after
+        Values that the node sets itself; None if it inherits.
+    """
+
+    path: NodePath
+    key: str
+    before: SettingValue | None
+    after: SettingValue | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AffectedPlace:
+    """A group or caller for which a value in force changes."""
+
+    place: Place
+    key: str
+    before: SettingValue | None
+    after: SettingValue | None
+
+
+def apply_changes(
+    document: SettingsDocument, changes: Sequence[SettingChange]
+) -> SettingsDocument:
+    """Return the next version of a document.
+
+    The changes are not checked: the state machine of the replicated log
+    applies what was checked before it was proposed, so that processes of
+    different software versions come to the same document.
+    """
+    nodes = dict(document.nodes)
+    paths = {change.path for change in changes}
+    nodes.update({path: dict(nodes.get(path, {})) for path in paths})
+    for change in changes:
+        if change.value is None:
+            nodes[change.path].pop(change.key, None)
+        else:
+            nodes[change.path][change.key] = change.value
+    for path in paths:
+        if not nodes[path]:
+            nodes.pop(path)
+    return SettingsDocument(
+        version=SettingsVersion(document.version + 1), nodes=nodes
+    )
+
+
+def validate_change(
+    document: SettingsDocument, changes: Sequence[SettingChange]
+) -> Result[SettingsDocument, tuple[ChangeProblem, ...]]:
+    """Return the document after the change, or all that is wrong with it."""
+    problems = tuple(single_problems(changes))
+    if problems:
+        return Err(problems)
+    after = apply_changes(document, changes)
+    problems = tuple(cross_problems(document, after, changes))
+    return Err(problems) if problems else Ok(after)
+
+
+def diff(
+    before: SettingsDocument, after: SettingsDocument
+) -> tuple[SettingDifference, ...]:
+    """Return the keys that differ between two documents, by path and key."""
+    return tuple(_differences(before, after))
+
+
+def reverse_changes(
+    current: SettingsDocument, target: SettingsDocument
+) -> tuple[SettingChange, ...]:
+    """Return the changes that turn one document into another."""
+    return tuple(
+        SettingChange(
+            path=difference.path,
+            key=difference.key,
+            value=difference.after,
+        )
+        for difference in diff(current, target)
+    )
+
+
+def affected(
+    document: SettingsDocument,
+    changes: Sequence[SettingChange],
+    known: Iterable[Place],
+) -> tuple[AffectedPlace, ...]:
+    """Return each known group and caller whose value in force changes.
+
+    Parameters
+    ----------
+    document
+        Document before the change.
+    changes
+        Changes that `validate_change` accepts.
+    known
+        Groups and callers to look at, such as those that have nodes or
+        that are announced.
+    """
+    before = SettingsTree(document)
+    after = SettingsTree(apply_changes(document, changes))
+    changed = {change.path for change in changes}
+    keys = tuple(key for key in SCHEMA if _is_changed(key, changes))
+    return tuple(
+        change
+        for place in sorted(known, key=lambda known_place: known_place.path)
+        if changed.intersection(lineage(place.path))
+        for change in _changes_at(before, after, place, keys)
+    )
+
+
+def risk(
+    document: SettingsDocument,
+    changes: Sequence[SettingChange],
+    known: Iterable[Place],
+) -> int:
+    """Return how many groups and callers a risky change concerns.
+
+    Returns
+    -------
+    int
+        0 if no risky key changes, otherwise at least 1: a change may also
+        concern groups and callers that are not known yet.
+    """
+    after = apply_changes(document, changes)
+    risky = {
+        difference.key
+        for difference in diff(document, after)
+        if difference.key in SCHEMA and SCHEMA[difference.key].is_risky
+    }
+    if not risky:
+        return 0
+    concerned = {
+        change.place
+        for change in affected(document, changes, known)
+        if change.key in risky
+    }
+    return max(len(concerned), 1)
+
+
+def _is_changed(key: str, changes: Sequence[SettingChange]) -> bool:
+    return any(change.key == key for change in changes)
+
+
+def _changes_at(
+    before: SettingsTree,
+    after: SettingsTree,
+    place: Place,
+    keys: Sequence[str],
+) -> Iterator[AffectedPlace]:
+    where = (place.region, place.group, place.caller)
+    old = before.effective(*where)
+    new = after.effective(*where)
+    for key in keys:
+        attribute = SCHEMA[key].attribute
+        old_value = getattr(old, attribute)
+        new_value = getattr(new, attribute)
+        if old_value != new_value:
+            yield AffectedPlace(
+                place=place, key=key, before=old_value, after=new_value
+            )
+
+
+def _differences(
+    before: SettingsDocument, after: SettingsDocument
+) -> Iterator[SettingDifference]:
+    for path in sorted(before.nodes.keys() | after.nodes.keys()):
+        old = before.nodes.get(path, {})
+        new = after.nodes.get(path, {})
+        for key in sorted(old.keys() | new.keys()):
+            if old.get(key) != new.get(key):
+                yield SettingDifference(
+                    path=path,
+                    key=key,
+                    before=old.get(key),
+                    after=new.get(key),
+                )
--- /dev/null
+++ b/lavendergate/core/settings/values.py
@@ -0,0 +1,119 @@
+"""Checks and parsing of settings' keys and values."""
+
+import difflib
+import math
+import re
+from collections.abc import Callable, Mapping
+
+from result import Err, Ok, Result
+
+from lavendergate.core.settings.document import SettingValue
+from lavendergate.core.settings.schema import SCHEMA
+from lavendergate.core.settings.spec import LIST_LIMIT, Kind, SettingSpec
+
+_QUOTE_LIMIT = 60
+_TOKEN_KEY = re.compile('[A-Za-z0-9_-]{1,32}:[A-Za-z0-9_-]{22,86}={0,2}')
+
+
+def find_spec(key: str) -> Result[SettingSpec, str]:
+    """Return the description of a key, or an error with the nearest key."""
+    spec = SCHEMA.get(key)
+    if spec is not None:
+        return Ok(spec)
+    nearest = difflib.get_close_matches(key, SCHEMA, n=1, cutoff=0)
+    return Err(
+        f'unknown setting {_quoted(key)}; did you mean {nearest[0]!r}?'
+        if nearest
+        else f'unknown setting {_quoted(key)}; see docs/settings.md'
+    )
+
+
+def value_problem(spec: SettingSpec, value: SettingValue) -> str | None:
+    """Return what is wrong with a value, or None."""
+    if is_acceptable(spec, value):
+        return None
+    shown = 'the value' if spec.is_secret else f'value {_quoted(value)}'
+    return f'{shown} of {spec.key} is not {spec.expected}'
+
+
+def is_acceptable(spec: SettingSpec, value: SettingValue) -> bool:
+    """Tell whether a value has the type and the range of a setting."""
+    if not has_kind(spec, value):
+        return False
+    match value:
+        case bool():
+            return True
+        case int() | float():
+            return spec.minimum <= value <= spec.maximum
+        case str():
+            return _is_text_acceptable(spec, value)
+        case tuple():
+            return len(value) <= LIST_LIMIT and all(
+                _TOKEN_KEY.fullmatch(entry) for entry in value
+            )
+    return False
+
+
+def has_kind(spec: SettingSpec, value: SettingValue) -> bool:
+    """Tell whether a value has the type of a setting, whatever its range."""
+    match spec.kind:
+        case Kind.boolean:
+            return isinstance(value, bool)
+        case Kind.integer:
+            return isinstance(value, int) and not isinstance(value, bool)
+        case Kind.number:
+            is_number = isinstance(value, int | float)
+            return is_number and not isinstance(value, bool)
+        case Kind.token_keys:
+            return isinstance(value, tuple)
+    return isinstance(value, str)
+
+
+def parse_value(spec: SettingSpec, text: str) -> Result[SettingValue, str]:
+    """Read a value as an operator types it."""
+    try:
+        value = _PARSERS[spec.kind](text.strip())
+    except (KeyError, ValueError):
+        value = text
+    problem = value_problem(spec, value)
+    return Ok(value) if problem is None else Err(problem)
+
+
+def _is_text_acceptable(spec: SettingSpec, text: str) -> bool:
+    if spec.kind is Kind.choice:
+        return text in spec.choices
+    return _TOKEN_KEY.fullmatch(text) is not None
+
+
+def _quoted(value: SettingValue) -> str:
+    text = repr(value)
+    if len(text) <= _QUOTE_LIMIT:
+        return text
+    return f'{text[:_QUOTE_LIMIT]}… ({len(text)} characters)'
+
+
+def _parse_integer(text: str) -> int:
+    return int(text.replace(',', '').replace('_', ''))
+
+
+def _parse_number(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(text)
+    return number
+
+
+def _parse_keys(text: str) -> tuple[str, ...]:
+    return tuple(entry.strip() for entry in text.split(',') if entry.strip())
+
+
+_BOOLEANS = {'true': True, 'false': False}
+
+_PARSERS: Mapping[Kind, Callable[[str], SettingValue]] = {
+    Kind.integer: _parse_integer,
+    Kind.number: _parse_number,
+    Kind.boolean: lambda text: _BOOLEANS[text.lower()],
+    Kind.choice: str,
+    Kind.token_key: str,
+    Kind.token_keys: _parse_keys,
+}
