--- a/lavendergate/core/settings/spec.py
+++ b/lavendergate/core/settings/spec.py
@@ -70,7 +70,7 @@
         """Description of the acceptable values."""
         match self.kind:
             case Kind.integer | Kind.number:
-                bounds = f'from {self.minimum:,g} to {self.maximum:,g}'
+                bounds = f'from {self.minimum:,.10g} to {self.maximum:,.10g}'
                 return f'{self.kind.value} {bounds} {self.unit}'.strip()
             case Kind.choice:
                 return f'one of {", ".join(self.choices)}'
