Add the proxy role's assembly, options, heartbeats and local answers

Cause: filters and controllers need a process that connects them. Change: daemon options with all faults named at once, proxy role, heartbeat, probes, shares, local answers, outcome lookup.

--- a/lavendergate/backends/base.py
+++ b/lavendergate/backends/base.py
@@ -55,7 +55,11 @@
     last_insert_id: int = 0
 
 
-class UpstreamError(Exception):
+class MemberError(Exception):
+    """Base of what can go wrong with a member."""
+
+
+class UpstreamError(MemberError):
     """A member answered a statement with an error.
 
     Parameters
@@ -75,11 +79,24 @@
         self.message = message
 
 
-class UpstreamUnreachableError(Exception):
-    """No connection to a member could be opened; nothing was sent."""
+class UpstreamUnreachableError(MemberError):
+    """No connection to a member could be opened; nothing was sent.
+
+    Parameters
+    ----------
+    reason
+        What went wrong, with the member's address.
+    has_answered
+        Whether the member itself refused the connection, for instance
+        because of its connection limit; then it is up.
+    """
+
+    def __init__(self, reason: str, *, has_answered: bool = False) -> None:
+        super().__init__(reason)
+        self.has_answered = has_answered
 
 
-class ConnectionLostError(Exception):
+class ConnectionLostError(MemberError):
     """A connection failed after a statement was sent on it.
 
     The statement may have run.
--- a/lavendergate/backends/mysql.py
+++ b/lavendergate/backends/mysql.py
@@ -160,11 +160,18 @@
         except (aiomysql.MySQLError, OSError, EOFError) as error:
             raise UpstreamUnreachableError(
                 f'no connection to {address.host}:{address.port} '
-                f'within {timeout_s} s: {error}'
+                f'within {timeout_s:.3f} s: {error}',
+                has_answered=_is_answer(error),
             ) from error
         return MySqlConnection(connection=connection)
 
 
+def _is_answer(error: Exception) -> bool:
+    if not isinstance(error, aiomysql.MySQLError) or not error.args:
+        return False
+    return error.args[0] not in _CLIENT_ERRORS
+
+
 def _columns(cursor: Any) -> tuple[Column, ...]:
     return tuple(
         Column(
--- a/lavendergate/controllers/confirmation.py
+++ b/lavendergate/controllers/confirmation.py
@@ -10,15 +10,11 @@
 from anyio.abc import TaskGroup
 
 from lavendergate.backends.base import (
-    ConnectionLostError,
+    MemberError,
     QueryResult,
     UpstreamConnection,
-    UpstreamError,
-)
-from lavendergate.controllers.connections import (
-    NOT_SENT_ERRORS,
-    ConnectionPools,
 )
+from lavendergate.controllers.connections import ConnectionPools
 from lavendergate.controllers.directory import Directory
 from lavendergate.core.types import (
     LOG_START,
@@ -39,13 +35,6 @@
 RETRY_DELAY_S = 0.02
 CONNECTION_TIMEOUT_S = 0.5
 
-_MEMBER_ERRORS = (
-    *NOT_SENT_ERRORS,
-    ConnectionLostError,
-    UpstreamError,
-    TimeoutError,
-)
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaitAnswer:
@@ -161,7 +150,7 @@
         try:
             async with pool.connection(deadline=deadline) as connection:
                 await self._serve_targets(upstream_id, connection)
-        except _MEMBER_ERRORS:
+        except (MemberError, TimeoutError):
             await anyio.sleep(RETRY_DELAY_S)
 
     async def _serve_targets(
--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -12,18 +12,17 @@
 import anyio
 
 from lavendergate.backends.base import (
-    ConnectionLostError,
     MemberAddress,
+    MemberError,
     UpstreamBackend,
     UpstreamConnection,
-    UpstreamUnreachableError,
 )
 from lavendergate.core.types import GroupId, UpstreamId
 
 CONNECT_TIMEOUT_S = 2.0
 
 
-class NoConnectionError(Exception):
+class NoConnectionError(MemberError):
     """No connection was free before the deadline; nothing was sent."""
 
 
@@ -183,7 +182,8 @@
     async def _wait(self, deadline: float) -> None:
         waiter = anyio.Event()
         self._waiters.append(waiter)
-        with anyio.CancelScope(deadline=deadline) as scope:
+        scope = anyio.CancelScope(deadline=deadline)
+        with scope:
             try:
                 await waiter.wait()
             finally:
@@ -249,7 +249,3 @@
         )
         self._pools[upstream_id] = pool
         return pool
-
-
-NOT_SENT_ERRORS = (NoConnectionError, UpstreamUnreachableError)
-LOST_ERRORS = (ConnectionLostError,)
--- a/lavendergate/controllers/directory.py
+++ b/lavendergate/controllers/directory.py
@@ -90,5 +90,6 @@
             self.note_position(member.upstream_id, member.status.last_entry)
 
     def _notify(self) -> None:
-        changed, self._changed = self._changed, anyio.Event()
+        changed = self._changed
+        self._changed = anyio.Event()
         changed.set()
--- /dev/null
+++ b/lavendergate/controllers/heartbeat.py
@@ -0,0 +1,196 @@
+"""Heartbeats of a proxy to the control role.
+
+One long-polled exchange carries demand, probe results and announcements to
+control, and settings, group reports and shares back.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import anyio
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from lavendergate.backends.base import MemberAddress
+from lavendergate.controllers.connections import ConnectionPools
+from lavendergate.controllers.directory import Directory
+from lavendergate.controllers.loads import MemberLoads
+from lavendergate.controllers.probes import Prober
+from lavendergate.controllers.proxy_shares import ProxyShares
+from lavendergate.core.settings.in_force import InForceSettings
+from lavendergate.core.types import FailureDomain, HostId, Region
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.process_clock import ProcessClock
+from lavendergate.observability.settings_events import SettingsEvent
+from lavendergate.rpc.codec import MessagePackCodec
+from lavendergate.rpc.messages import HeartbeatReply, HeartbeatRequest
+from lavendergate.rpc.service import HEARTBEAT, call
+
+CALL_TIMEOUT_S = 1.5
+# The long poll returns at once while things change; the pause bounds the
+# traffic for control, which may take 12 KB a second of a node.
+MIN_INTERVAL_S = 0.1
+RETRY_DELAY_S = 0.1
+
+CALL_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProxyIdentity:
+    """Who this proxy is."""
+
+    host_id: HostId
+    incarnation: str
+    region: Region
+    failure_domain: FailureDomain
+    address: str
+
+
+class Heartbeats:
+    """Exchanges heartbeats with the control leader.
+
+    Parameters
+    ----------
+    control
+        Addresses of the control hosts, ``ip:port``.
+    take_announcements
+        Returns the announcements that reached this host since the last
+        call.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: ProxyIdentity,
+        control: Sequence[str],
+        directory: Directory,
+        pools: ConnectionPools,
+        loads: MemberLoads,
+        settings: InForceSettings,
+        shares: ProxyShares,
+        prober: Prober,
+        take_announcements: Callable[[], tuple[bytes, ...]],
+        clock: ProcessClock,
+        events: EventLog,
+    ) -> None:
+        self._identity = identity
+        self._control = list(control)
+        self._directory = directory
+        self._pools = pools
+        self._loads = loads
+        self._settings = settings
+        self._shares = shares
+        self._prober = prober
+        self._take_announcements = take_announcements
+        self._clock = clock
+        self._events = events
+        self._target = 0
+        self._channels: dict[str, Channel] = {}
+        self._is_draining = False
+        self._last_problem: str | None = None
+
+    def begin_drain(self) -> None:
+        """Tell control that this proxy hands its shares back."""
+        self._is_draining = True
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        try:
+            while True:
+                await self.exchange()
+        finally:
+            for channel in self._channels.values():
+                channel.close()
+
+    async def exchange(self) -> None:
+        """Exchange one heartbeat and apply the answer."""
+        sent_at = anyio.current_time()
+        address = self._control[self._target % len(self._control)]
+        try:
+            reply = await call(
+                self._channel(address),
+                HEARTBEAT,
+                self._request(),
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except CALL_ERRORS:
+            self._target += 1
+            await anyio.sleep(RETRY_DELAY_S)
+            return
+        self._clock.receive(reply.clock)
+        self._follow_leader(address, reply)
+        if reply.problem is None:
+            self._apply(reply, sent_at)
+        elif reply.problem != self._last_problem:
+            self._last_problem = reply.problem
+        pause_s = MIN_INTERVAL_S - (anyio.current_time() - sent_at)
+        await anyio.sleep(max(pause_s, 0))
+
+    def _request(self) -> HeartbeatRequest:
+        identity = self._identity
+        return HeartbeatRequest(
+            host_id=identity.host_id,
+            incarnation=identity.incarnation,
+            region=identity.region,
+            failure_domain=identity.failure_domain,
+            address=identity.address,
+            settings_version=self._settings.version,
+            directory_version=self._directory.version,
+            demands=self._shares.demands(),
+            probes=self._prober.results(),
+            suspected=self._directory.take_suspected(),
+            announcements=self._take_announcements(),
+            draining=self._is_draining,
+            clock=self._clock.stamp(),
+        )
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(':')
+            channel = Channel(host, int(port), codec=MessagePackCodec())
+            self._channels[address] = channel
+        return channel
+
+    def _follow_leader(self, address: str, reply: HeartbeatReply) -> None:
+        leader = reply.leader
+        if leader is None or leader == address:
+            return
+        if leader not in self._control:
+            self._control.append(leader)
+        self._target = self._control.index(leader)
+
+    def _apply(self, reply: HeartbeatReply, sent_at: float) -> None:
+        now = anyio.current_time()
+        self._last_problem = None
+        if reply.settings is not None:
+            self._take_settings(reply, now)
+        if reply.groups is not None:
+            self._directory.update(
+                reply.groups, version=reply.directory_version, now=now
+            )
+            self._add_pools()
+        self._shares.grant(reply.shares, sent_at=sent_at, now=now)
+        self._prober.order(reply.probe)
+
+    def _take_settings(self, reply: HeartbeatReply, now: float) -> None:
+        if reply.settings is None:
+            return
+        previous = self._settings.version
+        self._settings.offer(reply.settings, now)
+        if self._settings.version != previous:
+            self._events.emit(
+                SettingsEvent.settings_in_force,
+                settings_version=int(self._settings.version),
+                previous_version=int(previous),
+            )
+
+    def _add_pools(self) -> None:
+        for view in self._directory.groups.values():
+            for member in view.members:
+                self._pools.add(
+                    upstream_id=member.upstream_id,
+                    group_id=view.group_id,
+                    address=MemberAddress(host=member.host, port=member.port),
+                )
+                self._loads.set_slots(member.upstream_id, member.slots)
--- a/lavendergate/controllers/loads.py
+++ b/lavendergate/controllers/loads.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from lavendergate.core.routing import MemberLoad
+from lavendergate.core.member_load import MemberLoad
 from lavendergate.core.types import UpstreamId
 
 _MS_PER_S = 1000
@@ -41,7 +41,7 @@
         """Note that a member gave no answer."""
         self._smooth(self._load(upstream_id), _FAILURE_LATENCY_MS)
 
-    def set_slots(self, upstream_id: UpstreamId, slots: float) -> None:
+    def set_slots(self, upstream_id: UpstreamId, slots: int) -> None:
         """Set the slots that the member has for this proxy."""
         self._load(upstream_id).slots = slots
 
--- a/lavendergate/controllers/primary.py
+++ b/lavendergate/controllers/primary.py
@@ -5,14 +5,8 @@
 import anyio
 from result import Err, Ok, Result
 
-from lavendergate.backends.base import (
-    ConnectionLostError,
-    UpstreamConnection,
-    UpstreamError,
-    UpstreamUnreachableError,
-)
+from lavendergate.backends.base import MemberError, UpstreamConnection
 from lavendergate.controllers.connections import (
-    NOT_SENT_ERRORS,
     ConnectionPools,
     MemberPool,
 )
@@ -77,12 +71,7 @@
                 connection = await pool.acquire(
                     deadline=deadline, session_statements=session_statements
                 )
-            except (
-                *NOT_SENT_ERRORS,
-                ConnectionLostError,
-                UpstreamError,
-                TimeoutError,
-            ) as error:
+            except (MemberError, TimeoutError) as error:
                 reason = str(error)
                 await self._back_off(pool, error, backoff_s, deadline)
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
@@ -99,7 +88,8 @@
         backoff_s: float,
         deadline: float,
     ) -> None:
-        if isinstance(error, UpstreamUnreachableError):
+        is_refusal = getattr(error, 'has_answered', True)
+        if not is_refusal:
             self._directory.suspect(pool.upstream_id)
         now = anyio.current_time()
         await self._directory.wait_for_change(
--- a/lavendergate/controllers/read_index.py
+++ b/lavendergate/controllers/read_index.py
@@ -10,15 +10,12 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from lavendergate.backends.base import ConnectionLostError, UpstreamError
+from lavendergate.backends.base import MemberError
 from lavendergate.controllers.confirmation import (
     GroupConfirmer,
     primary_status,
 )
-from lavendergate.controllers.connections import (
-    NOT_SENT_ERRORS,
-    ConnectionPools,
-)
+from lavendergate.controllers.connections import ConnectionPools
 from lavendergate.controllers.directory import Directory
 from lavendergate.core.types import (
     LOG_START,
@@ -101,7 +98,8 @@
             self._is_running = False
 
     async def _run_round(self) -> None:
-        current, self._next = self._next, _Round()
+        current = self._next
+        self._next = _Round()
         try:
             current.answer = await self._confirm_primary()
         finally:
@@ -118,12 +116,7 @@
         try:
             with anyio.fail_after(ROUND_TIMEOUT_S):
                 position = await self._primary_position(view, deadline)
-        except (
-            *NOT_SENT_ERRORS,
-            ConnectionLostError,
-            UpstreamError,
-            TimeoutError,
-        ):
+        except (MemberError, TimeoutError):
             return None
         if position is None:
             return None
--- /dev/null
+++ b/lavendergate/daemon/main.py
@@ -0,0 +1,76 @@
+"""Entry point of ``lavendergated``."""
+
+import os
+import sys
+from typing import Annotated
+
+import anyio
+from cyclopts import App, Parameter
+from result import Err
+
+from lavendergate.daemon.options import read_options
+from lavendergate.daemon.process import run_daemon
+
+EXIT_USAGE = 2
+
+app = App(
+    name='lavendergated',
+    help='Daemon of lavendergate: proxy role, control role or both.',
+)
+
+
+@app.default
+def serve(
+    *,
+    host_id: Annotated[str, Parameter(help='Identity of this host.')] = '',
+    roles: Annotated[str, Parameter(help='proxy, control or both.')] = '',
+    region: Annotated[str, Parameter(help='Region of this host.')] = '',
+    failure_domain: Annotated[
+        str, Parameter(help='Failure domain of this host.')
+    ] = '',
+    listen: Annotated[str, Parameter(help='ip:port for callers.')] = '',
+    rpc_listen: Annotated[str, Parameter(help='ip:port for gRPC.')] = '',
+    control: Annotated[
+        str, Parameter(help='ip:port of each control host, with commas.')
+    ] = '',
+    data_directory: Annotated[
+        str, Parameter(help='Directory of logs and state.')
+    ] = '',
+    drain_delay_s: Annotated[
+        float | None,
+        Parameter(help='Time for which a stopping proxy accepts callers.'),
+    ] = None,
+    drain_limit_s: Annotated[
+        float | None, Parameter(help='Limit of the graceful shutdown.')
+    ] = None,
+    statsd: Annotated[str, Parameter(help='ip:port of statsd.')] = '',
+) -> None:
+    """Run the daemon until it is stopped by SIGTERM or SIGINT."""
+    flags = {
+        'host_id': host_id,
+        'roles': roles,
+        'region': region,
+        'failure_domain': failure_domain,
+        'listen': listen,
+        'rpc_listen': rpc_listen,
+        'control': control,
+        'data_directory': data_directory,
+        'drain_delay_s': drain_delay_s,
+        'drain_limit_s': drain_limit_s,
+        'statsd': statsd,
+    }
+    options = read_options(flags, os.environ)
+    if isinstance(options, Err):
+        for fault in options.err_value:
+            sys.stderr.write(f'lavendergated: {fault}\n')
+        sys.exit(EXIT_USAGE)
+    anyio.run(run_daemon, options.ok_value, backend='asyncio')
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/lavendergate/daemon/proxy.py
@@ -0,0 +1,246 @@
+"""The proxy role: everything between callers and members."""
+
+import random
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Ok, Result
+
+from lavendergate.backends.mysql import MySqlBackend
+from lavendergate.controllers.announcement_relay import AnnouncementRelay
+from lavendergate.controllers.confirmation import GroupConfirmer
+from lavendergate.controllers.connections import ConnectionPools
+from lavendergate.controllers.directory import Directory
+from lavendergate.controllers.heartbeat import Heartbeats, ProxyIdentity
+from lavendergate.controllers.loads import MemberLoads
+from lavendergate.controllers.primary import PrimaryConnector
+from lavendergate.controllers.probes import Prober
+from lavendergate.controllers.proxy_shares import ProxyShares
+from lavendergate.controllers.read_index import GroupReadIndex
+from lavendergate.controllers.token_keys import TokenKeyring
+from lavendergate.core.errors import StatementError
+from lavendergate.core.settings.in_force import InForceSettings
+from lavendergate.core.settings.resolution import EffectiveSettings
+from lavendergate.core.tokens import SessionToken, sign_token, verify_token
+from lavendergate.core.types import (
+    FailureDomain,
+    GroupId,
+    HostId,
+    Region,
+)
+from lavendergate.daemon.options import DaemonOptions
+from lavendergate.filters.at_most_once import AtMostOnce, AtMostOnceFilter
+from lavendergate.filters.base import Filter, Forward, SessionState, build_chain
+from lavendergate.filters.classify import ClassifyFilter
+from lavendergate.filters.confirm import ConfirmFilter
+from lavendergate.filters.execute import ExecuteFilter
+from lavendergate.filters.hints import HintsFilter
+from lavendergate.filters.local import LocalFilter
+from lavendergate.filters.outcome import OutcomeReader
+from lavendergate.filters.route import RouteFilter
+from lavendergate.filters.transaction import TransactionFilter
+from lavendergate.frontend.server import CallerAccounts, CallerListener
+from lavendergate.frontend.session import CallerSession
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.process_clock import ProcessClock
+
+MAINTENANCE_INTERVAL_S = 0.25
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProcessContext:
+    """What both roles of one process share."""
+
+    options: DaemonOptions
+    incarnation: str
+    clock: ProcessClock
+    events: EventLog
+
+
+class ProxyRole:
+    """Serves callers.
+
+    Parameters
+    ----------
+    context
+        Options and observability of the process.
+    tasks
+        Task group of the role.
+    """
+
+    def __init__(self, *, context: ProcessContext, tasks: TaskGroup) -> None:
+        options = context.options
+        self._context = context
+        self._tasks = tasks
+        self._is_closing = False
+        self._backend = MySqlBackend(
+            user=options.upstream_user,
+            password=options.upstream_password,
+            program_name=f'{options.host_id}/{context.incarnation}',
+        )
+        self._directory = Directory()
+        self._pools = ConnectionPools(backend=self._backend)
+        self._loads = MemberLoads()
+        self._settings = InForceSettings(now=anyio.current_time())
+        self._shares = ProxyShares(pools=self._pools)
+        self._relay = AnnouncementRelay(hosts=options.control)
+        self._confirmers: dict[GroupId, GroupConfirmer] = {}
+        self._read_indexes: dict[GroupId, GroupReadIndex] = {}
+        self._keyring = TokenKeyring(
+            fallback_secret=options.announce_key.encode()
+        )
+        self._heartbeats = self._make_heartbeats()
+        self._chain = self._make_chain()
+        self._listener = CallerListener(
+            session_factory=self._make_session,
+            accounts=CallerAccounts(auth_strings=options.callers),
+        )
+
+    @property
+    def relay(self) -> AnnouncementRelay:
+        """Receives announcements for control."""
+        return self._relay
+
+    @property
+    def listener(self) -> CallerListener:
+        """Listener for callers."""
+        return self._listener
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers can be served: groups are known, no drain runs."""
+        return bool(self._directory.groups) and not self._is_closing
+
+    async def start(self) -> None:
+        """Begin to serve callers and to exchange heartbeats."""
+        listen = self._context.options.listen
+        if listen is None:
+            raise RuntimeError('the options require --listen for this role')
+        self._tasks.start_soon(self._heartbeats.run)
+        self._tasks.start_soon(self._maintain)
+        host, _, port = listen.rpartition(':')
+        await self._listener.start(host, int(port))
+
+    def begin_drain(self) -> None:
+        """Take no new statements, finish those in flight."""
+        self._is_closing = True
+        self._heartbeats.begin_drain()
+
+    async def _maintain(self) -> None:
+        while True:
+            await anyio.sleep(MAINTENANCE_INTERVAL_S)
+            self._shares.enforce(anyio.current_time())
+
+    def _make_session(self) -> CallerSession:
+        return CallerSession(
+            chain=self._chain, is_closing=lambda: self._is_closing
+        )
+
+    def _make_heartbeats(self) -> Heartbeats:
+        context = self._context
+        options = context.options
+        return Heartbeats(
+            identity=ProxyIdentity(
+                host_id=HostId(options.host_id),
+                incarnation=context.incarnation,
+                region=Region(options.region),
+                failure_domain=FailureDomain(options.failure_domain),
+                address=options.listen or '',
+            ),
+            control=options.control,
+            directory=self._directory,
+            pools=self._pools,
+            loads=self._loads,
+            settings=self._settings,
+            shares=self._shares,
+            prober=Prober(
+                backend=self._backend,
+                directory=self._directory,
+                tasks=self._tasks,
+            ),
+            take_announcements=self._relay.take,
+            clock=context.clock,
+            events=context.events,
+        )
+
+    def _make_chain(self) -> Forward:
+        primaries = PrimaryConnector(
+            directory=self._directory, pools=self._pools
+        )
+        at_most_once = AtMostOnce()
+        outcomes = OutcomeReader(
+            primaries=primaries,
+            at_most_once=at_most_once,
+            confirmer=self._confirmer,
+        )
+        filters: list[Filter] = [
+            HintsFilter(verify=self._verify, settings=self._effective),
+            ClassifyFilter(),
+            LocalFilter(sign=self._sign, outcomes=outcomes),
+            ConfirmFilter(confirmer=self._confirmer),
+            TransactionFilter(primaries=primaries, at_most_once=at_most_once),
+            RouteFilter(
+                region=Region(self._context.options.region),
+                directory=self._directory,
+                pools=self._pools,
+                primaries=primaries,
+                loads=self._loads,
+                read_index=self._read_index,
+                random_number=random.random,
+            ),
+            AtMostOnceFilter(at_most_once=at_most_once),
+            ExecuteFilter(),
+        ]
+        return build_chain(filters)
+
+    def _effective(self, session: SessionState) -> EffectiveSettings:
+        tree = self._settings.tree
+        group_id = session.group_id
+        if group_id is None:
+            return tree.effective()
+        view = self._directory.group(group_id)
+        regions = [member.region for member in view.members] if view else []
+        return tree.effective(
+            tree.region_of(group_id, regions), group_id, session.caller_id
+        )
+
+    def _confirmer(self, group_id: GroupId) -> GroupConfirmer:
+        confirmer = self._confirmers.get(group_id)
+        if confirmer is None:
+            confirmer = self._make_confirmer(group_id)
+            self._confirmers[group_id] = confirmer
+        return confirmer
+
+    def _make_confirmer(self, group_id: GroupId) -> GroupConfirmer:
+        return GroupConfirmer(
+            group_id=group_id,
+            directory=self._directory,
+            pools=self._pools,
+            tasks=self._tasks,
+        )
+
+    def _read_index(self, group_id: GroupId) -> GroupReadIndex:
+        read_index = self._read_indexes.get(group_id)
+        if read_index is None:
+            read_index = self._make_read_index(group_id)
+            self._read_indexes[group_id] = read_index
+        return read_index
+
+    def _make_read_index(self, group_id: GroupId) -> GroupReadIndex:
+        return GroupReadIndex(
+            group_id=group_id,
+            directory=self._directory,
+            pools=self._pools,
+            # A confirmer of its own: confirmations of writes may wait for
+            # a replica that lags, which reads must not wait for.
+            confirmer=self._make_confirmer(group_id),
+            tasks=self._tasks,
+        )
+
+    def _sign(self, token: SessionToken) -> str:
+        return sign_token(token, self._keyring.keys(self._settings.tree))
+
+    def _verify(self, text: str) -> Result[SessionToken, StatementError]:
+        verified = verify_token(text, self._keyring.keys(self._settings.tree))
+        return verified.and_then(Ok)
--- a/lavendergate/filters/at_most_once.py
+++ b/lavendergate/filters/at_most_once.py
@@ -8,7 +8,7 @@
 import time
 
 import xxhash
-from result import Err
+from result import Err, Ok, Result
 
 from lavendergate.backends.base import QueryResult, UpstreamConnection
 from lavendergate.core.classification import StatementKind
@@ -19,6 +19,7 @@
 from lavendergate.filters.base import (
     Filter,
     Forward,
+    StatementFailure,
     StatementRequest,
     StatementResult,
     UpstreamAnswerError,
@@ -43,6 +44,7 @@
 _DUPLICATE_ENTRY = 1062
 _NO_SUCH_TABLE = 1146
 _MS_PER_S = 1000
+_BACKSLASH = chr(92)
 
 
 class AtMostOnce:
@@ -98,16 +100,23 @@
             return await self._undo(request, connection, claimed)
         return None
 
+    async def is_recorded(
+        self, request: StatementRequest, connection: UpstreamConnection
+    ) -> Result[bool, StatementFailure]:
+        """Tell whether the request's id has a record on this primary."""
+        found = await self._find(request, connection)
+        noted = await note_position(request, connection)
+        if isinstance(noted, Err):
+            return noted
+        if _is_error(found, _NO_SUCH_TABLE):
+            return Ok(False)
+        return found.map(lambda query_result: bool(query_result.rows))
+
     async def recorded_outcome(
         self, request: StatementRequest, connection: UpstreamConnection
     ) -> StatementResult:
         """Return the recorded answer of the request's id."""
-        found = await self._run(
-            request,
-            connection,
-            f'SELECT statement_hash, affected_rows, last_insert_id '
-            f'FROM {TABLE} WHERE request_id = {_quote(request)}',
-        )
+        found = await self._find(request, connection)
         if isinstance(found, Err) or not found.ok_value.rows:
             return found
         # The first attempt may have ended as unknown: what it wrote is
@@ -128,6 +137,16 @@
             )
         )
 
+    async def _find(
+        self, request: StatementRequest, connection: UpstreamConnection
+    ) -> StatementResult:
+        return await self._run(
+            request,
+            connection,
+            'SELECT statement_hash, affected_rows, last_insert_id '
+            f'FROM {TABLE} WHERE request_id = {_quote(request)}',
+        )
+
     async def _claim(
         self, request: StatementRequest, connection: UpstreamConnection
     ) -> StatementResult:
@@ -160,7 +179,10 @@
         return reason
 
     async def _run(
-        self, request: StatementRequest, connection: UpstreamConnection, sql: str
+        self,
+        request: StatementRequest,
+        connection: UpstreamConnection,
+        sql: str,
     ) -> StatementResult:
         return await run_before_deadline(
             connection, sql, deadline=request.deadline
@@ -207,8 +229,9 @@
 
 
 def _quote(request: StatementRequest) -> str:
-    escaped = (request.hints.request_id or '').replace('\\', '\\\\')
-    return "'" + escaped.replace("'", "''") + "'"
+    text = request.hints.request_id or ''
+    escaped = text.replace(_BACKSLASH, _BACKSLASH * 2).replace("'", "''")
+    return f"'{escaped}'"
 
 
 def _is_error(outcome: StatementResult, code: int) -> bool:
--- a/lavendergate/filters/base.py
+++ b/lavendergate/filters/base.py
@@ -11,9 +11,10 @@
 from lavendergate.core.classification import StatementKind
 from lavendergate.core.errors import Outcome, StatementError
 from lavendergate.core.hints import NO_HINTS, Hints
-from lavendergate.core.settings.tree import (
-    DEFAULT_SETTINGS,
+from lavendergate.core.settings.document import SettingsDocument
+from lavendergate.core.settings.resolution import (
     EffectiveSettings,
+    effective,
 )
 from lavendergate.core.tokens import EMPTY_TOKEN, SessionToken
 from lavendergate.core.types import CallerId, GroupId, LogPosition, Term
@@ -29,6 +30,8 @@
     outcome: Outcome = Outcome.done
 
 
+DEFAULT_SETTINGS = effective(SettingsDocument())
+
 StatementFailure = StatementError | UpstreamAnswerError
 StatementResult = Result[QueryResult, StatementFailure]
 
@@ -72,6 +75,9 @@
     autocommit: bool = True
     transaction: OpenTransaction | None = None
     session_statements: tuple[str, ...] = ()
+    last_insert_id: int = 0
+    row_count: int = -1
+    connection_id: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lavendergate/filters/classify.py
+++ b/lavendergate/filters/classify.py
@@ -1,15 +1,12 @@
 """Classifies a statement and refuses what the proxy does not support."""
 
-from lavendergate.core.classification import (
-    StatementKind,
-    classify,
-    refusal_advice,
-)
+from lavendergate.core.classification import StatementKind, classify
 from lavendergate.core.errors import (
     RefusedStatementError,
     UnknownGroupError,
     quoted,
 )
+from lavendergate.core.session_state import refusal_advice
 from lavendergate.filters.base import (
     Filter,
     Forward,
@@ -22,13 +19,15 @@
     'begin a transaction first: the statement depends on the state of one '
     'upstream connection'
 )
-_NEEDS_GROUP = frozenset((
-    StatementKind.read,
-    StatementKind.locking_read,
-    StatementKind.write,
-    StatementKind.pinned,
-    StatementKind.begin,
-))
+_NEEDS_GROUP = frozenset(
+    (
+        StatementKind.read,
+        StatementKind.locking_read,
+        StatementKind.write,
+        StatementKind.pinned,
+        StatementKind.begin,
+    )
+)
 
 
 class ClassifyFilter(Filter):
--- a/lavendergate/filters/execute.py
+++ b/lavendergate/filters/execute.py
@@ -28,7 +28,6 @@
     failed,
 )
 
-
 _POSITION_LOST = UnknownOutcomeError(
     reason='the write was committed but its position could not be read'
 )
@@ -142,4 +141,3 @@
 def no_rows() -> QueryResult:
     """Return the answer of a statement without a result set."""
     return QueryResult(rows=[])
-
--- a/lavendergate/filters/hints.py
+++ b/lavendergate/filters/hints.py
@@ -6,7 +6,7 @@
 
 from lavendergate.core.errors import StatementError
 from lavendergate.core.hints import parse_hints
-from lavendergate.core.settings.tree import EffectiveSettings
+from lavendergate.core.settings.resolution import EffectiveSettings
 from lavendergate.core.tokens import SessionToken
 from lavendergate.filters.base import (
     Filter,
@@ -47,7 +47,9 @@
         parsed = parse_hints(request.sql, request.attributes)
         if isinstance(parsed, Err):
             return failed(parsed.err_value)
-        request.hints, request.sql = parsed.ok_value
+        hints, sql = parsed.ok_value
+        request.hints = hints
+        request.sql = sql
         request.settings = self._settings(request.session)
         deadline_ms = request.hints.deadline_ms
         if deadline_ms is None:
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -1,19 +1,14 @@
 """Selects the member for a statement and lends it a connection."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import anyio
 from result import Err
 
-from lavendergate.backends.base import (
-    ConnectionLostError,
-    UpstreamConnection,
-    UpstreamError,
-)
+from lavendergate.backends.base import MemberError, Row, UpstreamConnection
 from lavendergate.controllers.confirmation import group_wait
 from lavendergate.controllers.connections import (
-    NOT_SENT_ERRORS,
     ConnectionPools,
     MemberPool,
 )
@@ -22,28 +17,34 @@
 from lavendergate.controllers.primary import PrimaryConnector
 from lavendergate.controllers.read_index import GroupReadIndex
 from lavendergate.core.classification import StatementKind
-from lavendergate.core.errors import (
-    NoPrimaryError,
-    NotRunError,
-    Outcome,
-    TokenLimitError,
-    UnknownGroupError,
-)
-from lavendergate.core.routing import (
+from lavendergate.core.decisions import (
     BoundedRead,
     ConfirmFirst,
     Decision,
     Refuse,
-    RoutingPolicy,
     SessionRead,
     UseMember,
     UsePrimary,
     WaitForPrimary,
     WaitOnMember,
-    route,
 )
+from lavendergate.core.errors import (
+    NoPrimaryError,
+    NotRunError,
+    Outcome,
+    TokenLimitError,
+    UnknownGroupError,
+)
+from lavendergate.core.member_load import RoutingPolicy
+from lavendergate.core.routing import route
 from lavendergate.core.tokens import GROUP_LIMIT
-from lavendergate.core.types import GroupId, GroupView, LogPosition, Region
+from lavendergate.core.types import (
+    LOG_START,
+    GroupId,
+    GroupView,
+    LogPosition,
+    Region,
+)
 from lavendergate.filters.base import (
     Filter,
     Forward,
@@ -58,12 +59,6 @@
 _WAIT_ANSWER_MARGIN_S = 0.5
 _READ_ONLY = 1290
 _ON_PRIMARY = frozenset((StatementKind.write, StatementKind.locking_read))
-_MEMBER_ERRORS = (
-    *NOT_SENT_ERRORS,
-    ConnectionLostError,
-    UpstreamError,
-    TimeoutError,
-)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -71,6 +66,7 @@
     """What earlier attempts of one read have found out."""
 
     position: LogPosition | None
+    is_read_index: bool = False
     has_waited: bool = False
     attempts: int = 0
 
@@ -156,7 +152,7 @@
         position = None if token is None else token.position(group_id)
         if token is not None and position is None:
             # The token is complete: the session wrote nothing in this group.
-            position = LogPosition(term=_NO_TERM, position=0)
+            position = LOG_START
         attempt = _ReadAttempt(position=position)
         while anyio.current_time() < request.deadline:
             view = self._directory.group(group_id)
@@ -191,9 +187,7 @@
         if pool is None:
             await self._directory.wait_for_change(deadline=request.deadline)
             return None
-        return await self._read_from(
-            pool, decision, request, attempt, forward
-        )
+        return await self._read_from(pool, decision, request, attempt, forward)
 
     def _decide(
         self,
@@ -209,7 +203,9 @@
             wanted = BoundedRead(max_age_ms=max_age_ms)
         else:
             wanted = SessionRead(
-                position=attempt.position, has_waited=attempt.has_waited
+                position=attempt.position,
+                has_waited=attempt.has_waited,
+                is_read_index=attempt.is_read_index,
             )
         return route(
             wanted,
@@ -241,6 +237,7 @@
                 )
             )
         attempt.position = confirmed.position
+        attempt.is_read_index = True
         return None
 
     async def _wait_for_primary(
@@ -271,7 +268,7 @@
                 deadline=request.deadline,
                 session_statements=request.session.session_statements,
             )
-        except _MEMBER_ERRORS as error:
+        except (MemberError, TimeoutError) as error:
             self._loads.note_failure(pool.upstream_id)
             return await self._pause_before_retry(request, error)
         if isinstance(decision, WaitOnMember):
@@ -300,7 +297,7 @@
                 )
             self._directory.note_position(pool.upstream_id, answer.last_entry)
             is_held = answer.is_held
-        except _MEMBER_ERRORS:
+        except (MemberError, TimeoutError):
             self._loads.note_failure(pool.upstream_id)
         finally:
             if not is_held:
--- a/lavendergate/filters/transaction.py
+++ b/lavendergate/filters/transaction.py
@@ -1,6 +1,6 @@
 """Keeps a transaction on one upstream connection."""
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from lavendergate.controllers.primary import PrimaryConnector
 from lavendergate.core.classification import StatementKind
@@ -28,23 +28,29 @@
     run_before_deadline,
 )
 
-_STARTS_IMPLICITLY = frozenset((
-    StatementKind.read,
-    StatementKind.locking_read,
-    StatementKind.write,
-))
+_STARTS_IMPLICITLY = frozenset(
+    (
+        StatementKind.read,
+        StatementKind.locking_read,
+        StatementKind.write,
+    )
+)
 # These commit the transaction at the member, so that the proxy would not
 # learn the position of the commit.
-_COMMIT_IMPLICITLY = frozenset((
-    'ALTER',
-    'ANALYZE',
-    'CREATE',
-    'DROP',
-    'OPTIMIZE',
-    'RENAME',
-    'TRUNCATE',
-))
-_DDL_ADVICE = 'commit the transaction first; this statement cannot be part of it'
+_COMMIT_IMPLICITLY = frozenset(
+    (
+        'ALTER',
+        'ANALYZE',
+        'CREATE',
+        'DROP',
+        'OPTIMIZE',
+        'RENAME',
+        'TRUNCATE',
+    )
+)
+_DDL_ADVICE = (
+    'commit the transaction first; this statement cannot be part of it'
+)
 
 
 class TransactionFilter(Filter):
@@ -132,7 +138,7 @@
             pool=primary.pool,
             connection=primary.connection,
         )
-        return acquired.map(lambda _: session.transaction)
+        return Ok(session.transaction)
 
     async def _run_inside(
         self, request: StatementRequest, transaction: OpenTransaction
@@ -150,7 +156,7 @@
                 # the closed connection.
                 self._end(request)
                 return failed(
-                    TransactionLostError(reason=executed.err_value.reason)
+                    TransactionLostError(reason=executed.err_value.message)
                 )
             if executed.err_value.code == _DEADLOCK:
                 # The member has rolled the transaction back itself.
--- a/lavendergate/frontend/connection.py
+++ b/lavendergate/frontend/connection.py
@@ -8,7 +8,14 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Sequence,
+)
+from functools import partial
 from typing import Any
 
 from mysql_mimic import packets, types
@@ -16,9 +23,17 @@
 from mysql_mimic.connection import Connection
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
-
-from lavendergate.backends.base import QueryResult, Row
-from lavendergate.core.errors import StatementError
+from result import Err
+
+from lavendergate.backends.base import (
+    Column,
+    ConnectionLostError,
+    QueryResult,
+    Row,
+    UpstreamError,
+)
+from lavendergate.core.errors import UnknownOutcomeError
+from lavendergate.filters.base import StatementFailure
 from lavendergate.frontend import results
 from lavendergate.frontend.session import CallerSession
 
@@ -68,12 +83,14 @@
             f'limit of {MAX_PACKET_BYTES} bytes; send smaller statements'
         )
         await self.write(
-            b''.join((
-                b'\xff',
-                types.uint_2(ErrorCode.MALFORMED_PACKET),
-                b'#08S01',
-                message.encode(),
-            ))
+            b''.join(
+                (
+                    b'\xff',
+                    types.uint_2(ErrorCode.MALFORMED_PACKET),
+                    b'#08S01',
+                    message.encode(),
+                )
+            )
         )
         raise ConnectionClosed
 
@@ -99,9 +116,10 @@
     async def handle_query(self, data: bytes) -> None:
         """Answer COM_QUERY."""
         sql, attributes = self._parse_query(data)
-        query_result = await self._run(sql, attributes)
-        if query_result is not None:
-            await self._answer(query_result, binary=False)
+        try:
+            await self._run(sql, attributes, self._write_text)
+        finally:
+            self.session.finish()
 
     async def handle_stmt_execute(self, data: bytes) -> None:
         """Answer COM_STMT_EXECUTE."""
@@ -112,13 +130,13 @@
             get_stmt=self.get_stmt,
         )
         execute.stmt.param_buffers = None
-        query_result = await self._run(execute.sql, execute.query_attrs)
-        if query_result is None:
-            return
-        if execute.use_cursor and query_result.columns:
-            await self._open_cursor(execute.stmt, query_result)
-            return
-        await self._answer(query_result, binary=True)
+        write = self._write_binary
+        if execute.use_cursor:
+            write = partial(self._open_cursor, execute.stmt)
+        try:
+            await self._run(execute.sql, execute.query_attrs, write)
+        finally:
+            self.session.finish()
 
     async def handle_reset_connection(self, data: bytes) -> None:
         """Answer COM_RESET_CONNECTION."""
@@ -126,13 +144,6 @@
         self.prepared_stmts.clear()
         await self.stream.write(self.ok())
 
-    async def handle_init_db(self, data: bytes) -> None:
-        """Answer COM_INIT_DB."""
-        try:
-            await super().handle_init_db(data)
-        except StatementError as error:
-            await self._write_error(error)
-
     async def handle_stmt_reset(self, data: bytes) -> None:
         """Answer COM_STMT_RESET, which resets one prepared statement."""
         statement = self.get_stmt(packets.parse_com_stmt_reset(data).stmt_id)
@@ -154,16 +165,28 @@
         return data.decode(codec, 'surrogateescape'), {}
 
     async def _run(
-        self, sql: str, attributes: dict[str, str]
-    ) -> QueryResult | None:
-        try:
-            query_result = await self.session.run(sql, attributes)
-        except StatementError as error:
-            self._update_status()
-            await self._write_error(error)
-            return None
+        self,
+        sql: str,
+        attributes: dict[str, str],
+        write: Callable[[QueryResult], Awaitable[None]],
+    ) -> None:
+        outcome = await self.session.run(sql, attributes)
         self._update_status()
-        return query_result
+        if isinstance(outcome, Err):
+            await self._write_error(outcome.err_value)
+            return
+        query_result = outcome.ok_value
+        if not query_result.columns:
+            await self._write_counts(query_result)
+            return
+        try:
+            await write(query_result)
+        except (ConnectionLostError, UpstreamError) as error:
+            # An error packet may end a result at any row.
+            reason = f'the result ended early: {error}'
+            await self._write_error(UnknownOutcomeError(reason=reason))
+        finally:
+            await _close(query_result)
 
     def _update_status(self) -> None:
         flags = types.ServerStatus(0)
@@ -173,34 +196,45 @@
             flags |= types.ServerStatus.SERVER_STATUS_IN_TRANS
         self.status_flags = flags
 
-    async def _write_error(self, error: StatementError) -> None:
-        message = str(error).encode('utf-8', 'replace')
+    async def _write_error(self, error: StatementFailure) -> None:
+        message = error.message.encode('utf-8', 'replace')
         sqlstate = error.sqlstate.encode('ascii')
         await self.stream.write(
-            b''.join((
-                b'\xff',
-                types.uint_2(error.code),
-                b'#',
-                sqlstate,
-                message,
-            ))
+            b''.join(
+                (
+                    b'\xff',
+                    types.uint_2(error.code),
+                    b'#',
+                    sqlstate,
+                    message,
+                )
+            )
         )
 
-    async def _answer(self, query_result: QueryResult, *, binary: bool) -> None:
-        if not query_result.columns:
-            await self.stream.write(
-                self.ok(
-                    affected_rows=query_result.affected_rows,
-                    last_insert_id=query_result.last_insert_id,
-                )
+    async def _write_counts(self, query_result: QueryResult) -> None:
+        await self.stream.write(
+            self.ok(
+                affected_rows=query_result.affected_rows,
+                last_insert_id=query_result.last_insert_id,
             )
-            return
+        )
+
+    async def _write_text(self, query_result: QueryResult) -> None:
+        await self._write_rows(query_result, results.text_row)
+
+    async def _write_binary(self, query_result: QueryResult) -> None:
+        await self._write_rows(query_result, results.binary_row)
+
+    async def _write_rows(
+        self,
+        query_result: QueryResult,
+        encode: Callable[[Row, Sequence[Column]], bytes],
+    ) -> None:
         self._write_columns(query_result)
-        encode = results.binary_row if binary else results.text_row
         async for rows in _batches(query_result):
-            self.stream.write_many([
-                encode(row, query_result.columns) for row in rows
-            ])
+            self.stream.write_many(
+                [encode(row, query_result.columns) for row in rows]
+            )
             if query_result.more_rows is not None:
                 # Waits for the caller, so that a large result does not
                 # collect in memory.
@@ -222,8 +256,11 @@
     async def _open_cursor(
         self, statement: Any, query_result: QueryResult
     ) -> None:
+        # The rows are read at once: a cursor may stay open for long, and
+        # its upstream connection would be held for all that time.
+        rows = [row async for batch in _batches(query_result) for row in batch]
         self._write_columns(query_result)
-        statement.cursor = _binary_rows(query_result)
+        statement.cursor = _binary_rows(rows, query_result.columns)
         await self.stream.write(
             self.ok_or_eof(flags=types.ServerStatus.SERVER_STATUS_CURSOR_EXISTS)
         )
@@ -237,7 +274,13 @@
             yield rows
 
 
-async def _binary_rows(query_result: QueryResult) -> AsyncIterator[bytes]:
-    async for rows in _batches(query_result):
-        for row in rows:
-            yield results.binary_row(row, query_result.columns)
+async def _binary_rows(
+    rows: Sequence[Row], columns: Sequence[Column]
+) -> AsyncIterator[bytes]:
+    for row in rows:
+        yield results.binary_row(row, columns)
+
+
+async def _close(query_result: QueryResult) -> None:
+    if isinstance(query_result.more_rows, AsyncGenerator):
+        await query_result.more_rows.aclose()
--- a/lavendergate/frontend/results.py
+++ b/lavendergate/frontend/results.py
@@ -30,11 +30,13 @@
     _ColumnType.LONGLONG: ('<q', '<Q'),
 }
 _FLOAT_FORMATS = {_ColumnType.FLOAT: '<f', _ColumnType.DOUBLE: '<d'}
-_DATE_TYPES = frozenset((
-    _ColumnType.DATE,
-    _ColumnType.DATETIME,
-    _ColumnType.TIMESTAMP,
-))
+_DATE_TYPES = frozenset(
+    (
+        _ColumnType.DATE,
+        _ColumnType.DATETIME,
+        _ColumnType.TIMESTAMP,
+    )
+)
 
 
 def text_row(row: Row, columns: Sequence[Column]) -> bytes:
@@ -72,21 +74,23 @@
     """Encode the definition of a result column."""
     name = column.name.encode('utf-8')
     empty = types.str_len(b'')
-    return b''.join((
-        types.str_len(b'def'),
-        empty,
-        empty,
-        empty,
-        types.str_len(name),
-        empty,
-        types.uint_len(12),
-        types.uint_2(column.character_set),
-        types.uint_4(column.length),
-        types.uint_1(column.type_code),
-        types.uint_2(column.flags),
-        types.uint_1(0),
-        types.uint_2(0),
-    ))
+    return b''.join(
+        (
+            types.str_len(b'def'),
+            empty,
+            empty,
+            empty,
+            types.str_len(name),
+            empty,
+            types.uint_len(12),
+            types.uint_2(column.character_set),
+            types.uint_4(column.length),
+            types.uint_1(column.type_code),
+            types.uint_2(column.flags),
+            types.uint_1(0),
+            types.uint_2(0),
+        )
+    )
 
 
 def _binary_value(field: bytes, column: Column) -> bytes:
@@ -96,18 +100,23 @@
 @lru_cache(maxsize=256)
 def _encoder(type_code: int, flags: int) -> Callable[[bytes], bytes]:
     column_type = _ColumnType(type_code)
-    if column_type in _INTEGER_FORMATS:
-        signed, unsigned = _INTEGER_FORMATS[column_type]
+    integer_formats = _INTEGER_FORMATS.get(column_type)
+    if integer_formats is not None:
+        signed, unsigned = integer_formats
         layout = unsigned if flags & _UNSIGNED_FLAG else signed
         return lambda field: struct.pack(layout, int(field))
-    if column_type in _FLOAT_FORMATS:
-        layout = _FLOAT_FORMATS[column_type]
-        return lambda field: struct.pack(layout, float(field))
+    float_format = _FLOAT_FORMATS.get(column_type)
+    if float_format is not None:
+        return lambda field: struct.pack(float_format, float(field))
     if column_type in _DATE_TYPES:
         return _binary_date
     if column_type == _ColumnType.TIME:
         return _binary_time
-    return types.str_len
+    return _binary_text
+
+
+def _binary_text(field: bytes) -> bytes:
+    return bytes(types.str_len(field))
 
 
 def _binary_date(field: bytes) -> bytes:
--- a/lavendergate/frontend/server.py
+++ b/lavendergate/frontend/server.py
@@ -15,6 +15,8 @@
 from lavendergate.frontend.session import CallerSession
 
 _BACKLOG = 1024
+# TimeoutError is an OSError.
+_CALLER_ERRORS = (MysqlError, ConnectionClosed, OSError, EOFError)
 
 
 class CallerAccounts(IdentityProvider):
@@ -124,7 +126,7 @@
         self._connections[connection] = writer
         try:
             await connection.start()
-        except (MysqlError, ConnectionClosed, OSError, EOFError, TimeoutError):
+        except _CALLER_ERRORS:
             # The caller went away or failed to log in; it has its answer.
             return
         finally:
--- /dev/null
+++ b/lavendergate/frontend/session.py
@@ -0,0 +1,127 @@
+"""Session of one caller's connection."""
+
+from collections.abc import Callable
+
+import anyio
+from mysql_mimic.connection import Connection
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.session import BaseSession
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+from result import Err, Ok
+
+from lavendergate.core.errors import DrainingError
+from lavendergate.core.types import CallerId, GroupId
+from lavendergate.filters.base import (
+    Forward,
+    SessionState,
+    StatementRequest,
+    StatementResult,
+    failed,
+)
+from lavendergate.filters.local import (
+    end_open_transaction,
+    reset_session,
+    select_group,
+)
+
+# Until the hints are read; they set the real deadline.
+_PARSE_DEADLINE_S = 60.0
+_GLOBAL_VARIABLES = GlobalVariables()
+
+
+class CallerSession(BaseSession):
+    """Connects the protocol library with the filter chain.
+
+    Parameters
+    ----------
+    chain
+        First filter of the statement path.
+    is_closing
+        Tells whether the proxy takes no new statements.
+    """
+
+    def __init__(
+        self, *, chain: Forward, is_closing: Callable[[], bool]
+    ) -> None:
+        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self.username: str | None = None
+        self.database: str | None = None
+        self._chain = chain
+        self._is_closing = is_closing
+        self._state = SessionState()
+        self._running = 0
+
+    @property
+    def state(self) -> SessionState:
+        """State that the filters use."""
+        return self._state
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a statement is running or a transaction is open."""
+        return self._running > 0 or self.in_transaction
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._state.transaction is not None
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether each statement is a transaction of its own."""
+        return self._state.autocommit
+
+    async def run(
+        self, sql: str, attributes: dict[str, str]
+    ) -> StatementResult:
+        """Run one statement through the filters.
+
+        The session counts as busy until `finish` is called, because the
+        answer is still to be sent.
+        """
+        self._running += 1
+        if self._is_closing() and not self.in_transaction:
+            return failed(DrainingError())
+        now = anyio.current_time()
+        outcome = await self._chain(
+            StatementRequest(
+                session=self._state,
+                sql=sql,
+                attributes=attributes,
+                arrived_at=now,
+                deadline=now + _PARSE_DEADLINE_S,
+            )
+        )
+        if isinstance(outcome, Ok) and not outcome.ok_value.columns:
+            self._state.row_count = outcome.ok_value.affected_rows
+            if outcome.ok_value.last_insert_id:
+                self._state.last_insert_id = outcome.ok_value.last_insert_id
+        return outcome
+
+    def finish(self) -> None:
+        """Note that the answer of a statement was sent."""
+        self._running -= 1
+
+    async def init(self, connection: Connection) -> None:
+        """Take over what the login gave."""
+        self._state.caller_id = CallerId(self.username or '')
+        self._state.connection_id = connection.connection_id
+        if self.database:
+            self._state.group_id = GroupId(self.database)
+
+    async def use(self, database: str) -> None:
+        """Select a group."""
+        selected = select_group(self._state, GroupId(database))
+        if isinstance(selected, Err):
+            raise MysqlError(
+                selected.err_value.message, ErrorCode.UNKNOWN_ERROR
+            )
+
+    async def reset(self) -> None:
+        """Forget session state, as COM_RESET_CONNECTION demands."""
+        reset_session(self._state)
+        self._state.caller_id = CallerId(self.username or '')
+
+    async def close(self) -> None:
+        """Roll back what the caller left open."""
+        end_open_transaction(self._state)
