Add the replicated log, its control state, storage and driver

Cause: the control role keeps group terms, primaries, hosts and settings, and needs them committed by a majority and durable before it acts.

Change: a pure Raft-style core (core/consensus), the state machine that it drives (core/control_state.py and control_*.py), file and memory storage, a transport over gRPC and in memory, and the driver with `ControlNode`. `ChangeVoters` gets the incarnations of its hosts, so that a host with an empty disk does not count as the voter that it was.

The daemon constructs and runs the node like this:

node = ControlNode( host_id=host_id, address='127.0.0.1:7101', # as the other control hosts reach it data_directory=data_directory, transport=GrpcTransport(tls=None), validate_change=validate_change, ) async with anyio.create_task_group() as tasks: await tasks.start(node.run) # returns when the storage is read server = Server([node.service, ...], codec=MessagePackCodec())

`node.service` has Exchange, HostIdentity, ClusterInit and ClusterReplace (rpc/consensus_service.py). `await node.propose(command)` returns Ok(Answer) or Err(NotLeader | NoQuorum | ChangeRefused); `await node.read_state()` returns Ok(ControlState) that a majority confirmed; `node.view` and `async for view in node.views()` show the applied state, leadership and leader address; `node.answer_proposal(request)` implements the Propose method. An exception from `run` (StorageError, OSError) must end the daemon.

--- /dev/null
+++ b/lavendergate/controllers/consensus.py
@@ -0,0 +1,348 @@
+"""Driver of the replicated log."""
+
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.to_thread import run_sync as run_in_thread
+from result import Err, Ok
+
+from lavendergate.controllers.driver_options import DriverOptions
+from lavendergate.controllers.inbox import Inbox, InboxItem
+from lavendergate.controllers.pending import (
+    PendingProposals,
+    PendingReads,
+    Proposed,
+    StateRead,
+)
+from lavendergate.controllers.view import ViewPublisher, leader_address
+from lavendergate.controllers.waiters import Waiter
+from lavendergate.core.commands import ChangeVoters, Command
+from lavendergate.core.consensus import events
+from lavendergate.core.consensus.errors import NoQuorum, NotLeader
+from lavendergate.core.consensus.machine import (
+    initial_state,
+    next_wakeup,
+    step,
+)
+from lavendergate.core.consensus.messages import (
+    AppendReply,
+    Envelope,
+    SnapshotRequest,
+    VoteReply,
+)
+from lavendergate.core.consensus.payload import (
+    cluster_id_of,
+    decode_command,
+    encode_command,
+)
+from lavendergate.core.consensus.state import Leader, NodeState
+from lavendergate.core.consensus.types import Entry
+from lavendergate.core.control_records import ValidateChange
+from lavendergate.core.control_state import (
+    ControlState,
+    apply,
+    decode_state,
+    encode_state,
+)
+from lavendergate.rpc.transport import Transport, TransportError
+from lavendergate.storage.base import LogStorage
+from lavendergate.storage.effects import persist
+
+ResultT = TypeVar('ResultT')
+
+_MESSAGE_TIMEOUT_S = 1.0
+_SNAPSHOT_TIMEOUT_S = 30.0
+_PROPOSAL_TIMEOUT_S = 5.0
+
+
+class ConsensusDriver:
+    """Owns a node of the replicated log, its storage and its transport.
+
+    Events are handled in batches: all events that arrived during a sync are
+    stepped together and share the next sync. Messages and answers leave
+    after the sync of the batch that produced them.
+
+    Parameters
+    ----------
+    storage
+        Durable storage of the node.
+    transport
+        Transport to the other nodes.
+    random
+        Returns random numbers from 0 to 1, for election timeouts.
+    validate_change
+        Validates changes of the settings.
+    options
+        Limits.
+    """
+
+    def __init__(
+        self,
+        *,
+        storage: LogStorage,
+        transport: Transport,
+        random: Callable[[], float],
+        validate_change: ValidateChange,
+        options: DriverOptions,
+    ) -> None:
+        self._storage = storage
+        self._transport = transport
+        self._random = random
+        self._validate_change = validate_change
+        self._options = options
+        self._inbox = Inbox()
+        self._proposals = PendingProposals()
+        self._reads = PendingReads()
+        self._state = ControlState()
+        self._node: NodeState | None = None
+        self._is_encoding = False
+        self.publisher = ViewPublisher()
+
+    @property
+    def node(self) -> NodeState:
+        """State of the node.
+
+        Raises
+        ------
+        RuntimeError
+            If the node has not started.
+        """
+        if self._node is None:
+            raise RuntimeError('the node has not started: run the driver')
+        return self._node
+
+    async def start(self) -> None:
+        """Read the storage.
+
+        Raises
+        ------
+        StorageError
+            If the storage is damaged or in use.
+        """
+        stored = await self._call_blocking(self._storage.load)
+        if stored.snapshot is not None:
+            self._state = decode_state(stored.snapshot.state)
+        now = anyio.current_time()
+        self._node = initial_state(
+            identity=stored.identity,
+            hard_state=stored.hard_state,
+            log=stored.log,
+            snapshot=stored.snapshot,
+            timing=self._options.timing,
+            jitter=self._random(),
+            now=now,
+        )
+        self.publisher.publish(self.node, self._state, now)
+
+    async def run(self) -> None:
+        """Handle events until cancelled; call `start` before.
+
+        Raises
+        ------
+        StorageError, OSError
+            If a write failed. The node must not go on, because it does not
+            know what is durable.
+        """
+        try:
+            async with anyio.create_task_group() as tasks:
+                while True:
+                    await self._handle_next_batch(tasks)
+        finally:
+            self._stop()
+
+    async def propose(
+        self, command: Command, *, timeout_s: float = _PROPOSAL_TIMEOUT_S
+    ) -> Proposed:
+        """Append a command, and wait until it is committed and applied.
+
+        Parameters
+        ----------
+        command
+            The command; `ChangeVoters` is checked against the current
+            configuration.
+        timeout_s
+            Time to wait, in seconds.
+
+        Returns
+        -------
+        The answer of the state machine, or why there is none.
+        """
+        waiter: Waiter[Proposed] = Waiter()
+        proposal_id = self._proposals.add(waiter)
+        self._inbox.post(_proposal(proposal_id, command))
+        with anyio.move_on_after(timeout_s):
+            return await waiter.wait()
+        return Err(NoQuorum(may_commit=True))
+
+    async def read_state(
+        self, *, timeout_s: float = _PROPOSAL_TIMEOUT_S
+    ) -> StateRead:
+        """Return a state that includes every command committed before."""
+        waiter: Waiter[StateRead] = Waiter()
+        self._reads.add(waiter)
+        self._inbox.wake()
+        with anyio.move_on_after(timeout_s):
+            return await waiter.wait()
+        return Err(NoQuorum(may_commit=False))
+
+    async def deliver(self, envelope: Envelope) -> Envelope | None:
+        """Handle a message from another node and return the answer."""
+        received = events.Receive(envelope=envelope)
+        return await self._inbox.post_and_wait(received)
+
+    async def bootstrap(self, voters: ChangeVoters) -> bool:
+        """Write the first configuration.
+
+        Returns
+        -------
+        Whether the node belongs to the group with this configuration, from
+        now on or since an earlier call.
+        """
+        await self._inbox.post_and_wait(events.Bootstrap(voters=voters))
+        return self.node.hard_state.cluster_id == cluster_id_of(voters)
+
+    async def _handle_next_batch(self, tasks: TaskGroup) -> None:
+        wakeup = next_wakeup(self.node)
+        await self._inbox.wait_until(wakeup)
+        read_id = self._reads.start_round()
+        if read_id is not None:
+            self._inbox.post(events.RequestRead(read_id=read_id))
+        if anyio.current_time() >= wakeup:
+            self._inbox.post(events.Tick(jitter=self._random()))
+        batch = self._inbox.take()
+        try:
+            await self._handle(batch, tasks)
+        finally:
+            for handled in batch:
+                handled.finish()
+
+    async def _handle(
+        self, batch: Sequence[InboxItem], tasks: TaskGroup
+    ) -> None:
+        now = anyio.current_time()
+        before = self.node
+        stepped = [(item, self._step(item.event, now)) for item in batch]
+        writes = [
+            effect
+            for _, effects in stepped
+            for effect in effects
+            if isinstance(effect, events.PersistEffect)
+        ]
+        if writes:
+            await self._call_blocking(partial(persist, self._storage, writes))
+        for item, effects in stepped:
+            for effect in effects:
+                self._perform(effect, item, tasks)
+        self._fail_if_deposed(before)
+        self.publisher.publish(self.node, self._state, anyio.current_time())
+        self._start_snapshot(tasks)
+
+    def _step(self, event: events.Event, now: float) -> events.Effects:
+        node, effects = step(self.node, event, now)
+        self._node = node
+        return effects
+
+    def _perform(
+        self, effect: events.Effect, item: InboxItem, tasks: TaskGroup
+    ) -> None:
+        match effect:
+            case events.Send(envelope=envelope):
+                self._send(envelope, item, tasks)
+            case events.ApplyEntries(entries=entries):
+                self._apply(entries)
+            case events.ApplySnapshot(snapshot=snapshot):
+                self._state = decode_state(snapshot.state)
+            case events.ProposalAppended():
+                self._proposals.record(effect)
+            case events.ProposalRefused():
+                self._proposals.refuse(effect, leader_address(self.node))
+            case events.ReadConfirmed(read_id=read_id):
+                self._reads.finish_round(read_id, Ok(self._state))
+            case events.ReadRefused(read_id=read_id):
+                failure = NotLeader(leader=leader_address(self.node))
+                self._reads.finish_round(read_id, Err(failure))
+
+    def _apply(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            applied, answer = apply(
+                self._state,
+                entry.index,
+                decode_command(entry.payload),
+                self._validate_change,
+            )
+            self._state = applied
+            self._proposals.answer(entry.index, entry.term, answer)
+
+    def _send(
+        self, envelope: Envelope, item: InboxItem, tasks: TaskGroup
+    ) -> None:
+        if isinstance(envelope.message, (VoteReply, AppendReply)):
+            item.finish(envelope)
+        else:
+            tasks.start_soon(self._exchange, envelope)
+
+    async def _exchange(self, envelope: Envelope) -> None:
+        is_snapshot = isinstance(envelope.message, SnapshotRequest)
+        timeout_s = _SNAPSHOT_TIMEOUT_S if is_snapshot else _MESSAGE_TIMEOUT_S
+        recipient = envelope.recipient
+        current = self.node.configuration
+        address = current.address(recipient) if current else ''
+        try:
+            reply = await self._transport.exchange(
+                address, envelope, timeout_s=timeout_s
+            )
+        except TransportError:
+            reply = None
+        if reply is None:
+            self._inbox.post(events.DeliveryFailed(recipient=recipient))
+        else:
+            self._inbox.post(events.Receive(envelope=reply))
+
+    def _fail_if_deposed(self, before: NodeState) -> None:
+        was_leader = isinstance(before.role, Leader)
+        is_leader = isinstance(self.node.role, Leader)
+        if was_leader and not (is_leader and before.term == self.node.term):
+            self._proposals.fail_appended()
+            self._reads.fail_all(NotLeader(leader=leader_address(self.node)))
+
+    def _start_snapshot(self, tasks: TaskGroup) -> None:
+        snapshot = self.node.snapshot
+        included = snapshot.last.index if snapshot else 0
+        added = self._state.applied_index - included
+        if added >= self._options.entries_per_snapshot:
+            if not self._is_encoding:
+                self._is_encoding = True
+                tasks.start_soon(self._take_snapshot, self._state)
+
+    async def _take_snapshot(self, state: ControlState) -> None:
+        encoded = await self._call_blocking(partial(encode_state, state))
+        await self._inbox.post_and_wait(
+            events.Compact(
+                index=state.applied_index,
+                state=encoded,
+                retained=self._options.retained_entries,
+            )
+        )
+        self._is_encoding = False
+
+    async def _call_blocking(self, function: Callable[[], ResultT]) -> ResultT:
+        if self._storage.is_blocking:
+            return await run_in_thread(function)
+        return function()
+
+    def _stop(self) -> None:
+        self._inbox.close()
+        self._proposals.fail_all()
+        self._reads.fail_all(NoQuorum(may_commit=False))
+        self._storage.close()
+        self._transport.close()
+
+
+def _proposal(proposal_id: int, command: Command) -> events.Event:
+    if isinstance(command, ChangeVoters):
+        return events.ProposeVoters(proposal_id=proposal_id, voters=command)
+    payload = encode_command(command)
+    return events.Propose(proposal_id=proposal_id, payload=payload)
--- /dev/null
+++ b/lavendergate/controllers/inbox.py
@@ -0,0 +1,77 @@
+"""Events that wait for the replicated log's driver."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from lavendergate.controllers.waiters import Waiter
+from lavendergate.core.consensus.events import Event
+from lavendergate.core.consensus.messages import Envelope
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InboxItem:
+    """An event, and who waits until it is handled.
+
+    Parameters
+    ----------
+    done
+        Resolved with the answer to a message, or with None.
+    """
+
+    event: Event
+    done: Waiter[Envelope | None] | None = None
+
+    def finish(self, reply: Envelope | None = None) -> None:
+        """Tell the one who waits that the event is handled."""
+        if self.done is not None:
+            self.done.resolve(reply)
+
+
+class Inbox:
+    """Queue of events for one driver."""
+
+    def __init__(self) -> None:
+        self._items: list[InboxItem] = []
+        self._arrived = anyio.Event()
+        self._is_closed = False
+
+    def post(self, event: Event) -> None:
+        """Add an event."""
+        self._add(InboxItem(event=event))
+
+    async def post_and_wait(self, event: Event) -> Envelope | None:
+        """Add an event and wait until it is handled and synced."""
+        done: Waiter[Envelope | None] = Waiter()
+        self._add(InboxItem(event=event, done=done))
+        return await done.wait()
+
+    def wake(self) -> None:
+        """End the current wait without an event."""
+        self._arrived.set()
+
+    async def wait_until(self, deadline: float) -> None:
+        """Wait for an event, at most until a time."""
+        if not self._items:
+            with anyio.CancelScope(deadline=deadline):
+                await self._arrived.wait()
+        self._arrived = anyio.Event()
+
+    def take(self) -> tuple[InboxItem, ...]:
+        """Remove and return all events."""
+        items = tuple(self._items)
+        self._items.clear()
+        return items
+
+    def close(self) -> None:
+        """Drop all events, now and later."""
+        self._is_closed = True
+        for waiting in self.take():
+            waiting.finish()
+
+    def _add(self, added: InboxItem) -> None:
+        if self._is_closed:
+            added.finish()
+            return
+        self._items.append(added)
+        self._arrived.set()
--- /dev/null
+++ b/lavendergate/controllers/pending.py
@@ -0,0 +1,116 @@
+"""Callers that wait for the replicated log."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from lavendergate.controllers.waiters import Waiter
+from lavendergate.core.consensus.errors import (
+    ChangeRefused,
+    ConsensusFailure,
+    NoQuorum,
+    NotLeader,
+)
+from lavendergate.core.consensus.events import (
+    ProposalAppended,
+    ProposalRefused,
+)
+from lavendergate.core.consensus.types import ConsensusTerm
+from lavendergate.core.control_records import Answer
+from lavendergate.core.control_state import ControlState
+
+Proposed = Result[Answer, ConsensusFailure]
+StateRead = Result[ControlState, ConsensusFailure]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Appended:
+    term: ConsensusTerm
+    waiter: Waiter[Proposed]
+
+
+class PendingProposals:
+    """Proposals without an answer."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._posted: dict[int, Waiter[Proposed]] = {}
+        self._appended: dict[int, _Appended] = {}
+
+    def add(self, waiter: Waiter[Proposed]) -> int:
+        """Return the number of a new proposal."""
+        self._count += 1
+        self._posted[self._count] = waiter
+        return self._count
+
+    def record(self, effect: ProposalAppended) -> None:
+        """Remember where a proposal is in the log."""
+        self._appended[effect.index] = _Appended(
+            term=effect.term, waiter=self._posted.pop(effect.proposal_id)
+        )
+
+    def refuse(self, effect: ProposalRefused, leader: str | None) -> None:
+        """Answer a proposal that is not in the log."""
+        failure: ConsensusFailure = NotLeader(leader=leader)
+        if effect.problem is not None:
+            failure = ChangeRefused(problem=effect.problem)
+        self._posted.pop(effect.proposal_id).resolve(Err(failure))
+
+    def answer(self, index: int, term: ConsensusTerm, answer: Answer) -> None:
+        """Answer the proposal whose entry was applied."""
+        appended = self._appended.pop(index, None)
+        if appended is not None and appended.term == term:
+            appended.waiter.resolve(Ok(answer))
+
+    def fail_appended(self) -> None:
+        """Answer all proposals in the log that a new leader decides on."""
+        for appended in self._appended.values():
+            appended.waiter.resolve(Err(NoQuorum(may_commit=True)))
+        self._appended.clear()
+
+    def fail_all(self) -> None:
+        """Answer all proposals when the node stops."""
+        self.fail_appended()
+        for waiter in self._posted.values():
+            waiter.resolve(Err(NoQuorum(may_commit=True)))
+        self._posted.clear()
+
+
+class PendingReads:
+    """Reads that wait for a confirmation of the leader.
+
+    Reads that arrive during a round share the next one, because a round
+    confirms only what was committed before it began.
+    """
+
+    def __init__(self) -> None:
+        self._round = 0
+        self._running: list[Waiter[StateRead]] = []
+        self._next: list[Waiter[StateRead]] = []
+
+    def add(self, waiter: Waiter[StateRead]) -> None:
+        """Add a read to the next round."""
+        self._next.append(waiter)
+
+    def start_round(self) -> int | None:
+        """Return the number of a round to start, or None."""
+        if self._running or not self._next:
+            return None
+        self._running = self._next
+        self._next = []
+        self._round += 1
+        return self._round
+
+    def finish_round(self, read_id: int, result: StateRead) -> None:
+        """Answer the reads of the running round."""
+        if read_id == self._round:
+            for waiter in self._running:
+                waiter.resolve(result)
+            self._running = []
+
+    def fail_all(self, failure: ConsensusFailure) -> None:
+        """Answer all reads with a failure."""
+        for waiter in self._running + self._next:
+            waiter.resolve(Err(failure))
+        self._running = []
+        self._next = []
--- /dev/null
+++ b/lavendergate/controllers/view.py
@@ -0,0 +1,137 @@
+"""What a control host shows of the replicated log."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, replace
+
+import anyio
+
+from lavendergate.core.consensus.quorum import has_quorum
+from lavendergate.core.consensus.state import Leader, NodeState
+from lavendergate.core.consensus.types import (
+    Configuration,
+    ConsensusTerm,
+    NodeId,
+)
+from lavendergate.core.control_state import ControlState
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControlView:
+    """State of a control host at one moment.
+
+    Parameters
+    ----------
+    version
+        Number that grows with each view of the host.
+    state
+        Applied state; on a follower it may be older than the leader's.
+    is_leader
+        Whether the host believes to lead. Only a confirmed read or a
+        committed command proves it.
+    has_quorum
+        Whether the host leads and a majority answered within an election
+        timeout, or follows a leader.
+    leader_address
+        Address of the leader, ``ip:port``, if known.
+    initialised
+        Whether the host belongs to a group.
+    """
+
+    version: int
+    state: ControlState
+    identity: NodeId
+    is_leader: bool
+    has_quorum: bool
+    leader_address: str | None
+    term: ConsensusTerm
+    commit_index: int
+    initialised: bool
+    configuration: Configuration | None
+
+
+class ViewPublisher:
+    """Publishes views to any number of readers.
+
+    A reader that is slow misses intermediate views, never the last one.
+    """
+
+    def __init__(self) -> None:
+        self._view: ControlView | None = None
+        self._changed = anyio.Event()
+
+    @property
+    def view(self) -> ControlView:
+        """Latest view.
+
+        Raises
+        ------
+        RuntimeError
+            If the node has not started.
+        """
+        if self._view is None:
+            raise RuntimeError(
+                'the control node has not read its storage yet: start `run` '
+                'and wait until it has started'
+            )
+        return self._view
+
+    def publish(self, node: NodeState, state: ControlState, now: float) -> None:
+        """Publish the current view, if it differs from the last one."""
+        version = self._view.version if self._view else 0
+        view = _view_of(node, state, now, version)
+        if self._view is not None and _is_same(view, self._view):
+            return
+        self._view = _view_of(node, state, now, version + 1)
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def after(self, version: int) -> ControlView:
+        """Wait for a view that is newer than a version."""
+        while self._view is None or self._view.version <= version:
+            await self._changed.wait()
+        return self._view
+
+    async def views(self) -> AsyncIterator[ControlView]:
+        """Iterate over the current view and all later ones."""
+        version = 0
+        while True:
+            view = await self.after(version)
+            version = view.version
+            yield view
+
+
+def _is_same(view: ControlView, other: ControlView) -> bool:
+    # The state is compared by identity, because it is large and immutable.
+    if view.state is not other.state:
+        return False
+    return replace(view, commit_index=other.commit_index) == other
+
+
+def _view_of(
+    node: NodeState, state: ControlState, now: float, version: int
+) -> ControlView:
+    return ControlView(
+        version=version,
+        state=state,
+        identity=node.identity,
+        is_leader=isinstance(node.role, Leader),
+        has_quorum=_has_quorum(node, now),
+        leader_address=leader_address(node),
+        term=node.term,
+        commit_index=node.commit_index,
+        initialised=bool(node.hard_state.cluster_id),
+        configuration=node.configuration,
+    )
+
+
+def leader_address(node: NodeState) -> str | None:
+    """Return the address of the leader, if it is known."""
+    if node.leader is None or node.configuration is None:
+        return None
+    return node.configuration.address(node.leader) or None
+
+
+def _has_quorum(node: NodeState, now: float) -> bool:
+    if isinstance(node.role, Leader):
+        return has_quorum(node, node.role, now)
+    return node.leader is not None
--- /dev/null
+++ b/lavendergate/controllers/waiters.py
@@ -0,0 +1,26 @@
+"""Results that a task waits for and another one provides."""
+
+from typing import Generic, TypeVar
+
+import anyio
+
+ResultT = TypeVar('ResultT')
+
+
+class Waiter(Generic[ResultT]):
+    """A result that is provided once; later ones are ignored."""
+
+    def __init__(self) -> None:
+        self._event = anyio.Event()
+        self._results: list[ResultT] = []
+
+    def resolve(self, result: ResultT) -> None:
+        """Provide the result."""
+        if not self._results:
+            self._results.append(result)
+            self._event.set()
+
+    async def wait(self) -> ResultT:
+        """Wait for the result."""
+        await self._event.wait()
+        return self._results[0]
--- a/lavendergate/core/commands.py
+++ b/lavendergate/core/commands.py
@@ -111,11 +111,18 @@
 
     Consecutive configurations differ in one voter, so that any two of
     their majorities intersect.
+
+    Parameters
+    ----------
+    incarnations
+        Incarnation of each voter and learner. A host that lost its disk has
+        a new incarnation, so it does not count as the voter that it was.
     """
 
     voters: frozenset[HostId]
     learners: frozenset[HostId]
     addresses: dict[HostId, str]
+    incarnations: dict[HostId, str] = msgspec.field(default_factory=dict)
 
 
 Command = (
--- /dev/null
+++ b/lavendergate/core/consensus/messages.py
@@ -0,0 +1,113 @@
+"""Messages between nodes of the replicated log."""
+
+import msgspec
+
+from lavendergate.core.consensus.types import (
+    ConsensusTerm,
+    Entry,
+    EntryId,
+    NodeId,
+    Snapshot,
+)
+
+
+class _Message(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Base of all messages.
+
+    Parameters
+    ----------
+    term
+        Term of the sender; in a pre-vote, the term that it would begin.
+    """
+
+    term: ConsensusTerm
+
+
+class VoteRequest(_Message, frozen=True, kw_only=True, tag=True):
+    """Asks for a vote, or whether a vote would be granted.
+
+    Parameters
+    ----------
+    last
+        Last entry of the candidate's log.
+    pre_vote
+        Whether the candidate only asks, without beginning the term.
+    """
+
+    last: EntryId
+    pre_vote: bool
+
+
+class VoteReply(_Message, frozen=True, kw_only=True, tag=True):
+    """Answer to `VoteRequest`."""
+
+    granted: bool
+    pre_vote: bool
+
+
+class AppendRequest(_Message, frozen=True, kw_only=True, tag=True):
+    """Entries from the leader; without entries, its heartbeat.
+
+    Parameters
+    ----------
+    previous
+        Entry before the first one sent.
+    commit_index
+        Index up to which entries are committed.
+    read_round
+        Number of the last read round; echoed in the reply.
+    """
+
+    previous: EntryId
+    entries: tuple[Entry, ...]
+    commit_index: int
+    read_round: int
+
+
+class SnapshotRequest(_Message, frozen=True, kw_only=True, tag=True):
+    """Snapshot for a node that needs entries the leader has compacted."""
+
+    snapshot: Snapshot
+    read_round: int
+
+
+class AppendReply(_Message, frozen=True, kw_only=True, tag=True):
+    """Answer to `AppendRequest` and `SnapshotRequest`.
+
+    Parameters
+    ----------
+    accepted
+        Whether the sender's log held the previous entry.
+    match_index
+        Index up to which the sender's log equals the leader's; if not
+        accepted, an index at which they may be equal.
+    """
+
+    accepted: bool
+    match_index: int
+    read_round: int
+
+
+Message = (
+    VoteRequest | VoteReply | AppendRequest | SnapshotRequest | AppendReply
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A message with its sender and recipient.
+
+    Parameters
+    ----------
+    recipient
+        Node that the message is meant for. A host that lost its disk is
+        another node and drops the message.
+    cluster_id
+        Identity of the sender's group.
+    """
+
+    sender: NodeId
+    recipient: NodeId
+    cluster_id: str
+    message: Message
--- /dev/null
+++ b/lavendergate/core/consensus/payload.py
@@ -0,0 +1,37 @@
+"""Encoding of commands in log entries."""
+
+import hashlib
+
+import msgspec
+
+from lavendergate.core.commands import ChangeVoters, Command, NoOperation
+
+_CLUSTER_ID_BYTES = 8
+
+_encoder = msgspec.msgpack.Encoder(order='deterministic')
+_decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command; equal commands have equal encodings."""
+    return _encoder.encode(command)
+
+
+def decode_command(payload: bytes) -> Command:
+    """Decode and validate a command."""
+    return _decoder.decode(payload)
+
+
+def decode_voters(payload: bytes) -> ChangeVoters:
+    """Decode the command of a configuration entry."""
+    return msgspec.msgpack.decode(payload, type=ChangeVoters)
+
+
+def cluster_id_of(command: ChangeVoters) -> str:
+    """Return the identity of the group with this first configuration."""
+    return hashlib.blake2b(
+        encode_command(command), digest_size=_CLUSTER_ID_BYTES
+    ).hexdigest()
+
+
+NO_OPERATION = encode_command(NoOperation())
--- /dev/null
+++ b/lavendergate/core/consensus/types.py
@@ -0,0 +1,211 @@
+"""Value types of the replicated log."""
+
+from dataclasses import dataclass
+from typing import NewType
+
+import msgspec
+
+from lavendergate.core.commands import ChangeVoters
+from lavendergate.core.types import HostId
+
+ConsensusTerm = NewType('ConsensusTerm', int)
+
+NO_CONSENSUS_TERM = ConsensusTerm(0)
+FIRST_CONSENSUS_TERM = ConsensusTerm(1)
+
+_ELECTION_TIMEOUT_S = 0.3
+_HEARTBEAT_INTERVAL_S = 0.1
+
+
+class NodeId(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, order=True
+):
+    """Identity of a node of the replicated log.
+
+    Parameters
+    ----------
+    host_id
+        Host that the node runs on.
+    incarnation
+        Random identity created together with the data directory. A host
+        with an empty disk is another node, because it forgot its votes.
+    """
+
+    host_id: HostId
+    incarnation: str
+
+
+class EntryId(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, order=True
+):
+    """Term and index of an entry; newer terms order first.
+
+    Two logs that hold the same `EntryId` hold the same entries up to it.
+    """
+
+    term: ConsensusTerm
+    index: int
+
+
+LOG_ORIGIN = EntryId(term=NO_CONSENSUS_TERM, index=0)
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Entry of the replicated log.
+
+    Parameters
+    ----------
+    index
+        Position in the log, from 1.
+    term
+        Term of the leader that created the entry.
+    payload
+        Encoded `Command`.
+    configuration
+        Whether the payload is a `ChangeVoters`. It takes effect when the
+        entry is appended, not when it is committed.
+    """
+
+    index: int
+    term: ConsensusTerm
+    payload: bytes
+    configuration: bool = False
+
+    @property
+    def entry_id(self) -> EntryId:
+        """Term and index of the entry."""
+        return EntryId(term=self.term, index=self.index)
+
+
+class HardState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """State that a node syncs before it answers.
+
+    Parameters
+    ----------
+    term
+        Highest term that the node has seen.
+    voted_for
+        Candidate that got the node's vote in this term.
+    cluster_id
+        Digest of the first configuration; empty before initialisation.
+        Keeps apart groups that were initialised separately by mistake.
+    """
+
+    term: ConsensusTerm = NO_CONSENSUS_TERM
+    voted_for: NodeId | None = None
+    cluster_id: str = ''
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """State machine after the entry `last`, in place of all entries up to it.
+
+    Parameters
+    ----------
+    last
+        Last entry that the snapshot includes.
+    voters
+        Configuration in force at that entry.
+    state
+        Encoded state of the state machine.
+    """
+
+    last: EntryId
+    voters: ChangeVoters
+    state: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Configuration:
+    """Nodes of the replicated log.
+
+    Parameters
+    ----------
+    index
+        Index of the entry that set the configuration.
+    command
+        The command in that entry.
+    voters
+        Nodes that vote and count for majorities.
+    learners
+        Nodes that only receive the log.
+    """
+
+    index: int
+    command: ChangeVoters
+    voters: frozenset[NodeId]
+    learners: frozenset[NodeId]
+
+    @property
+    def nodes(self) -> frozenset[NodeId]:
+        """All nodes that receive the log."""
+        return self.voters | self.learners
+
+    @property
+    def majority(self) -> int:
+        """Number of voters that form a majority."""
+        return len(self.voters) // 2 + 1
+
+    def has_majority(self, nodes: frozenset[NodeId]) -> bool:
+        """Return whether the voters among the nodes form a majority."""
+        return len(self.voters & nodes) >= self.majority
+
+    def address(self, node: NodeId) -> str:
+        """Return the address of a node, ``ip:port``."""
+        return self.command.addresses.get(node.host_id, '')
+
+
+def configuration_of(index: int, command: ChangeVoters) -> Configuration:
+    """Return the configuration that a command sets.
+
+    Parameters
+    ----------
+    index
+        Index of the command's entry.
+    command
+        The command, with an incarnation for each host.
+    """
+    return Configuration(
+        index=index,
+        command=command,
+        voters=_nodes(command, command.voters),
+        learners=_nodes(command, command.learners),
+    )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Timing:
+    """Timeouts of the replicated log, in seconds.
+
+    Parameters
+    ----------
+    election_timeout_s
+        Shortest time without contact to the leader before an election; the
+        longest one is twice as long.
+    heartbeat_interval_s
+        Time between messages of an idle leader.
+    """
+
+    election_timeout_s: float = _ELECTION_TIMEOUT_S
+    heartbeat_interval_s: float = _HEARTBEAT_INTERVAL_S
+
+    def randomized_timeout_s(self, jitter: float) -> float:
+        """Return an election timeout.
+
+        Parameters
+        ----------
+        jitter
+            Random number from 0 to 1.
+        """
+        return self.election_timeout_s * (1 + jitter)
+
+
+def _nodes(
+    command: ChangeVoters, host_ids: frozenset[HostId]
+) -> frozenset[NodeId]:
+    return frozenset(
+        NodeId(
+            host_id=host_id,
+            incarnation=command.incarnations.get(host_id, ''),
+        )
+        for host_id in host_ids
+    )
--- /dev/null
+++ b/lavendergate/core/control_state.py
@@ -0,0 +1,213 @@
+"""State machine that the replicated log drives.
+
+Every control host applies the same commands in the same order and reaches
+the same state, so nothing here may depend on time, chance or the host.
+"""
+
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from lavendergate.core.commands import (
+    BeginTerm,
+    ChangeSettings,
+    ChangeVoters,
+    Command,
+    ConfirmPrimary,
+    NoOperation,
+    RegisterHost,
+    RegisterMember,
+    RemoveHost,
+    RemoveMember,
+)
+from lavendergate.core.control_groups import (
+    begin_term,
+    confirm_primary,
+    register_member,
+    remove_member,
+)
+from lavendergate.core.control_hosts import register_host, remove_host
+from lavendergate.core.control_records import (
+    AcceptedChange,
+    Answer,
+    GroupRecord,
+    HostRecord,
+    OperationRecord,
+    ValidateChange,
+    permit_change,
+)
+from lavendergate.core.control_settings import (
+    SettingsRecord,
+    answer_of_resend,
+    change_settings,
+)
+from lavendergate.core.settings.document import SettingsDocument
+from lavendergate.core.types import GroupId, HostId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControlState:
+    """State of the control role after a prefix of the replicated log.
+
+    Parameters
+    ----------
+    applied_index
+        Index of the last applied entry.
+    groups
+        Committed state of each group.
+    hosts
+        Registered proxy hosts.
+    settings
+        Settings tree, its history, and the answers to operations.
+    voters
+        Last committed configuration of the replicated log.
+    """
+
+    applied_index: int = 0
+    groups: dict[GroupId, GroupRecord] = field(default_factory=dict)
+    hosts: dict[HostId, HostRecord] = field(default_factory=dict)
+    settings: SettingsRecord = field(default_factory=SettingsRecord)
+    voters: ChangeVoters | None = None
+
+    @property
+    def document(self) -> SettingsDocument:
+        """The settings tree."""
+        return self.settings.document
+
+
+Applied = tuple[ControlState, Answer]
+
+
+def apply(
+    state: ControlState,
+    index: int,
+    command: Command,
+    validate_change: ValidateChange = permit_change,
+) -> Applied:
+    """Apply a committed command.
+
+    Parameters
+    ----------
+    state
+        State after the entries before `index`.
+    index
+        Index of the command's entry.
+    command
+        The command.
+    validate_change
+        Returns why a change of the settings is not valid, or None. It must
+        give the same result on every host.
+
+    Returns
+    -------
+    The new state, and the answer to whoever proposed the command.
+    """
+    state, problem = _apply_command(state, index, command, validate_change)
+    state = replace(state, applied_index=index)
+    if isinstance(command, ChangeSettings):
+        first = answer_of_resend(state.settings, command)
+        if first is not None:
+            return state, first
+    return state, Answer(
+        accepted=problem is None,
+        problem=problem,
+        index=index,
+        settings_version=state.document.version,
+    )
+
+
+def _apply_command(
+    state: ControlState,
+    index: int,
+    command: Command,
+    validate_change: ValidateChange,
+) -> tuple[ControlState, str | None]:
+    match command:
+        case RegisterMember() | RemoveMember() | BeginTerm() | ConfirmPrimary():
+            groups, problem = _apply_to_group(state, command)
+            return replace(state, groups=groups), problem
+        case RegisterHost():
+            hosts, problem = register_host(state.hosts, command)
+            return replace(state, hosts=hosts), problem
+        case RemoveHost():
+            hosts, problem = remove_host(state.hosts, command)
+            return replace(state, hosts=hosts), problem
+        case ChangeSettings():
+            settings = change_settings(
+                state.settings, index, command, validate_change
+            )
+            return replace(state, settings=settings), None
+        case ChangeVoters():
+            return replace(state, voters=command), None
+        case NoOperation():
+            return state, None
+
+
+def _apply_to_group(
+    state: ControlState,
+    command: RegisterMember | RemoveMember | BeginTerm | ConfirmPrimary,
+) -> tuple[dict[GroupId, GroupRecord], str | None]:
+    groups = state.groups
+    group_id = command.group_id
+    group = groups.get(group_id, GroupRecord(group_id=group_id))
+    match command:
+        case RegisterMember():
+            changed = register_member(groups, group, command)
+        case RemoveMember():
+            changed = remove_member(group, command)
+        case BeginTerm():
+            changed = begin_term(group, command)
+        case ConfirmPrimary():
+            changed = confirm_primary(group, command)
+    if isinstance(changed, str):
+        return groups, changed
+    return groups | {group_id: changed}, None
+
+
+class _StoredState(msgspec.Struct, frozen=True, kw_only=True):
+    # Operations are a sequence, because the oldest ones are dropped first
+    # and a deterministic encoding sorts the keys of mappings.
+    applied_index: int
+    groups: dict[GroupId, GroupRecord]
+    hosts: dict[HostId, HostRecord]
+    document: SettingsDocument
+    history: tuple[AcceptedChange, ...]
+    operations: tuple[OperationRecord, ...]
+    voters: ChangeVoters | None
+
+
+_encoder = msgspec.msgpack.Encoder(order='deterministic')
+_decoder = msgspec.msgpack.Decoder(_StoredState)
+
+
+def encode_state(state: ControlState) -> bytes:
+    """Encode the state for a snapshot; equal states encode equally."""
+    return _encoder.encode(
+        _StoredState(
+            applied_index=state.applied_index,
+            groups=state.groups,
+            hosts=state.hosts,
+            document=state.document,
+            history=state.settings.history,
+            operations=tuple(state.settings.operations.values()),
+            voters=state.voters,
+        )
+    )
+
+
+def decode_state(encoded: bytes) -> ControlState:
+    """Decode the state of a snapshot."""
+    stored = _decoder.decode(encoded)
+    return ControlState(
+        applied_index=stored.applied_index,
+        groups=stored.groups,
+        hosts=stored.hosts,
+        settings=SettingsRecord(
+            document=stored.document,
+            history=stored.history,
+            operations={
+                known.operation_id: known for known in stored.operations
+            },
+        ),
+        voters=stored.voters,
+    )
--- /dev/null
+++ b/lavendergate/storage/files.py
@@ -0,0 +1,220 @@
+"""Storage of the replicated log in files of one directory.
+
+``identity``  host id and incarnation; written last, so that it exists only
+              beside a complete log file
+``log``       changes since the last snapshot, one record per sync
+``snapshot``  state machine, replaced as a whole
+``lock``      held while the storage is in use
+"""
+
+import fcntl
+import os
+import uuid
+from pathlib import Path
+
+from lavendergate.core.consensus.log import Log
+from lavendergate.core.consensus.types import (
+    Entry,
+    HardState,
+    NodeId,
+    Snapshot,
+)
+from lavendergate.core.types import HostId
+from lavendergate.storage import records
+from lavendergate.storage.base import (
+    DamagedFileError,
+    LogStorage,
+    StorageError,
+    StoredState,
+)
+from lavendergate.storage.framing import (
+    frame,
+    frame_at,
+    has_record_after,
+    read_frames,
+)
+
+_IDENTITY = 'identity'
+_LOG = 'log'
+_SNAPSHOT = 'snapshot'
+_LOCK = 'lock'
+_FILE_MODE = 0o600
+_NOT_OPEN = -1
+
+
+class FileStorage(LogStorage):
+    """Storage in a directory on a local disk.
+
+    Parameters
+    ----------
+    directory
+        Data directory; created if it is missing.
+    host_id
+        Host that owns the directory.
+    """
+
+    def __init__(self, *, directory: Path, host_id: HostId) -> None:
+        self._directory = directory
+        self._host_id = host_id
+        self._changes: list[records.Change] = []
+        self._hard_state = HardState()
+        self._log_file = _NOT_OPEN
+        self._lock_file = _NOT_OPEN
+
+    def load(self) -> StoredState:
+        """Read the stored state; an empty directory gets a new identity."""
+        self._directory.mkdir(parents=True, exist_ok=True)
+        self._lock()
+        if not self._path(_IDENTITY).exists():
+            self._create()
+        identity = self._read_identity()
+        snapshot = self._read_snapshot()
+        replay = self._read_log()
+        self._hard_state = replay.hard_state
+        self._log_file = os.open(self._path(_LOG), os.O_WRONLY | os.O_APPEND)
+        return StoredState(
+            identity=identity,
+            hard_state=replay.hard_state,
+            log=replay.log_beside(snapshot),
+            snapshot=snapshot,
+        )
+
+    def save_hard_state(self, hard_state: HardState) -> None:
+        """Buffer the hard state."""
+        self._hard_state = hard_state
+        self._changes.append(records.HardStateChange(hard_state=hard_state))
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Buffer entries that follow the last one."""
+        self._changes.append(records.Appended(entries=entries))
+
+    def truncate(self, first: int) -> None:
+        """Buffer the removal of the entries from index `first`."""
+        self._changes.append(records.Truncated(first=first))
+
+    def save_snapshot(self, snapshot: Snapshot, log: Log) -> None:
+        """Replace the log by a snapshot and the entries kept beside it."""
+        self.sync()
+        self._replace(_SNAPSHOT, records.encoder.encode(snapshot))
+        changes = records.rewritten(self._hard_state, log)
+        self._replace(_LOG, records.encoder.encode(changes))
+        os.close(self._log_file)
+        self._log_file = os.open(self._path(_LOG), os.O_WRONLY | os.O_APPEND)
+
+    def sync(self) -> None:
+        """Write the buffered changes as one record and sync the file."""
+        if not self._changes:
+            return
+        record = frame(records.encoder.encode(self._changes))
+        self._changes = []
+        _write(self._log_file, record)
+        os.fdatasync(self._log_file)
+
+    def close(self) -> None:
+        """Close the files; buffered changes are dropped."""
+        for descriptor in (self._log_file, self._lock_file):
+            if descriptor != _NOT_OPEN:
+                os.close(descriptor)
+        self._log_file = _NOT_OPEN
+        self._lock_file = _NOT_OPEN
+
+    def _path(self, name: str) -> Path:
+        return self._directory / name
+
+    def _lock(self) -> None:
+        self._lock_file = os.open(
+            self._path(_LOCK), os.O_RDWR | os.O_CREAT, _FILE_MODE
+        )
+        try:
+            fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            raise StorageError(
+                f'{self._directory} is in use by another process: give each '
+                'daemon its own data directory'
+            ) from error
+
+    def _create(self) -> None:
+        identity = records.IdentityFile(
+            identity=NodeId(host_id=self._host_id, incarnation=uuid.uuid4().hex)
+        )
+        self._path(_SNAPSHOT).unlink(missing_ok=True)
+        changes = records.rewritten(HardState(), Log())
+        self._replace(_LOG, records.encoder.encode(changes))
+        self._replace(_IDENTITY, records.encoder.encode(identity))
+        _sync_directory(self._directory.parent)
+
+    def _read_identity(self) -> NodeId:
+        content = self._read_single(_IDENTITY)
+        identity = records.identity_decoder.decode(content).identity
+        if identity.host_id != self._host_id:
+            raise StorageError(
+                f'{self._directory} belongs to host {identity.host_id}, not '
+                f'{self._host_id}: give this host its own data directory'
+            )
+        return identity
+
+    def _read_snapshot(self) -> Snapshot | None:
+        if not self._path(_SNAPSHOT).exists():
+            return None
+        return records.snapshot_decoder.decode(self._read_single(_SNAPSHOT))
+
+    def _read_single(self, name: str) -> bytes:
+        path = self._path(name)
+        content = frame_at(path.read_bytes(), 0).content
+        if content is None:
+            raise DamagedFileError(path=str(path), offset=0)
+        return content
+
+    def _read_log(self) -> records.Replay:
+        path = self._path(_LOG)
+        if not path.exists():
+            raise DamagedFileError(path=str(path), offset=0)
+        data = path.read_bytes()
+        replay = records.Replay()
+        for found in read_frames(data):
+            if found.content is None:
+                self._cut(data, found.offset)
+                break
+            for change in records.change_decoder.decode(found.content):
+                replay.perform(change)
+        return replay
+
+    def _cut(self, data: bytes, offset: int) -> None:
+        path = self._path(_LOG)
+        # The first record is written before the file gets its name.
+        if not offset or has_record_after(data, offset):
+            raise DamagedFileError(path=str(path), offset=offset)
+        descriptor = os.open(path, os.O_WRONLY)
+        try:
+            os.ftruncate(descriptor, offset)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _replace(self, name: str, content: bytes) -> None:
+        temporary = self._path(f'{name}.new')
+        descriptor = os.open(
+            temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, _FILE_MODE
+        )
+        try:
+            _write(descriptor, frame(content))
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        temporary.replace(self._path(name))
+        _sync_directory(self._directory)
+
+
+def _write(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        written = os.write(descriptor, view)
+        view = view[written:]
+
+
+def _sync_directory(directory: Path) -> None:
+    descriptor = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/lavendergate/storage/memory.py
@@ -0,0 +1,103 @@
+"""Storage in memory that loses what was not synced."""
+
+from lavendergate.core.consensus.log import Log
+from lavendergate.core.consensus.types import (
+    Entry,
+    HardState,
+    NodeId,
+    Snapshot,
+)
+from lavendergate.storage import records
+from lavendergate.storage.base import LogStorage, StorageError, StoredState
+
+
+class MemoryStorage(LogStorage):
+    """Fake storage for tests.
+
+    Parameters
+    ----------
+    identity
+        Identity of the node.
+    """
+
+    def __init__(self, *, identity: NodeId) -> None:
+        self._identity = identity
+        self._synced: list[records.Change] = []
+        self._buffered: list[records.Change] = []
+        self._hard_state = HardState()
+        self._snapshot: Snapshot | None = None
+        self._operations_left: int | None = None
+
+    @property
+    def is_blocking(self) -> bool:
+        """Whether the methods block."""
+        return False
+
+    def fail_after(self, operations: int | None) -> None:
+        """Fail every operation after the next `operations` ones.
+
+        Parameters
+        ----------
+        operations
+            Number of writes and syncs that still succeed; None for all.
+        """
+        self._operations_left = operations
+
+    def crash(self) -> None:
+        """Lose what was not synced; operations succeed again."""
+        self._buffered = []
+        self._operations_left = None
+
+    def load(self) -> StoredState:
+        """Return the synced state."""
+        replay = records.Replay()
+        for change in self._synced:
+            replay.perform(change)
+        self._hard_state = replay.hard_state
+        return StoredState(
+            identity=self._identity,
+            hard_state=replay.hard_state,
+            log=replay.log_beside(self._snapshot),
+            snapshot=self._snapshot,
+        )
+
+    def save_hard_state(self, hard_state: HardState) -> None:
+        """Buffer the hard state."""
+        self._spend()
+        self._hard_state = hard_state
+        self._buffered.append(records.HardStateChange(hard_state=hard_state))
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Buffer entries."""
+        self._spend()
+        self._buffered.append(records.Appended(entries=entries))
+
+    def truncate(self, first: int) -> None:
+        """Buffer a truncation."""
+        self._spend()
+        self._buffered.append(records.Truncated(first=first))
+
+    def save_snapshot(self, snapshot: Snapshot, log: Log) -> None:
+        """Replace the log; may fail between the snapshot and the log."""
+        self.sync()
+        self._spend()
+        self._snapshot = snapshot
+        self._spend()
+        self._synced = list(records.rewritten(self._hard_state, log))
+
+    def sync(self) -> None:
+        """Move the buffered changes to the synced ones."""
+        self._spend()
+        self._synced.extend(self._buffered)
+        self._buffered = []
+
+    def close(self) -> None:
+        """Drop the buffered changes."""
+        self._buffered = []
+
+    def _spend(self) -> None:
+        if self._operations_left is None:
+            return
+        if self._operations_left == 0:
+            raise StorageError('the storage fails as the test ordered')
+        self._operations_left -= 1
--- /dev/null
+++ b/lavendergate/tests/test_control_node.py
@@ -0,0 +1,228 @@
+"""Tests of the running nodes, on virtual time and a network in memory."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import anyio
+import looptime
+from anyio.abc import TaskGroup, TaskStatus
+from result import Err, Ok
+
+from lavendergate.controllers.control_node import ControlNode
+from lavendergate.controllers.driver_options import DriverOptions
+from lavendergate.core.commands import BeginTerm, RegisterMember
+from lavendergate.core.consensus.errors import NoQuorum, NotLeader
+from lavendergate.core.consensus.messages import Envelope
+from lavendergate.core.consensus.types import NodeId
+from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
+from lavendergate.rpc.consensus_service import (
+    ClusterInitRequest,
+    ClusterReplaceRequest,
+    ControlHost,
+    ExchangeRequest,
+)
+from lavendergate.rpc.memory_transport import MemoryNetwork, MemoryTransport
+from lavendergate.storage.memory import MemoryStorage
+
+_GROUP = GroupId('dispatch-db-1')
+
+
+class Cluster:
+    """Control nodes in one process; the address of a host is its id."""
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        self.random = Random(11)
+        self.network = MemoryNetwork(random=self.random)
+        self.nodes: dict[str, ControlNode] = {}
+        self._storages: dict[str, MemoryStorage] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._tasks = tasks
+
+    async def start(self, host_id: str, *, incarnation: str = '1') -> None:
+        key = f'{host_id}/{incarnation}'
+        identity = NodeId(host_id=HostId(host_id), incarnation=incarnation)
+        storage = self._storages.setdefault(
+            key, MemoryStorage(identity=identity)
+        )
+        node = ControlNode(
+            host_id=HostId(host_id),
+            address=host_id,
+            transport=MemoryTransport(network=self.network, address=host_id),
+            storage=storage,
+            options=DriverOptions(entries_per_snapshot=20, retained_entries=5),
+            random=self.random.random,
+        )
+
+        async def handle(envelope: Envelope) -> Envelope | None:
+            request = ExchangeRequest(envelope=envelope)
+            return (await node.exchange(request)).envelope
+
+        async def run(*, task_status: TaskStatus[None]) -> None:
+            with anyio.CancelScope() as scope:
+                self._scopes[host_id] = scope
+                await node.run(task_status=task_status)
+
+        await self._tasks.start(run)
+        self.nodes[host_id] = node
+        self.network.handlers[host_id] = handle
+
+    async def stop(self, host_id: str) -> None:
+        self._scopes[host_id].cancel()
+        self.network.handlers.pop(host_id)
+        self.nodes.pop(host_id)
+        await anyio.sleep(0)
+
+    def isolate(self, host_id: str) -> None:
+        for other in self.nodes:
+            self.network.cuts |= {(host_id, other), (other, host_id)}
+
+    async def initialise(self, *host_ids: str) -> None:
+        voters = tuple(host(host_id) for host_id in host_ids)
+        for host_id in host_ids:
+            request = ClusterInitRequest(voters=voters)
+            reply = await self.nodes[host_id].initialise(request)
+            assert reply.accepted, reply.problem
+
+    async def leader(self, *, apart_from: str = '') -> ControlNode:
+        while True:
+            for host_id, node in self.nodes.items():
+                if node.view.is_leader and host_id != apart_from:
+                    return node
+            await anyio.sleep(0.05)
+
+
+def host(host_id: str, incarnation: str = '1') -> ControlHost:
+    """Name a host for a configuration."""
+    return ControlHost(
+        host_id=HostId(host_id), incarnation=incarnation, address=host_id
+    )
+
+
+def register(upstream_id: str) -> RegisterMember:
+    """Return a command that adds a member to the test's group."""
+    return RegisterMember(group_id=_GROUP, upstream_id=UpstreamId(upstream_id))
+
+
+class ControlNodeTest(unittest.TestCase):
+    """Nodes that run with their drivers."""
+
+    def run_cluster(
+        self, scenario: Callable[[Cluster], Awaitable[None]]
+    ) -> None:
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                cluster = Cluster(tasks)
+                for host_id in ('c1', 'c2', 'c3', 'c4'):
+                    await cluster.start(host_id)
+                await cluster.initialise('c1', 'c2', 'c3')
+                with anyio.fail_after(120):
+                    await scenario(cluster)
+                tasks.cancel_scope.cancel()
+
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            runner.run(main())
+
+    def test_answer_comes_from_the_committed_command(self) -> None:
+        """Guards against answers before commit, or from another command."""
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            accepted = await leader.propose(register('u1'))
+            refused = await leader.propose(
+                BeginTerm(group_id=_GROUP, term=Term(5), reason='test')
+            )
+            assert isinstance(accepted, Ok)
+            assert isinstance(refused, Ok)
+            self.assertTrue(accepted.ok_value.accepted)
+            self.assertFalse(refused.ok_value.accepted)
+            read = await leader.read_state()
+            assert isinstance(read, Ok)
+            self.assertIn('u1', read.ok_value.groups[_GROUP].member_ids)
+
+        self.run_cluster(scenario)
+
+    def test_isolated_leader_steps_down_and_answers_unknown(self) -> None:
+        """Guards against stale reads and lost writes of a leader cut off.
+
+        Its callers must not wait forever either.
+        """
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            host_id = leader.view.identity.host_id
+            cluster.isolate(host_id)
+            proposed = await leader.propose(register('u1'))
+            self.assertEqual(proposed, Err(NoQuorum(may_commit=True)))
+            self.assertFalse(leader.view.is_leader)
+            self.assertIsInstance((await leader.read_state()).err(), NotLeader)
+            successor = await cluster.leader(apart_from=host_id)
+            self.assertTrue((await successor.propose(register('u2'))).is_ok())
+
+        self.run_cluster(scenario)
+
+    def test_state_survives_restart_of_all_nodes(self) -> None:
+        """Guards against loss of commands in snapshot or tail at a restart."""
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            for number in range(50):
+                assert (await leader.propose(register(f'u{number}'))).is_ok()
+            for host_id in ('c1', 'c2', 'c3'):
+                await cluster.stop(host_id)
+            for host_id in ('c1', 'c2', 'c3'):
+                await cluster.start(host_id)
+            leader = await cluster.leader()
+            read = await leader.read_state()
+            assert isinstance(read, Ok)
+            self.assertEqual(len(read.ok_value.groups[_GROUP].member_ids), 50)
+
+        self.run_cluster(scenario)
+
+    def test_replaced_host_catches_up_from_a_snapshot(self) -> None:
+        """Guards against a new voter that counts without holding the log.
+
+        The loss of a second host after the replacement must lose nothing.
+        """
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            old, lost = sorted(
+                {'c1', 'c2', 'c3'} - {leader.view.identity.host_id}
+            )
+            await cluster.stop(old)
+            for number in range(50):
+                assert (await leader.propose(register(f'u{number}'))).is_ok()
+            reply = await leader.replace(
+                ClusterReplaceRequest(
+                    old_host_id=HostId(old), new_host=host('c4')
+                )
+            )
+            self.assertTrue(reply.accepted, reply.problem)
+            await cluster.stop(lost)
+            assert (await leader.propose(register('last'))).is_ok()
+            members = cluster.nodes['c4'].view.state.groups[_GROUP].member_ids
+            self.assertGreaterEqual(len(members), 50)
+
+        self.run_cluster(scenario)
+
+    def test_host_with_an_empty_disk_does_not_count(self) -> None:
+        """Guards against a wiped host that votes as the voter it was.
+
+        With one wiped and one lost host no leader may be elected.
+        """
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            lost = leader.view.identity.host_id
+            survivor, wiped = sorted({'c1', 'c2', 'c3'} - {lost})
+            await cluster.stop(wiped)
+            assert (await leader.propose(register('u1'))).is_ok()
+            await cluster.start(wiped, incarnation='2')
+            await cluster.stop(lost)
+            await anyio.sleep(20)
+            self.assertFalse(cluster.nodes[survivor].view.is_leader)
+            self.assertFalse(cluster.nodes[wiped].view.initialised)
+
+        self.run_cluster(scenario)
