Add membership, failure detection and failover to the control role

Cause: the control role needs a directory of announced upstreams, agreement on suspicion and a driver that promotes a primary.

LogPort.propose must return an accepted answer only after `state` reflects the command; GroupRecord.primary keeps the last confirmed primary while a later term has begun; `epoch` is the consensus term, and LogState.groups must be a new mapping object whenever a group changed. Proxies must set the connection attribute program_name to lavendergate/<host id>, since the leader finds a proxy's connections on a member by it.

--- /dev/null
+++ b/lavendergate/controllers/observer.py
@@ -0,0 +1,248 @@
+"""What the control leader observes: directory, probes and suspicion."""
+
+from dataclasses import dataclass, replace
+
+from result import Result
+
+from lavendergate.controllers.group_settings import (
+    announcement_timeout_s,
+    failover_settings,
+)
+from lavendergate.controllers.log_port import LogState
+from lavendergate.core.directory import Directory
+from lavendergate.core.failover_types import Observed
+from lavendergate.core.membership import (
+    bump,
+    empty_directory,
+    expire,
+    group_report,
+    member_views,
+    receive_announcements,
+    receive_heartbeat,
+)
+from lavendergate.core.records import GroupRecord, HostRecord
+from lavendergate.core.reports import Announcement, GroupReport
+from lavendergate.core.types import GroupId, HostId, Region, UpstreamId
+from lavendergate.core.watchers import (
+    NO_SUSPICION,
+    ProbeTrack,
+    agree,
+    record_probe,
+    watchers_of,
+)
+from lavendergate.rpc.messages import HeartbeatRequest
+
+PERIODIC_PROBE_S = 2.0
+
+# A new leader knows all members once each has announced (250 ms) and each
+# proxy has sent a heartbeat (500 ms). Before that, reports would make the
+# proxies forget members.
+WARM_UP_S = 1.0
+
+# A heartbeat repeats a suspicion while it lasts; two missed ones end it.
+_SUSPICION_LIFETIME_S = 1.0
+
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProxyEntry:
+    """Last heartbeat of a proxy and when it arrived."""
+
+    request: HeartbeatRequest
+    seen_at: float
+
+
+class Observer:
+    """Collects announcements, heartbeats and probe results of one epoch."""
+
+    def __init__(self, *, epoch: int, now: float) -> None:
+        self._directory = empty_directory(epoch=epoch, now=now)
+        self._started_at = now
+        self._groups: object = None
+        self._tracks: dict[UpstreamId, dict[HostId, ProbeTrack]] = {}
+        self._suspected_at: dict[UpstreamId, float] = {}
+        self._periodic_at: dict[HostId, float] = {}
+        self._watchers: dict[UpstreamId, tuple[HostId, ...]] = {}
+        self._proxies: dict[HostId, ProxyEntry] = {}
+
+    @property
+    def directory(self) -> Directory:
+        """Announced upstreams and live hosts."""
+        return self._directory
+
+    @property
+    def proxies(self) -> dict[HostId, ProxyEntry]:
+        """Last heartbeat of each live proxy."""
+        return self._proxies
+
+    def announced(
+        self, announcements: tuple[Announcement, ...], now: float
+    ) -> tuple[str, ...]:
+        """Enter announcements; return the errors of the refused ones."""
+        directory, errors = receive_announcements(
+            self._directory, announcements, now
+        )
+        self._directory = directory
+        return errors
+
+    def heard(
+        self, request: HeartbeatRequest, now: float
+    ) -> Result[Directory, str]:
+        """Enter a heartbeat, or return why it is refused."""
+        answer = receive_heartbeat(
+            self._directory, host_of(request), now, is_finished=_done(request)
+        )
+        if answer.is_err():
+            return answer
+        is_new = request.host_id not in self._directory.hosts
+        self._directory = answer.unwrap()
+        if is_new:
+            self._watchers.clear()
+        self._proxies[request.host_id] = ProxyEntry(
+            request=request, seen_at=now
+        )
+        self._record_probes(request, now)
+        for upstream_id in request.suspected:
+            self._suspected_at[upstream_id] = now
+        return answer
+
+    def tick(self, state: LogState, now: float) -> None:
+        """Expire entries, and publish changes of the replicated log."""
+        hosts = self._directory.hosts
+        if self._groups is not state.groups:
+            self._groups = state.groups
+            self._directory = bump(self._directory, now)
+        self._directory = expire(self._directory, now)
+        if len(hosts) != len(self._directory.hosts):
+            self._watchers.clear()
+        for host_id in self._proxies.keys() - self._directory.hosts.keys():
+            self._proxies.pop(host_id)
+
+    def is_warm(self, state: LogState, now: float) -> bool:
+        """Whether all members are known, as far as they are reachable."""
+        if now - self._started_at >= WARM_UP_S:
+            return True
+        known = self._directory.members.keys()
+        return bool(state.groups) and all(
+            record.member_ids <= known for record in state.groups.values()
+        )
+
+    def reports(self, state: LogState, now: float) -> tuple[GroupReport, ...]:
+        """Return the reports of all groups."""
+        return tuple(
+            group_report(self._directory, record, now)
+            for record in state.groups.values()
+        )
+
+    def observe(self, state: LogState, record: GroupRecord) -> Observed:
+        """Return what failover needs to know about a group."""
+        members = member_views(self._directory, record.group_id)
+        region = self.region_of(record.group_id)
+        return Observed(
+            record=record,
+            members=members,
+            settings=failover_settings(state.settings, region, record.group_id),
+        )
+
+    def observe_at(
+        self, state: LogState, record: GroupRecord, now: float
+    ) -> Observed:
+        """Return the observation with what the watchers agree on."""
+        observed = self.observe(state, record)
+        if record.primary is None:
+            return observed
+        tracks = self._tracks.get(record.primary)
+        if tracks is None:
+            return replace(observed, suspicion=NO_SUSPICION)
+        watchers = self._watchers_of(record.primary)
+        return replace(observed, suspicion=agree(tracks, watchers, now))
+
+    def region_of(self, group_id: GroupId) -> Region | None:
+        """Return the region that a group's members announce."""
+        for entry in self._directory.members.values():
+            if entry.announcement.group_id == group_id:
+                return entry.announcement.region
+        return None
+
+    def probes_for(
+        self, host_id: HostId, state: LogState, now: float
+    ) -> tuple[UpstreamId, ...]:
+        """Return the primaries that a watcher is to probe now.
+
+        All watched primaries are due once per period; suspected ones always.
+        """
+        watched = [
+            record.primary
+            for record in state.groups.values()
+            if record.primary is not None
+            and host_id in self._watchers_of(record.primary)
+        ]
+        periodic_at = self._periodic_at.get(host_id)
+        if periodic_at is None or now - periodic_at >= PERIODIC_PROBE_S:
+            return tuple(watched)
+        return tuple(
+            primary
+            for primary in watched
+            if self._suspects(primary, state, now)
+        )
+
+    def probes_sent(self, host_id: HostId, now: float) -> None:
+        """Note that a reply with probes was sent; it starts a new period."""
+        periodic_at = self._periodic_at.get(host_id)
+        if periodic_at is None or now - periodic_at >= PERIODIC_PROBE_S:
+            self._periodic_at[host_id] = now
+
+    def _suspects(
+        self, primary: UpstreamId, state: LogState, now: float
+    ) -> bool:
+        suspected_at = self._suspected_at.get(primary)
+        if suspected_at is not None:
+            if now - suspected_at < _SUSPICION_LIFETIME_S:
+                return True
+        entry = self._directory.members.get(primary)
+        if entry is None:
+            return True
+        announcement = entry.announcement
+        timeout_s = announcement_timeout_s(
+            state.settings, announcement.region, announcement.group_id
+        )
+        if now - entry.seen_at >= timeout_s:
+            return True
+        return any(
+            track.failed_rounds > 0
+            and now - track.measured_at < _SUSPICION_LIFETIME_S
+            for track in self._tracks.get(primary, {}).values()
+        )
+
+    def _watchers_of(self, upstream_id: UpstreamId) -> tuple[HostId, ...]:
+        watchers = self._watchers.get(upstream_id)
+        if watchers is None:
+            watchers = watchers_of(upstream_id, self._directory.live_hosts())
+            self._watchers[upstream_id] = watchers
+        return watchers
+
+    def _record_probes(self, request: HeartbeatRequest, now: float) -> None:
+        for probe in request.probes:
+            tracks = self._tracks.setdefault(probe.upstream_id, {})
+            tracks[request.host_id] = record_probe(
+                tracks.get(request.host_id),
+                reachable=probe.reachable,
+                measured_at=now - probe.age_ms / _MS_PER_S,
+            )
+
+
+def host_of(request: HeartbeatRequest) -> HostRecord:
+    """Return the host that sent a heartbeat."""
+    return HostRecord(
+        host_id=request.host_id,
+        incarnation=request.incarnation,
+        region=request.region,
+        failure_domain=request.failure_domain,
+        address=request.address,
+    )
+
+
+def _done(request: HeartbeatRequest) -> bool:
+    is_empty = all(not demand.open_connections for demand in request.demands)
+    return request.draining and is_empty
--- /dev/null
+++ b/lavendergate/core/failover_rules.py
@@ -0,0 +1,238 @@
+"""Rules of failover: when to act, whom to promote, who must follow."""
+
+from collections.abc import Iterable, Mapping
+
+from lavendergate.core.failover_types import (
+    Attempt,
+    GroupFailover,
+    Observed,
+    Reason,
+)
+from lavendergate.core.records import GroupRecord
+from lavendergate.core.types import (
+    NO_TERM,
+    MemberRole,
+    MemberStatus,
+    MemberView,
+    Term,
+    UpstreamId,
+)
+
+CONTACT_LOSS_MS = 1000
+
+# Members of a new group start at different times; a majority that waited this
+# long elects without the rest.
+NEW_GROUP_WAIT_S = 5.0
+
+# An announcement that a proxy forwards may be a heartbeat (500 ms) and an
+# announcement interval (250 ms) old; twice that separates what a member said
+# before a promotion from what it said after it.
+STATUS_DELAY_S = 1.5
+
+
+def next_attempt(
+    state: GroupFailover, event: Observed, now: float
+) -> Attempt | None:
+    """Return the attempt that the group needs now, if any."""
+    record = event.record
+    if record.is_promoting:
+        if state.confirmed_term == record.begun_term:
+            return None  # the confirmation is committed, not applied yet
+        return _attempt(record, Reason.unfinished)
+    if record.primary is None:
+        if _is_new_group_ready(state, event, now):
+            return _attempt(record, Reason.first_primary)
+        return None
+    if event.settings.enabled and is_primary_lost(state, event, now):
+        return _attempt(record, Reason.automatic, suspect=record.primary)
+    return None
+
+
+def is_primary_lost(state: GroupFailover, event: Observed, now: float) -> bool:
+    """Whether the signals require a promotion, damping not considered."""
+    if not _is_settled(state, now):
+        return False
+    if event.suspicion.is_agreed or _has_lost_role(event):
+        return True
+    return _count_cut_off(event) >= event.record.majority
+
+
+def is_damped(state: GroupFailover, event: Observed, now: float) -> bool:
+    """Whether the last automatic promotion is too recent for another."""
+    if state.automatic_at is None or event.suspicion.is_unanimous:
+        return False
+    return now - state.automatic_at < event.settings.min_interval_s
+
+
+def fencing_is_complete(
+    record: GroupRecord,
+    attempt: Attempt,
+    fenced: Iterable[UpstreamId],
+    *,
+    counts_suspect: bool,
+) -> bool:
+    """Whether a majority of the committed members promised the term."""
+    counted = record.member_ids.intersection(fenced)
+    if not counts_suspect and attempt.suspect is not None:
+        counted -= {attempt.suspect}
+    return len(counted) >= record.majority
+
+
+def pick_candidate(
+    event: Observed,
+    attempt: Attempt,
+    fenced: Mapping[UpstreamId, MemberStatus],
+) -> UpstreamId:
+    """Pick the most advanced of the fenced members.
+
+    An acknowledged write is held by a majority, so the most advanced member
+    of any fenced majority holds it. Among equals the target comes first,
+    then members that stay, then the old primary's region, then low load.
+    """
+    counted = {
+        upstream_id: status
+        for upstream_id, status in fenced.items()
+        if upstream_id in event.record.member_ids
+    }
+    others = {
+        upstream_id: status
+        for upstream_id, status in counted.items()
+        if upstream_id != attempt.suspect
+    }
+    if len(others) >= event.record.majority:
+        counted = others
+    highest = max(status.last_entry for status in counted.values())
+    equals = [
+        upstream_id
+        for upstream_id, status in counted.items()
+        if status.last_entry == highest
+    ]
+    return min(equals, key=lambda one: _preference(event, attempt, one))
+
+
+def switchover_problem(
+    event: Observed, target: UpstreamId | None
+) -> str | None:
+    """Return why a switchover cannot start, with the remedy."""
+    record = event.record
+    if record.is_promoting or record.primary is None:
+        return 'a promotion is running; repeat the switchover afterwards'
+    if target is None:
+        if best_target(event) is None:
+            return 'no replica is in contact with the primary; check replicas'
+        return None
+    if target == record.primary:
+        return f'{target} is the primary already; choose a replica'
+    view = event.members.get(target)
+    if target not in record.member_ids or view is None:
+        return f'{target} is not an announced member; choose a live member'
+    if not _is_ready_target(record, view):
+        return f'{target} does not follow the primary; wait, or choose another'
+    return None
+
+
+def best_target(event: Observed) -> UpstreamId | None:
+    """Return the most advanced replica that can take over, if any."""
+    record = event.record
+    ready = [
+        view
+        for upstream_id, view in event.members.items()
+        if upstream_id in record.member_ids
+        and upstream_id != record.primary
+        and _is_ready_target(record, view)
+    ]
+    if not ready:
+        return None
+    return max(ready, key=lambda view: view.status.last_entry).upstream_id
+
+
+def strayed_members(event: Observed) -> tuple[MemberView, ...]:
+    """Return the members that do not follow the confirmed primary."""
+    record = event.record
+    return tuple(
+        view
+        for upstream_id, view in sorted(event.members.items())
+        if upstream_id in record.member_ids
+        and upstream_id != record.primary
+        and not _follows(view.status, record.term)
+    )
+
+
+def _attempt(
+    record: GroupRecord, reason: Reason, suspect: UpstreamId | None = None
+) -> Attempt:
+    return Attempt(
+        term=Term(record.begun_term + 1), reason=reason, suspect=suspect
+    )
+
+
+def _is_new_group_ready(
+    state: GroupFailover, event: Observed, now: float
+) -> bool:
+    registered = len(event.record.member_ids)
+    if registered >= event.settings.members:
+        return True
+    if state.registered_at is None:
+        return False
+    has_waited = now - state.registered_at >= NEW_GROUP_WAIT_S
+    return has_waited and registered > event.settings.members // 2
+
+
+def _is_settled(state: GroupFailover, now: float) -> bool:
+    if state.confirmed_at is None:
+        return False
+    return now - state.confirmed_at >= STATUS_DELAY_S
+
+
+def _has_lost_role(event: Observed) -> bool:
+    """Whether the primary itself says that it is no longer primary."""
+    record = event.record
+    if record.primary is None:
+        return False
+    view = event.members.get(record.primary)
+    return view is not None and view.status.role is not MemberRole.primary
+
+
+def _count_cut_off(event: Observed) -> int:
+    """Count replicas of the term that lost contact with the primary."""
+    record = event.record
+    return sum(
+        view.status.primary_contact_ms >= CONTACT_LOSS_MS
+        for upstream_id, view in event.members.items()
+        if upstream_id in record.member_ids
+        and upstream_id != record.primary
+        and _follows(view.status, record.term)
+    )
+
+
+def _follows(status: MemberStatus, term: Term) -> bool:
+    if term == NO_TERM or status.promised_term != term:
+        return False
+    return status.role is MemberRole.replica
+
+
+def _is_ready_target(record: GroupRecord, view: MemberView) -> bool:
+    if view.leaving or not _follows(view.status, record.term):
+        return False
+    return view.status.primary_contact_ms < CONTACT_LOSS_MS
+
+
+def _preference(
+    event: Observed, attempt: Attempt, upstream_id: UpstreamId
+) -> tuple[tuple[bool, ...], int, str]:
+    view = event.members.get(upstream_id)
+    old = event.record.primary
+    old_view = None if old is None else event.members.get(old)
+    is_remote = (
+        view is not None
+        and old_view is not None
+        and view.region != old_view.region
+    )
+    order = (
+        upstream_id == attempt.suspect,
+        upstream_id != attempt.target,
+        view is None or view.leaving,
+        is_remote,
+    )
+    load = 0 if view is None else view.status.connections
+    return order, load, upstream_id
--- /dev/null
+++ b/lavendergate/core/failover_steps.py
@@ -0,0 +1,368 @@
+"""Steps of one attempt to establish a primary in a new term."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from lavendergate.core.failover_repair import make_follow
+from lavendergate.core.failover_rules import fencing_is_complete, pick_candidate
+from lavendergate.core.failover_types import (
+    Attempt,
+    Beginning,
+    CatchingUp,
+    ConfirmAnswered,
+    Confirming,
+    Effect,
+    FenceAnswered,
+    FenceMember,
+    Fencing,
+    FencingOld,
+    GroupFailover,
+    Idle,
+    Preparing,
+    PromoteAnswered,
+    PromoteMember,
+    Promoting,
+    ProposeBeginTerm,
+    ProposeConfirmPrimary,
+    QueryStatus,
+    Reason,
+    Report,
+    ReportKind,
+    StatusAnswered,
+    Step,
+    TermAnswered,
+    WaitMember,
+)
+from lavendergate.core.types import MemberRole, MemberStatus, Term, UpstreamId
+
+# The target may need this long to catch up while writes still run.
+PREPARATION_S = 5.0
+
+# Longer than the time limit of a call (500 ms), so that a late answer is not
+# taken for a lost one.
+CALL_WAIT_S = 0.75
+
+# Writes are blocked while the target catches up; a target that held all but
+# the last entries needs a few round trips.
+_CATCH_UP_S = 0.5
+_PROPOSAL_WAIT_S = 1.0
+
+# Time for the members other than the suspect to promise first, since a
+# suspect that callers cannot reach should not become primary again.
+_SUSPECT_DELAY_S = 0.5
+
+
+def begin(state: GroupFailover, attempt: Attempt, now: float) -> Step:
+    """Propose the term of an attempt."""
+    phase = Beginning(attempt=attempt, deadline=now + _PROPOSAL_WAIT_S)
+    return replace(state, phase=phase), (
+        ProposeBeginTerm(term=attempt.term, reason=attempt.reason.value),
+    )
+
+
+def term_answered(
+    state: GroupFailover, phase: Beginning, event: TermAnswered, now: float
+) -> Step:
+    """Start fencing once the term has begun.
+
+    A refused proposal ends the attempt: either another change came first, or
+    a resend finds its own earlier proposal, and the next observation decides.
+    """
+    attempt = phase.attempt
+    if not event.accepted and attempt.target is not None:
+        return end_switchover(state, 'the term was refused; try again')
+    if not event.accepted:
+        return replace(state, phase=Idle()), ()
+    report = Report(
+        kind=ReportKind.term_begun,
+        message=f'term {attempt.term} begun: {attempt.reason.value}',
+    )
+    if attempt.reason is Reason.switchover and attempt.suspect is not None:
+        fencing = FencingOld(attempt=attempt, deadline=now + CALL_WAIT_S)
+        return replace(state, phase=fencing), (
+            report,
+            FenceMember(upstream_id=attempt.suspect, term=attempt.term),
+        )
+    state, effects = fence_all(state, attempt, {}, now)
+    return state, (report, *effects)
+
+
+def fence_all(
+    state: GroupFailover,
+    attempt: Attempt,
+    fenced: Mapping[UpstreamId, MemberStatus],
+    now: float,
+) -> Step:
+    """Fence all members that have not promised the term yet."""
+    phase = Fencing(
+        attempt=attempt, fenced=fenced, alone_until=now + _SUSPECT_DELAY_S
+    )
+    state = replace(state, phase=phase, retry_at={})
+    return continue_fencing(state, phase, now)
+
+
+def continue_fencing(state: GroupFailover, phase: Fencing, now: float) -> Step:
+    """Promote if a majority promised, else call the missing members."""
+    observed = state.observed
+    if observed is None:
+        return state, ()
+    is_complete = fencing_is_complete(
+        observed.record,
+        phase.attempt,
+        phase.fenced,
+        counts_suspect=_counts_suspect(phase, now),
+    )
+    if is_complete:
+        return _promote(state, phase, now)
+    retry_at = dict(state.retry_at)
+    effects: list[Effect] = []
+    for upstream_id in sorted(observed.record.member_ids - set(phase.fenced)):
+        if now >= retry_at.get(upstream_id, now):
+            retry_at[upstream_id] = now + CALL_WAIT_S
+            effects.append(
+                FenceMember(upstream_id=upstream_id, term=phase.attempt.term)
+            )
+    return replace(state, retry_at=retry_at), tuple(effects)
+
+
+def fence_answered(
+    state: GroupFailover, phase: Fencing, event: FenceAnswered, now: float
+) -> Step:
+    """Count a promise; ask for the status after a refusal."""
+    if event.refused:
+        return state, (
+            QueryStatus(upstream_id=event.upstream_id, term=event.term),
+        )
+    return promise_known(
+        state,
+        phase,
+        StatusAnswered(
+            upstream_id=event.upstream_id, term=event.term, status=event.status
+        ),
+        now,
+    )
+
+
+def old_fence_answered(
+    state: GroupFailover, phase: FencingOld, event: FenceAnswered, now: float
+) -> Step:
+    """Handle the old primary's answer in a switchover."""
+    if event.refused:
+        return state, (
+            QueryStatus(upstream_id=event.upstream_id, term=event.term),
+        )
+    answer = StatusAnswered(
+        upstream_id=event.upstream_id, term=event.term, status=event.status
+    )
+    return promise_known(state, phase, answer, now)
+
+
+def promise_known(
+    state: GroupFailover,
+    phase: Fencing | FencingOld,
+    event: StatusAnswered,
+    now: float,
+) -> Step:
+    """Handle a member's status while members are being fenced."""
+    status = event.status
+    attempt = phase.attempt
+    if status is None or status.promised_term < attempt.term:
+        return state, ()
+    if status.promised_term > attempt.term:
+        return _surpassed(state, attempt, event.upstream_id, status)
+    if isinstance(phase, FencingOld):
+        return _catch_up(state, attempt, event.upstream_id, status, now)
+    phase = replace(phase, fenced={**phase.fenced, event.upstream_id: status})
+    return continue_fencing(replace(state, phase=phase), phase, now)
+
+
+def promote_answered(
+    state: GroupFailover, phase: Promoting, event: PromoteAnswered, now: float
+) -> Step:
+    """Confirm a promoted candidate."""
+    status = event.status
+    is_promoted = (
+        status is not None
+        and status.role is MemberRole.primary
+        and status.promised_term == phase.attempt.term
+    )
+    if not is_promoted:
+        return promotion_uncertain(state, phase, now)
+    confirming = Confirming(
+        attempt=phase.attempt,
+        candidate=phase.candidate,
+        first_position=phase.first_position,
+        deadline=now + _PROPOSAL_WAIT_S,
+    )
+    return replace(state, phase=confirming), (_confirmation(confirming),)
+
+
+def promotion_uncertain(
+    state: GroupFailover, phase: Promoting, now: float
+) -> Step:
+    """Replace an uncertain promotion by an attempt in a new term.
+
+    The candidate may be primary in this term, so no other may be.
+    """
+    attempt = replace(phase.attempt, term=Term(phase.attempt.term + 1))
+    report = Report(
+        kind=ReportKind.promotion_uncertain,
+        message=(
+            f'promotion of {phase.candidate} in term {phase.attempt.term} is '
+            f'uncertain; beginning term {attempt.term}'
+        ),
+    )
+    if attempt.reason is Reason.switchover:
+        attempt = replace(attempt, reason=Reason.unfinished)
+    state, effects = begin(state, attempt, now)
+    return state, (report, *effects)
+
+
+def confirm_answered(
+    state: GroupFailover, phase: Confirming, event: ConfirmAnswered, now: float
+) -> Step:
+    """Finish the attempt, or wait for the record to tell its fate."""
+    if event.accepted:
+        return _finish(state, phase, now)
+    return state, ()
+
+
+def observe_confirming(
+    state: GroupFailover, phase: Confirming, now: float
+) -> Step:
+    """Compare the record with the proposal, and repeat a lost proposal."""
+    observed = state.observed
+    if observed is None:
+        return state, ()
+    record = observed.record
+    if record.term == phase.attempt.term:
+        return _finish(state, phase, now)
+    if record.begun_term > phase.attempt.term:
+        return replace(state, phase=Idle()), ()
+    if now < phase.deadline:
+        return state, ()
+    phase = replace(phase, deadline=now + _PROPOSAL_WAIT_S)
+    return replace(state, phase=phase), (_confirmation(phase),)
+
+
+def primary_status_answered(
+    state: GroupFailover, phase: Preparing, event: StatusAnswered
+) -> Step:
+    """Let the target catch up with the primary before writes stop."""
+    target = phase.attempt.target
+    if event.status is None or target is None:
+        return end_switchover(
+            state, 'the primary does not answer; check that it is reachable'
+        )
+    return state, (
+        WaitMember(
+            upstream_id=target,
+            term=phase.attempt.term,
+            entry=event.status.last_entry,
+            timeout_s=PREPARATION_S - CALL_WAIT_S,
+        ),
+    )
+
+
+def end_switchover(state: GroupFailover, problem: str) -> Step:
+    """End a switchover that has not begun a term."""
+    return replace(state, phase=Idle()), (
+        Report(kind=ReportKind.switchover_failed, message=problem),
+    )
+
+
+def _counts_suspect(phase: Fencing, now: float) -> bool:
+    if phase.attempt.reason is Reason.switchover:
+        return True
+    return now >= phase.alone_until
+
+
+def _catch_up(
+    state: GroupFailover,
+    attempt: Attempt,
+    upstream_id: UpstreamId,
+    status: MemberStatus,
+    now: float,
+) -> Step:
+    target = attempt.target
+    fenced = {upstream_id: status}
+    if target is None:
+        return fence_all(state, attempt, fenced, now)
+    phase = CatchingUp(
+        attempt=attempt, fenced=fenced, deadline=now + _CATCH_UP_S
+    )
+    return replace(state, phase=phase), (
+        WaitMember(
+            upstream_id=target,
+            term=attempt.term,
+            entry=status.last_entry,
+            timeout_s=_CATCH_UP_S,
+        ),
+    )
+
+
+def _surpassed(
+    state: GroupFailover,
+    attempt: Attempt,
+    upstream_id: UpstreamId,
+    status: MemberStatus,
+) -> Step:
+    """End an attempt whose term a member has already passed."""
+    return replace(state, phase=Idle()), (
+        Report(
+            kind=ReportKind.term_surpassed,
+            message=(
+                f'{upstream_id} promised term {status.promised_term}, which '
+                f'is above term {attempt.term}; beginning the next term'
+            ),
+        ),
+    )
+
+
+def _promote(state: GroupFailover, phase: Fencing, now: float) -> Step:
+    observed = state.observed
+    if observed is None:
+        return state, ()
+    candidate = pick_candidate(observed, phase.attempt, phase.fenced)
+    last_entry = phase.fenced[candidate].last_entry
+    promoting = Promoting(
+        attempt=phase.attempt,
+        candidate=candidate,
+        first_position=last_entry.position + 1,
+        deadline=now + CALL_WAIT_S,
+    )
+    return replace(state, phase=promoting), (
+        PromoteMember(upstream_id=candidate, term=phase.attempt.term),
+    )
+
+
+def _confirmation(phase: Confirming) -> ProposeConfirmPrimary:
+    return ProposeConfirmPrimary(
+        term=phase.attempt.term,
+        upstream_id=phase.candidate,
+        first_position=phase.first_position,
+    )
+
+
+def _finish(state: GroupFailover, phase: Confirming, now: float) -> Step:
+    attempt = phase.attempt
+    is_automatic = attempt.reason in {Reason.automatic, Reason.unfinished}
+    state = replace(
+        state,
+        phase=Idle(),
+        retry_at={},
+        confirmed_at=now,
+        confirmed_term=attempt.term,
+        automatic_at=now if is_automatic else state.automatic_at,
+    )
+    message = f'{phase.candidate} is primary in term {attempt.term}'
+    kind = ReportKind.primary_confirmed
+    if attempt.target is not None:
+        is_target = phase.candidate == attempt.target
+        kind = (
+            ReportKind.switchover_done
+            if is_target
+            else ReportKind.switchover_failed
+        )
+    state, effects = make_follow(state, phase.candidate, attempt.term, now)
+    return state, (Report(kind=kind, message=message), *effects)
--- /dev/null
+++ b/lavendergate/core/records.py
@@ -0,0 +1,59 @@
+"""What the replicated log records about groups and hosts."""
+
+from dataclasses import dataclass
+
+from lavendergate.core.types import (
+    NO_TERM,
+    FailureDomain,
+    GroupId,
+    HostId,
+    Region,
+    Term,
+    TermStart,
+    UpstreamId,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GroupRecord:
+    """Committed state of one group.
+
+    Parameters
+    ----------
+    begun_term
+        Last begun term; greater than `term` while a promotion is unfinished.
+    term
+        Term of the last confirmed primary.
+    primary
+        Primary confirmed in `term`, kept while a later term has begun.
+    term_history
+        Start of each recent term, oldest first.
+    """
+
+    group_id: GroupId
+    member_ids: frozenset[UpstreamId] = frozenset()
+    begun_term: Term = NO_TERM
+    term: Term = NO_TERM
+    primary: UpstreamId | None = None
+    term_history: tuple[TermStart, ...] = ()
+
+    @property
+    def majority(self) -> int:
+        """Number of members that form a majority."""
+        return len(self.member_ids) // 2 + 1
+
+    @property
+    def is_promoting(self) -> bool:
+        """Whether a term has begun whose primary is not confirmed."""
+        return self.begun_term > self.term
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostRecord:
+    """Committed registration of a proxy host."""
+
+    host_id: HostId
+    incarnation: str
+    region: Region
+    failure_domain: FailureDomain
+    address: str
