--- /dev/null
+++ b/lavendergate/core/pool.py
@@ -0,0 +1,264 @@
+"""State of the connections to one member.
+
+The pool only decides. The driver performs the effects that each method
+returns and reports their end. A connection counts against the share from
+the decision to open it until the driver has seen it closed.
+"""
+
+import enum
+from collections import deque
+from dataclasses import dataclass
+from typing import NewType
+
+ConnectionId = NewType('ConnectionId', int)
+OwnerId = NewType('OwnerId', int)
+
+
+@enum.unique
+class ConnectionState(enum.Enum):
+    """State of one connection."""
+
+    opening = 'opening'
+    idle = 'idle'
+    busy = 'busy'
+    closing = 'closing'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Assign:
+    """The owner may use the connection for one transaction."""
+
+    owner_id: OwnerId
+    connection_id: ConnectionId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Open:
+    """Open a connection, then report `opened` or `closed`."""
+
+    connection_id: ConnectionId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Close:
+    """Close the connection, then report `closed`."""
+
+    connection_id: ConnectionId
+
+
+PoolEffect = Assign | Open | Close
+Effects = tuple[PoolEffect, ...]
+_NONE: Effects = ()
+
+
+@dataclass(kw_only=True, slots=True)
+class _Connection:
+    state: ConnectionState
+    owner_id: OwnerId | None = None
+    idle_since: float = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PoolSettings:
+    """Settings of a pool.
+
+    Parameters
+    ----------
+    warm
+        Connections that stay open while idle, because opening one costs
+        12 to 30 ms.
+    idle_s
+        Time after which further idle connections are closed, from
+        `connection.idle_s`.
+    """
+
+    warm: int = 1
+    idle_s: float = 30
+
+
+class MemberPool:
+    """Connections of this proxy to one member.
+
+    Parameters
+    ----------
+    share
+        Connections that this proxy may hold to the member.
+    """
+
+    def __init__(self, *, share: int, settings: PoolSettings) -> None:
+        """Create a pool without connections."""
+        self._share = share
+        self._settings = settings
+        self._connections: dict[ConnectionId, _Connection] = {}
+        # The last one is the most recently used, so that others become old.
+        self._idle: list[ConnectionId] = []
+        self._waiters: deque[OwnerId] = deque()
+        self._opening = 0
+        self._closing = 0
+        self._last_id = 0
+
+    @property
+    def share(self) -> int:
+        """Connections that this proxy may hold."""
+        return self._share
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that count against the share."""
+        return len(self._connections)
+
+    @property
+    def wanted_connections(self) -> int:
+        """Connections that this proxy would use now, for its demand."""
+        busy = sum(
+            connection.state is ConnectionState.busy
+            for connection in self._connections.values()
+        )
+        return max(busy + len(self._waiters), self._settings.warm)
+
+    def acquire(self, owner_id: OwnerId) -> Effects:
+        """Ask for a connection for one transaction.
+
+        Without an effect, or with `Open`, the owner waits for `Assign`.
+        """
+        if self._idle and not self._waiters:
+            return (self._assign(self._idle.pop(), owner_id),)
+        self._waiters.append(owner_id)
+        return self._open_for_waiters()
+
+    def cancel(self, owner_id: OwnerId) -> bool:
+        """Stop waiting; False if the owner was not waiting."""
+        if owner_id not in self._waiters:
+            return False
+        self._waiters.remove(owner_id)
+        return True
+
+    def release(
+        self,
+        connection_id: ConnectionId,
+        owner_id: OwnerId,
+        now: float,
+    ) -> Effects:
+        """Return a connection whose transaction has a confirmed end.
+
+        Everything that was sent on it must have been answered in full;
+        otherwise the owner must `retire` it. A release by anyone but the
+        owner retires the connection, because its state is uncertain.
+        """
+        connection = self._connections.get(connection_id)
+        if connection is None or connection.state is ConnectionState.closing:
+            return _NONE
+        if connection.owner_id != owner_id:
+            return self.retire(connection_id)
+        connection.owner_id = None
+        if self._usable() > self._share:
+            return self.retire(connection_id)
+        return self._make_idle(connection_id, connection, now)
+
+    def retire(self, connection_id: ConnectionId) -> Effects:
+        """Close a connection; it is never used again."""
+        connection = self._connections.get(connection_id)
+        if connection is None or connection.state is ConnectionState.closing:
+            return _NONE
+        if connection.state is ConnectionState.opening:
+            self._opening -= 1
+        if connection.state is ConnectionState.idle:
+            self._idle.remove(connection_id)
+        connection.state = ConnectionState.closing
+        connection.owner_id = None
+        self._closing += 1
+        return (Close(connection_id=connection_id),)
+
+    def opened(self, connection_id: ConnectionId, now: float) -> Effects:
+        """Report that a connection is open."""
+        connection = self._connections.get(connection_id)
+        if connection is None:
+            return (Close(connection_id=connection_id),)
+        if connection.state is not ConnectionState.opening:
+            return _NONE
+        self._opening -= 1
+        if self._usable() > self._share:
+            connection.state = ConnectionState.busy
+            return self.retire(connection_id)
+        return self._make_idle(connection_id, connection, now)
+
+    def closed(self, connection_id: ConnectionId) -> Effects:
+        """Report that a connection is closed, or failed to open."""
+        connection = self._connections.pop(connection_id, None)
+        if connection is None:
+            return _NONE
+        if connection.state is ConnectionState.opening:
+            # The driver opens again after its backoff, through `tick`.
+            self._opening -= 1
+            return _NONE
+        if connection.state is ConnectionState.idle:
+            self._idle.remove(connection_id)
+        if connection.state is ConnectionState.closing:
+            self._closing -= 1
+        return self._open_for_waiters()
+
+    def change_share(self, share: int) -> Effects:
+        """Apply a new share; busy connections close after their use."""
+        self._share = share
+        surplus = self._usable() - share
+        closing: list[PoolEffect] = []
+        for connection_id in tuple(self._idle)[: max(surplus, 0)]:
+            closing.extend(self.retire(connection_id))
+        return (*closing, *self._open_for_waiters())
+
+    def tick(self, now: float) -> Effects:
+        """Close connections that are idle for long, open missing ones."""
+        oldest = now - self._settings.idle_s
+        effects: list[PoolEffect] = []
+        for connection_id in tuple(self._idle):
+            is_old = self._connections[connection_id].idle_since <= oldest
+            if is_old and self._usable() > self._settings.warm:
+                effects.extend(self.retire(connection_id))
+        effects.extend(self._open_for_waiters())
+        while self._may_open() and self._usable() < (self._settings.warm):
+            effects.append(self._open())
+        return tuple(effects)
+
+    def _make_idle(
+        self,
+        connection_id: ConnectionId,
+        connection: _Connection,
+        now: float,
+    ) -> Effects:
+        if self._waiters:
+            return (self._assign(connection_id, self._waiters.popleft()),)
+        connection.state = ConnectionState.idle
+        connection.idle_since = now
+        self._idle.append(connection_id)
+        return _NONE
+
+    def _assign(
+        self,
+        connection_id: ConnectionId,
+        owner_id: OwnerId,
+    ) -> Assign:
+        connection = self._connections[connection_id]
+        connection.state = ConnectionState.busy
+        connection.owner_id = owner_id
+        return Assign(owner_id=owner_id, connection_id=connection_id)
+
+    def _open_for_waiters(self) -> Effects:
+        effects: list[PoolEffect] = []
+        while self._may_open() and self._opening < len(self._waiters):
+            effects.append(self._open())
+        return tuple(effects)
+
+    def _may_open(self) -> bool:
+        return len(self._connections) < self._share
+
+    def _open(self) -> Open:
+        self._last_id += 1
+        self._opening += 1
+        connection_id = ConnectionId(self._last_id)
+        self._connections[connection_id] = _Connection(
+            state=ConnectionState.opening,
+        )
+        return Open(connection_id=connection_id)
+
+    def _usable(self) -> int:
+        return len(self._connections) - self._closing
--- /dev/null
+++ b/lavendergate/tests/test_admission.py
@@ -0,0 +1,118 @@
+"""Tests of admission and the adaptive limit."""
+
+import unittest
+
+from lavendergate.core.adaptive_limit import AdaptiveLimit
+from lavendergate.core.admission import (
+    AdmissionQueue,
+    AdmissionRequest,
+    AdmissionSettings,
+    QueueClass,
+)
+from lavendergate.core.types import CallerId, GroupId
+
+
+def _request(
+    queue_class: QueueClass,
+    *,
+    caller: str = 'tablet',
+    deadline: float = 10,
+) -> AdmissionRequest:
+    return AdmissionRequest(
+        caller_id=CallerId(caller),
+        queue_class=queue_class,
+        needs_primary=queue_class >= QueueClass.write,
+        deadline=deadline,
+    )
+
+
+def _queue(limit: int = 4, concurrency: int = 64) -> AdmissionQueue:
+    return AdmissionQueue(
+        group_id=GroupId('g'),
+        settings=AdmissionSettings(
+            queue_limit=limit,
+            caller_concurrency=concurrency,
+        ),
+    )
+
+
+class AdmissionTest(unittest.TestCase):
+    """Order of starting, shedding and refusing."""
+
+    def test_stale_reads_are_shed_first(self) -> None:
+        """Guards against a shed write while a stale read is queued."""
+        queue = _queue(limit=2)
+        stale = [_request(QueueClass.stale) for _ in range(2)]
+        for request in stale:
+            self.assertEqual((), queue.offer(request, 0).unwrap())
+        write = _request(QueueClass.write)
+        self.assertEqual((stale[1],), queue.offer(write, 0).unwrap())
+        session = _request(QueueClass.session)
+        self.assertEqual((stale[0],), queue.offer(session, 0).unwrap())
+        refused = queue.offer(_request(QueueClass.stale), 0).unwrap_err()
+        self.assertEqual(9004, refused.code)
+        self.assertEqual((write, session), queue.take(0, lambda _: True))
+
+    def test_deadline_that_cannot_be_met(self) -> None:
+        """Guards against work that is queued only to miss its deadline."""
+        queue = _queue()
+        first = _request(QueueClass.write)
+        self.assertTrue(queue.try_start(first, 0, lambda _: True))
+        queue.finish(first, 1)
+        late = queue.offer(_request(QueueClass.write, deadline=2), 1)
+        self.assertEqual(9005, late.unwrap_err().code)
+        self.assertTrue(queue.offer(_request(QueueClass.write), 1).is_ok())
+
+    def test_expired_statements_do_not_start(self) -> None:
+        """Guards against a statement that runs after `not run` was said."""
+        queue = _queue()
+        request = _request(QueueClass.session, deadline=1)
+        queue.offer(request, 0)
+        self.assertEqual((), queue.take(1, lambda _: True))
+        self.assertTrue(queue.withdraw(request))
+        self.assertEqual(0, queue.queued)
+
+    def test_caller_at_its_limit_leaves_room(self) -> None:
+        """Guards against one caller that takes all connections."""
+        queue = _queue(concurrency=1)
+        first = _request(QueueClass.session, caller='planner')
+        self.assertTrue(queue.try_start(first, 0, lambda _: True))
+        second = _request(QueueClass.session, caller='planner')
+        self.assertFalse(queue.try_start(second, 0, lambda _: True))
+        queue.offer(second, 0)
+        other = _request(QueueClass.session)
+        queue.offer(other, 0)
+        self.assertEqual((other,), queue.take(0, lambda _: True))
+        self.assertEqual(9010, queue.expiry_error(second).code)
+        queue.finish(first, 0.1)
+        self.assertEqual((second,), queue.take(0.1, lambda _: True))
+
+    def test_full_primary_does_not_block_replicas(self) -> None:
+        """Guards against reads that wait behind writes for no reason."""
+        queue = _queue()
+        write, read = _request(QueueClass.write), _request(QueueClass.stale)
+        queue.offer(write, 0)
+        queue.offer(read, 0)
+        started = queue.take(0, lambda request: not request.needs_primary)
+        self.assertEqual((read,), started)
+
+
+class AdaptiveLimitTest(unittest.TestCase):
+    """Limit from latency."""
+
+    def _run(self, limit: AdaptiveLimit, start: float, ms: float) -> float:
+        now = start
+        for _ in range(2000):
+            now += 0.01
+            limit.record(ms, limit.allowed, now)
+        return now
+
+    def test_limit_follows_latency(self) -> None:
+        """Guards against queues inside the member, and a limit stuck at 1."""
+        limit = AdaptiveLimit.create(share=16, now=0)
+        now = self._run(limit, 0, 2)
+        self.assertEqual(16, limit.allowed)
+        now = self._run(limit, now, 40)
+        self.assertLess(limit.allowed, 8)
+        self._run(limit, now, 2)
+        self.assertEqual(16, limit.allowed)
