Add the control role and the daemon process

Cause: the controllers and the replicated log need a process. Change: adapter of the control node to the controllers' log port, control role, process with gRPC server, drain on SIGTERM.

--- /dev/null
+++ b/lavendergate/daemon/control.py
@@ -0,0 +1,135 @@
+"""The control role: replicated log, membership, failover, settings."""
+
+from pathlib import Path
+
+from anyio.abc import TaskGroup
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from result import Err
+
+from lavendergate.backends.admin_mysql import MySqlMemberAdmin
+from lavendergate.controllers.control_log import ControlLog
+from lavendergate.controllers.control_node import ControlNode
+from lavendergate.controllers.failover import FailoverController
+from lavendergate.controllers.membership import MembershipController
+from lavendergate.controllers.share_source import NoShares, ShareSource
+from lavendergate.controllers.status import StatusController
+from lavendergate.core.commands import SettingChange
+from lavendergate.core.failover_types import Report
+from lavendergate.core.settings.document import SettingsDocument
+from lavendergate.core.settings.tree import validate_change
+from lavendergate.core.types import GroupId, HostId
+from lavendergate.daemon.context import ProcessContext
+from lavendergate.rpc.codec import MessagePackCodec
+from lavendergate.rpc.messages import AnnounceReply, AnnounceRequest
+from lavendergate.rpc.service import (
+    ANNOUNCE,
+    HEARTBEAT,
+    PROPOSE,
+    STATUS,
+    SWITCHOVER,
+    UnaryService,
+    call,
+)
+from lavendergate.rpc.transport import GrpcTransport
+
+FORWARD_TIMEOUT_S = 0.5
+
+
+class ControlRole:
+    """Takes part in the decisions of the system.
+
+    Parameters
+    ----------
+    context
+        Options and observability of the process.
+    tasks
+        Task group of the role.
+    """
+
+    def __init__(self, *, context: ProcessContext, tasks: TaskGroup) -> None:
+        options = context.options
+        self._context = context
+        self._tasks = tasks
+        self._channels: dict[str, Channel] = {}
+        self._node = ControlNode(
+            host_id=HostId(options.host_id),
+            address=options.rpc_listen,
+            data_directory=Path(options.data_directory) / 'control',
+            transport=GrpcTransport(tls=None),
+            validate_change=_problem_of_change,
+        )
+        self._log = ControlLog(node=self._node)
+        shares: ShareSource = NoShares()
+        self._membership = MembershipController(
+            log=self._log,
+            announce_key=options.announce_key.encode(),
+            forward=self._forward,
+            shares=shares,
+            merge_clock=self._merge_clock,
+        )
+        self._failover = FailoverController(
+            log=self._log,
+            membership=self._membership,
+            admin=MySqlMemberAdmin(
+                user=options.admin_user, password=options.admin_password
+            ),
+            report=self._report,
+        )
+        self._status = StatusController(
+            log=self._log,
+            membership=self._membership,
+            failover=self._failover,
+            shares=shares,
+        )
+
+    @property
+    def services(self) -> tuple[UnaryService, ...]:
+        """Services to register with the gRPC server."""
+        own = UnaryService(
+            implementations={
+                ANNOUNCE: self._membership.announce,
+                HEARTBEAT: self._membership.heartbeat,
+                PROPOSE: self._node.answer_proposal,
+                STATUS: self._status.status,
+                SWITCHOVER: self._status.switchover,
+            }
+        )
+        return self._node.service, own
+
+    async def start(self) -> None:
+        """Read the storage, then run all controllers."""
+        await self._tasks.start(self._node.run)
+        self._tasks.start_soon(self._membership.run)
+        self._tasks.start_soon(self._failover.run)
+
+    async def _forward(
+        self, address: str, request: AnnounceRequest
+    ) -> AnnounceReply:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(':')
+            channel = Channel(host, int(port), codec=MessagePackCodec())
+            self._channels[address] = channel
+        try:
+            return await call(
+                channel, ANNOUNCE, request, timeout_s=FORWARD_TIMEOUT_S
+            )
+        except (GRPCError, StreamTerminatedError) as error:
+            raise ConnectionError(str(error)) from error
+
+    def _merge_clock(self, stamp: int) -> int:
+        self._context.clock.receive(stamp)
+        return self._context.clock.stamp()
+
+    def _report(self, group_id: GroupId, report: Report) -> None:
+        self._context.report_failover(group_id, report)
+
+
+def _problem_of_change(
+    document: SettingsDocument, changes: tuple[SettingChange, ...]
+) -> str | None:
+    checked = validate_change(document, changes)
+    if isinstance(checked, Err):
+        return '; '.join(str(problem) for problem in checked.err_value)
+    return None
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -1,6 +1,115 @@
 """One daemon process: its roles, its gRPC server and its shutdown."""
 
+import secrets
+import signal
+
+import anyio
+from anyio.abc import TaskGroup
+from grpclib.server import Server
+
+from lavendergate.daemon.context import ProcessContext
+from lavendergate.daemon.control import ControlRole
+from lavendergate.daemon.options import DaemonOptions
+from lavendergate.daemon.proxy import ProxyRole
+from lavendergate.observability.log import MemoryEventLog
+from lavendergate.observability.process_clock import ProcessClock
+from lavendergate.observability.process_events import ProcessEvent
+from lavendergate.rpc.codec import MessagePackCodec
+from lavendergate.rpc.service import ANNOUNCE, UnaryService
+
 INCARNATION_BYTES = 8
 POLL_INTERVAL_S = 0.05
-# Version of the software in the start event.
 SOFTWARE_VERSION = '0.1.0'
+
+_MS_PER_S = 1000
+
+
+async def run_daemon(options: DaemonOptions) -> None:
+    """Run the roles of a host until it is told to stop."""
+    context = ProcessContext(
+        options=options,
+        incarnation=secrets.token_hex(INCARNATION_BYTES),
+        clock=ProcessClock(),
+        events=MemoryEventLog(),
+    )
+    context.events.emit(
+        ProcessEvent.process_started,
+        software_version=SOFTWARE_VERSION,
+        roles=','.join(sorted(options.roles)),
+        incarnation=context.incarnation,
+    )
+    async with anyio.create_task_group() as tasks:
+        await _run_roles(context, tasks)
+        tasks.cancel_scope.cancel()
+    context.events.emit(ProcessEvent.process_stopped)
+
+
+async def _run_roles(context: ProcessContext, tasks: TaskGroup) -> None:
+    options = context.options
+    services: list[UnaryService] = []
+    proxy: ProxyRole | None = None
+    if 'control' in options.roles:
+        control = ControlRole(context=context, tasks=tasks)
+        await control.start()
+        services.extend(control.services)
+    if 'proxy' in options.roles:
+        proxy = ProxyRole(context=context, tasks=tasks)
+        if not services:
+            services.append(
+                UnaryService(implementations={ANNOUNCE: proxy.relay.announce})
+            )
+    server = Server(services, codec=MessagePackCodec())
+    host, _, port = options.rpc_listen.rpartition(':')
+    await server.start(host, int(port))
+    if proxy is not None:
+        await proxy.start()
+    try:
+        await _wait_for_stop(context, proxy)
+    finally:
+        server.close()
+
+
+async def _wait_for_stop(
+    context: ProcessContext, proxy: ProxyRole | None
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        stop = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_note_signals, received, stop)
+            await stop.wait()
+            if proxy is not None:
+                await _drain(context, proxy)
+            tasks.cancel_scope.cancel()
+
+
+async def _note_signals(received: object, stop: anyio.Event) -> None:
+    async for number in received:  # type: ignore[attr-defined]
+        del number
+        stop.set()
+
+
+async def _drain(context: ProcessContext, proxy: ProxyRole) -> None:
+    """Finish what is in flight, then close the callers' connections."""
+    options = context.options
+    started_at = anyio.current_time()
+    context.events.emit(
+        ProcessEvent.drain_begun, connections=proxy.listener.connection_count
+    )
+    # The balancer sees the failed health check during the delay; callers
+    # that it still sends are served.
+    await anyio.sleep(options.drain_delay_s)
+    proxy.begin_drain()
+    proxy.listener.stop_accepting()
+    deadline = started_at + options.drain_limit_s
+    while proxy.listener.close_idle():
+        if anyio.current_time() >= deadline:
+            break
+        await anyio.sleep(POLL_INTERVAL_S)
+    cut = proxy.listener.close_all()
+    duration_ms = int((anyio.current_time() - started_at) * _MS_PER_S)
+    if cut:
+        context.events.emit(
+            ProcessEvent.drain_cut, duration_ms=duration_ms, cut=cut
+        )
+    else:
+        context.events.emit(ProcessEvent.drain_done, duration_ms=duration_ms)
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -1,12 +1,12 @@
 """The proxy role: everything between callers and members."""
 
 import random
-from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
 from result import Ok, Result
 
+from lavendergate.backends.admin import PROGRAM_NAME_PREFIX
 from lavendergate.backends.mysql import MySqlBackend
 from lavendergate.controllers.announcement_relay import AnnouncementRelay
 from lavendergate.controllers.confirmation import GroupConfirmer
@@ -29,7 +29,7 @@
     HostId,
     Region,
 )
-from lavendergate.daemon.options import DaemonOptions
+from lavendergate.daemon.context import ProcessContext
 from lavendergate.filters.at_most_once import AtMostOnce, AtMostOnceFilter
 from lavendergate.filters.base import Filter, Forward, SessionState, build_chain
 from lavendergate.filters.classify import ClassifyFilter
@@ -42,22 +42,10 @@
 from lavendergate.filters.transaction import TransactionFilter
 from lavendergate.frontend.server import CallerAccounts, CallerListener
 from lavendergate.frontend.session import CallerSession
-from lavendergate.observability.log import EventLog
-from lavendergate.observability.process_clock import ProcessClock
 
 MAINTENANCE_INTERVAL_S = 0.25
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ProcessContext:
-    """What both roles of one process share."""
-
-    options: DaemonOptions
-    incarnation: str
-    clock: ProcessClock
-    events: EventLog
-
-
 class ProxyRole:
     """Serves callers.
 
@@ -77,7 +65,7 @@
         self._backend = MySqlBackend(
             user=options.upstream_user,
             password=options.upstream_password,
-            program_name=f'{options.host_id}/{context.incarnation}',
+            program_name=f'{PROGRAM_NAME_PREFIX}{options.host_id}',
         )
         self._directory = Directory()
         self._pools = ConnectionPools(backend=self._backend)
