Add the stand-in for an upstream member

Tests, the demo and measurements need members that speak the MySQL protocol, replicate, and can be fenced and promoted. One process is one member: SQLite holds its data, a synced log its transactions.

--- /dev/null
+++ b/standin/feeder.py
@@ -0,0 +1,98 @@
+"""The primary's side of replication."""
+
+import asyncio
+
+from lavendergate.core.types import MemberRole
+from standin.faults import Faults
+from standin.group import GroupMember
+from standin.replication import (
+    Entries,
+    FollowAccepted,
+    FollowRefused,
+    FollowRequest,
+    Ping,
+    Pong,
+    ReplicationStream,
+)
+
+_BATCH_ENTRIES = 500
+
+
+class Feeder:
+    """Serves the log to replicas.
+
+    Parameters
+    ----------
+    group_id
+        Group of this member.
+    member
+        State whose log is served.
+    faults
+        Faults that the administrator has set.
+    """
+
+    def __init__(
+        self, *, group_id: str, member: GroupMember, faults: Faults
+    ) -> None:
+        self._group_id = group_id
+        self._member = member
+        self._faults = faults
+
+    async def serve(self, stream: ReplicationStream) -> None:
+        """Serve one replica until it leaves or the term is served no more."""
+        request = await stream.receive()
+        if not isinstance(request, FollowRequest):
+            return
+        problem = self._refusal(request)
+        if problem is not None:
+            await stream.send(FollowRefused(problem=problem))
+            return
+        log = self._member.log
+        matched = log.match(request.runs, request.last_position)
+        await stream.send(FollowAccepted(matched_position=matched))
+        tasks = [
+            asyncio.create_task(self._answer_pings(stream)),
+            asyncio.create_task(self._feed(stream, matched, request.term)),
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _refusal(self, request: FollowRequest) -> str | None:
+        if self._faults.is_replication_cut:
+            return 'replication is cut off by a fault'
+        if request.group_id != self._group_id:
+            return f'this member belongs to group {self._group_id}'
+        if not self._serves(request.term):
+            return f'this member is not the primary of term {request.term}'
+        return None
+
+    def _serves(self, term: int) -> bool:
+        return (
+            self._member.served_term == term
+            and self._member.role is not MemberRole.replica
+            and not self._faults.is_replication_cut
+        )
+
+    async def _answer_pings(self, stream: ReplicationStream) -> None:
+        while True:
+            message = await stream.receive()
+            if isinstance(message, Ping):
+                position = self._member.log.last_position
+                await stream.send(
+                    Pong(sent_at=message.sent_at, last_position=position)
+                )
+
+    async def _feed(
+        self, stream: ReplicationStream, sent: int, term: int
+    ) -> None:
+        while self._serves(term):
+            entries = self._member.log.after(sent, _BATCH_ENTRIES)
+            if entries:
+                await stream.send(Entries(entries=tuple(entries)))
+                sent += len(entries)
+            else:
+                await self._member.changed()
--- /dev/null
+++ b/standin/replies.py
@@ -0,0 +1,52 @@
+"""Answers to statements."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.results import ResultColumn
+from mysql_mimic.types import ColumnType
+
+Row = Sequence[Any]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """Result of a statement; no columns for one that returns no rows."""
+
+    columns: tuple[ResultColumn, ...] = ()
+    rows: Sequence[Row] = ()
+    affected_rows: int = 0
+    last_insert_id: int = 0
+
+
+def table_reply(names: Sequence[str], rows: Sequence[Row]) -> Reply:
+    """Return a reply with columns typed by the values in them."""
+    columns = tuple(
+        _column(name, [row[index] for row in rows])
+        for index, name in enumerate(names)
+    )
+    return Reply(columns=columns, rows=rows, affected_rows=len(rows))
+
+
+def _column(name: str, values: Sequence[Any]) -> ResultColumn:
+    kinds = {type(value) for value in values if value is not None}
+    if not kinds:
+        return ResultColumn(name, ColumnType.VAR_STRING)
+    if kinds <= {int, bool}:
+        return ResultColumn(name, ColumnType.LONGLONG)
+    if kinds <= {int, bool, float}:
+        return ResultColumn(name, ColumnType.DOUBLE)
+    if bytes in kinds:
+        return ResultColumn(
+            name,
+            ColumnType.BLOB,
+            character_set=CharacterSet.binary,
+            text_encoder=_encode_binary,
+        )
+    return ResultColumn(name, ColumnType.VAR_STRING)
+
+
+def _encode_binary(column: ResultColumn, value: Any) -> bytes:
+    return value if isinstance(value, bytes) else str(value).encode()
--- /dev/null
+++ b/standin/server.py
@@ -0,0 +1,173 @@
+"""One member: its listener, sessions, replication and announcements."""
+
+import asyncio
+import contextlib
+
+from mysql_mimic.auth import (
+    IdentityProvider,
+    NativePasswordAuthPlugin,
+    User,
+)
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.stream import ConnectionClosed
+
+from standin.announcer import Announcer
+from standin.connection import MemberConnection
+from standin.fault_commands import FaultCommands
+from standin.faults import Faults
+from standin.feeder import Feeder
+from standin.group import GroupMember
+from standin.options import MemberOptions
+from standin.procedures import Procedures
+from standin.puller import Puller
+from standin.registry import ConnectionRegistry
+from standin.replication import ReplicationStream
+from standin.services import MemberServices
+from standin.session import MemberSession
+from standin.stream import MemberStream, ReplicationRequested
+
+_MS_PER_S = 1000
+_IDLE_CHECK_INTERVAL_S = 0.05
+
+
+class MemberServer:
+    """A stand-in for one upstream member.
+
+    Parameters
+    ----------
+    options
+        Options of the member.
+    """
+
+    def __init__(self, *, options: MemberOptions) -> None:
+        self._options = options
+        self.faults = Faults(
+            replication_delay_s=options.replication_delay_ms / _MS_PER_S,
+            service_s=options.service_ms / _MS_PER_S,
+            connect_delay_s=options.connect_delay_ms / _MS_PER_S,
+        )
+        self.member = GroupMember(directory=options.data)
+        self.registry = ConnectionRegistry(limit=options.connection_limit)
+        self.member.connection_count = self.registry.__len__
+        self._puller = Puller(
+            upstream_id=options.upstream_id,
+            group_id=options.group,
+            member=self.member,
+            faults=self.faults,
+        )
+        self._feeder = Feeder(
+            group_id=options.group, member=self.member, faults=self.faults
+        )
+        self._services = self._make_services()
+        self.announcer = Announcer(
+            options=options, member=self.member, faults=self.faults
+        )
+        self._identities = _Accounts(options)
+        self._announcing: asyncio.Task[None] | None = None
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen, and begin to announce."""
+        self._server = await asyncio.start_server(
+            self._accept, self._options.host, self._options.port
+        )
+        self._announcing = asyncio.create_task(self.announcer.run())
+
+    async def leave(self) -> None:
+        """Announce the leaving and wait until connections are idle."""
+        self.announcer.is_leaving = True
+        await self.announcer.announce()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._options.leave_limit_s):
+                while any(not each.is_idle for each in self.registry):
+                    await asyncio.sleep(_IDLE_CHECK_INTERVAL_S)
+
+    async def stop(self) -> None:
+        """Close listener and connections."""
+        self._puller.stop()
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._tasks)
+        if self._announcing is not None:
+            tasks.append(self._announcing)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.member.close()
+
+    def _make_services(self) -> MemberServices:
+        services = MemberServices(
+            group_id=self._options.group,
+            administrator=self._options.administrator.name,
+            slots=self._options.slots,
+            member=self.member,
+            faults=self.faults,
+            registry=self.registry,
+        )
+        services.procedures = Procedures(
+            group_id=self._options.group,
+            upstream_id=self._options.upstream_id,
+            member=self.member,
+            puller=self._puller,
+            faults=FaultCommands(
+                faults=self.faults,
+                member=self.member,
+                registry=self.registry,
+            ),
+        )
+        return services
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, EOFError, ConnectionClosed):
+            pass
+        except asyncio.CancelledError:
+            writer.transport.abort()
+        finally:
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        peer = writer.get_extra_info('peername')
+        connection = MemberConnection(
+            registry=self.registry,
+            faults=self.faults,
+            peer=f'{peer[0]}:{peer[1]}',
+            stream=MemberStream(reader, writer),
+            session=MemberSession(services=self._services),
+            identity_provider=self._identities,
+            server_capabilities=DEFAULT_SERVER_CAPABILITIES,
+        )
+        connection.connection_id = self.registry.new_id()
+        try:
+            await connection.start()
+        except ReplicationRequested:
+            await self._feeder.serve(ReplicationStream(reader, writer))
+
+
+class _Accounts(IdentityProvider):
+    """The two accounts of a member."""
+
+    def __init__(self, options: MemberOptions) -> None:
+        self._users = {
+            account.name: User(
+                name=account.name,
+                auth_string=NativePasswordAuthPlugin.create_auth_string(
+                    account.password
+                ),
+            )
+            for account in (options.account, options.administrator)
+        }
+
+    async def get_user(self, username: str) -> User | None:
+        """Return an account, or None if it does not exist."""
+        return self._users.get(username)
--- /dev/null
+++ b/standin/session.py
@@ -0,0 +1,318 @@
+"""Executes the statements of one MySQL connection."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from mysql_mimic.session import BaseSession
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from standin.errors import MemberError, read_only_error
+from standin.log import Statement
+from standin.replies import Reply, table_reply
+from standin.services import MemberServices
+from standin.show import Variables, show
+from standin.tables import is_table_definition, translate_table
+from standin.tokens import Token, syntax_error, tokenize
+from standin.transaction import Transaction
+from standin.translate import translate
+
+if TYPE_CHECKING:
+    from standin.connection import MemberConnection
+
+Handler = Callable[[Sequence[Token]], Awaitable[Reply]]
+
+_MICROSECONDS_PER_S = 1_000_000
+_SEED_BITS = 53
+
+
+class MemberSession(BaseSession):
+    """Statements, transaction and variables of one connection.
+
+    Parameters
+    ----------
+    services
+        What the sessions of a member share.
+    """
+
+    def __init__(self, *, services: MemberServices) -> None:
+        self.variables = SessionVariables(GlobalVariables())
+        self.username: str | None = None
+        self.database: str | None = None
+        self._services = services
+        self._values = Variables(self.variables)
+        self._transaction = Transaction(services=services)
+        self._connection: MemberConnection | None = None
+        self._parameters: Sequence[Any] = ()
+        self._sql = ''
+        self._is_qualified = False
+        self._handlers = self._make_handlers()
+
+    @property
+    def schema(self) -> str:
+        """Name of the only schema, which is that of the group."""
+        return self._services.group_id
+
+    @property
+    def is_administrator(self) -> bool:
+        """Whether the administrator account is logged in."""
+        return self.username == self._services.administrator
+
+    @property
+    def is_autocommit(self) -> bool:
+        """Whether each statement is a transaction of its own."""
+        return self._transaction.is_autocommit
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._transaction.is_open
+
+    async def init(self, connection: 'MemberConnection') -> None:
+        """Note the connection."""
+        self._connection = connection
+        self._transaction.connection = connection
+
+    async def close(self) -> None:
+        """Roll back and close."""
+        self._transaction.close()
+
+    async def reset(self) -> None:
+        """Roll back and forget the session's state."""
+        self._transaction.roll_back()
+        self._transaction.is_autocommit = True
+        self.variables = SessionVariables(GlobalVariables())
+        self._values = Variables(self.variables)
+
+    async def use(self, database: str) -> None:
+        """Select a schema."""
+        if database not in {self.schema, 'information_schema', 'mysql'}:
+            raise MemberError(1049, f"Unknown database '{database}'")
+        self.database = database
+
+    async def execute(self, sql: str, parameters: Sequence[Any]) -> Reply:
+        """Execute a statement.
+
+        Raises
+        ------
+        MemberError
+            With MySQL's number for the failure.
+        """
+        tokens = tokenize(sql)
+        if not tokens:
+            raise MemberError(1065, 'Query was empty')
+        handler = self._handlers.get(tokens[0].upper)
+        if handler is None:
+            raise syntax_error(sql)
+        self._sql = sql
+        self._parameters = parameters
+        if self._transaction.take_aborted() and tokens[0].upper != 'ROLLBACK':
+            raise read_only_error('the transaction was rolled back by a fence')
+        return await handler(self._without_schema(tokens))
+
+    def _make_handlers(self) -> dict[str, Handler]:
+        handlers: dict[str, Handler] = {
+            'BEGIN': self._begin,
+            'START': self._begin,
+            'COMMIT': self._commit,
+            'ROLLBACK': self._roll_back,
+            'SAVEPOINT': self._savepoint,
+            'RELEASE': self._savepoint,
+            'SET': self._set,
+            'USE': self._use,
+            'CALL': self._call,
+            'KILL': self._kill,
+        }
+        for verb in ('SELECT', 'WITH', '('):
+            handlers[verb] = self._select
+        for verb in ('SHOW', 'DESCRIBE', 'DESC', 'EXPLAIN'):
+            handlers[verb] = self._show
+        for verb in ('INSERT', 'REPLACE', 'UPDATE', 'DELETE'):
+            handlers[verb] = self._change
+        for verb in ('CREATE', 'DROP', 'ALTER', 'TRUNCATE'):
+            handlers[verb] = self._define
+        return handlers
+
+    async def _select(self, tokens: Sequence[Token]) -> Reply:
+        reads_tables = any(token.upper == 'FROM' for token in tokens)
+        if not reads_tables and _is_call(tokens, 'SLEEP'):
+            await asyncio.sleep(float(tokens[3].text))
+            return table_reply((_text_after_verb(self._sql),), ((0,),))
+        statement = self._statement(
+            translate(
+                tokens,
+                parameters=self._parameters,
+                read_variable=self._read_variable,
+            )
+        )
+        if not reads_tables:
+            return self._rows(statement)
+        self._check_schema()
+        if _locks_rows(tokens) and self._transaction.has_many_statements:
+            await self._transaction.begin_write()
+        async with self._services.slot():
+            return self._rows(statement)
+
+    def _rows(self, statement: Statement) -> Reply:
+        cursor = self._transaction.data().run(statement)
+        names = [column[0] for column in cursor.description or ()]
+        return table_reply(names, cursor.fetchall())
+
+    async def _change(self, tokens: Sequence[Token]) -> Reply:
+        self._check_schema()
+        sql = translate(
+            tokens,
+            parameters=self._parameters,
+            read_variable=self._read_variable,
+        )
+        async with self._transaction.write() as write:
+            cursor = write.run(self._statement(sql))
+            affected = max(cursor.rowcount, 0)
+            insert_id = 0
+            if tokens[0].upper in {'INSERT', 'REPLACE'} and affected:
+                insert_id = _insert_id(tokens, write, cursor, affected)
+        if insert_id:
+            self._values.last_insert_id = insert_id
+        return Reply(affected_rows=affected, last_insert_id=insert_id)
+
+    async def _define(self, tokens: Sequence[Token]) -> Reply:
+        self._check_schema()
+        await self._transaction.commit()
+        if tokens[1].upper in {'DATABASE', 'SCHEMA'}:
+            raise MemberError(
+                1044, 'a member holds one schema; create tables in it'
+            )
+        async with self._transaction.write() as write:
+            for sql in _definition(tokens):
+                write.run_definition(self._statement(sql))
+        await self._transaction.commit()
+        return Reply()
+
+    async def _begin(self, tokens: Sequence[Token]) -> Reply:
+        words = [token.upper for token in tokens]
+        await self._transaction.commit()
+        self._transaction.begin(
+            is_read_only=words[-2:] == ['READ', 'ONLY'],
+        )
+        return Reply()
+
+    async def _commit(self, tokens: Sequence[Token]) -> Reply:
+        await self._transaction.commit()
+        return Reply()
+
+    async def _roll_back(self, tokens: Sequence[Token]) -> Reply:
+        if len(tokens) > 1 and 'TO' in {token.upper for token in tokens}:
+            self._transaction.roll_back_to(tokens[-1].text)
+        else:
+            self._transaction.roll_back()
+        return Reply()
+
+    async def _savepoint(self, tokens: Sequence[Token]) -> Reply:
+        if tokens[0].upper == 'SAVEPOINT':
+            await self._transaction.savepoint(tokens[-1].text)
+        return Reply()
+
+    async def _set(self, tokens: Sequence[Token]) -> Reply:
+        autocommit = self._values.assign(tokens[1:])
+        if autocommit is not None:
+            if autocommit and not self._transaction.is_autocommit:
+                await self._transaction.commit()
+            self._transaction.is_autocommit = autocommit
+        return Reply()
+
+    async def _use(self, tokens: Sequence[Token]) -> Reply:
+        await self.use(''.join(token.text for token in tokens[1:]))
+        return Reply()
+
+    async def _show(self, tokens: Sequence[Token]) -> Reply:
+        return show(
+            tokens,
+            data=self._transaction.data(),
+            services=self._services,
+            variables=self._values,
+            user=None if self.is_administrator else self.username,
+        )
+
+    async def _call(self, tokens: Sequence[Token]) -> Reply:
+        return await self._services.call(
+            tokens,
+            parameters=self._parameters,
+            is_administrator=self.is_administrator,
+            caller=self._connection,
+        )
+
+    async def _kill(self, tokens: Sequence[Token]) -> Reply:
+        self._services.kill(tokens, is_administrator=self.is_administrator)
+        return Reply()
+
+    def _read_variable(self, name: str) -> object:
+        short_name = name.rpartition('@')[2].rpartition('.')[2].lower()
+        last = self._transaction.last_commit
+        match short_name:
+            case 'last_commit_term':
+                return last.term
+            case 'last_commit_position':
+                return last.position
+            case 'autocommit':
+                return int(self._transaction.is_autocommit)
+            case 'read_only' | 'super_read_only':
+                return int(not self._services.is_primary)
+        return self._values.read(short_name)
+
+    def _statement(self, sql: str) -> Statement:
+        return Statement(
+            sql=sql,
+            now_us=int(time.time() * _MICROSECONDS_PER_S),
+            seed=random.getrandbits(_SEED_BITS),
+        )
+
+    def _without_schema(self, tokens: Sequence[Token]) -> Sequence[Token]:
+        """Remove the schema's name in front of table names."""
+        kept: list[Token] = []
+        self._is_qualified = False
+        for token in tokens:
+            is_dot = token.upper == '.' and len(kept) > 1
+            if is_dot and kept[-1].text == self.schema:
+                kept.pop()
+                self._is_qualified = True
+                continue
+            kept.append(token)
+        return kept
+
+    def _check_schema(self) -> None:
+        if not self.database and not self._is_qualified:
+            raise MemberError(1046, 'No database selected')
+
+
+def _definition(tokens: Sequence[Token]) -> list[str]:
+    if is_table_definition(tokens):
+        return translate_table(tokens)
+    if tokens[0].upper == 'TRUNCATE':
+        return [translate([Token(kind='word', text='DELETE FROM'), tokens[-1]])]
+    return [translate(tokens)]
+
+
+def _insert_id(
+    tokens: Sequence[Token], write: Any, cursor: Any, affected: int
+) -> int:
+    words = [token.upper for token in tokens]
+    table = tokens[words.index('INTO') + 1 if 'INTO' in words else 1].text
+    if not write.has_automatic_key(table):
+        return 0
+    # MySQL reports the first id of a statement, SQLite the last one.
+    return cursor.lastrowid - affected + 1
+
+
+def _is_call(tokens: Sequence[Token], name: str) -> bool:
+    return len(tokens) > 4 and tokens[1].upper == name
+
+
+def _locks_rows(tokens: Sequence[Token]) -> bool:
+    words = [token.upper for token in tokens]
+    return words[-2:] in (['FOR', 'UPDATE'], ['FOR', 'SHARE'])
+
+
+def _text_after_verb(sql: str) -> str:
+    return sql.strip().partition(' ')[2]
--- /dev/null
+++ b/standin/transaction.py
@@ -0,0 +1,194 @@
+"""The transaction of one connection."""
+
+import sqlite3
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from lavendergate.core.types import LOG_START, LogPosition
+from standin.database import DataConnection
+from standin.errors import MemberError
+from standin.log import Statement
+from standin.services import MemberServices
+from standin.tokens import identifier
+
+if TYPE_CHECKING:
+    from standin.connection import MemberConnection
+
+_LOCK_WAIT_LIMIT_S = 10.0
+
+
+class Transaction:
+    """Transaction state of one connection.
+
+    Reads see the last committed data. The first write of a transaction
+    takes the writer lock of the member and keeps it to the end.
+
+    Parameters
+    ----------
+    services
+        What the sessions of a member share.
+    """
+
+    def __init__(self, *, services: MemberServices) -> None:
+        self.is_autocommit = True
+        self.last_commit: LogPosition = LOG_START
+        self.connection: MemberConnection | None = None
+        self._services = services
+        self._member = services.member
+        self._data: DataConnection | None = None
+        self._is_explicit = False
+        self._is_read_only = False
+        self._holds_lock = False
+        self._is_aborted = False
+        self._epoch = 0
+        self._statements: list[Statement] = []
+        self._savepoints: dict[str, int] = {}
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a transaction was begun, or a change is not committed."""
+        return self._is_explicit or self._holds_lock
+
+    @property
+    def has_many_statements(self) -> bool:
+        """Whether the transaction does not end with its first statement."""
+        return self._is_explicit or not self.is_autocommit
+
+    def take_aborted(self) -> bool:
+        """Return once whether a fence rolled the transaction back."""
+        was_aborted, self._is_aborted = self._is_aborted, False
+        return was_aborted
+
+    def data(self) -> DataConnection:
+        """Return the connection to the current data."""
+        if self._data is not None and not self._holds_lock:
+            if not self._member.database.is_current(self._data):
+                self._data.close()
+                self._data = None
+        if self._data is None:
+            self._data = self._member.database.connect()
+        return self._data
+
+    def begin(self, *, is_read_only: bool) -> None:
+        """Begin a transaction that ends with ``COMMIT`` or ``ROLLBACK``."""
+        self._is_explicit = True
+        self._is_read_only = is_read_only
+
+    async def begin_write(self) -> None:
+        """Take the writer lock, unless the transaction holds it."""
+        if self._is_read_only:
+            raise MemberError(
+                1792, 'Cannot execute statement in a READ ONLY transaction.'
+            )
+        if self._holds_lock:
+            self._member.check_writable(self._epoch)
+            return
+        self._member.check_writable()
+        await self._member.writer.acquire(self._abort, _LOCK_WAIT_LIMIT_S)
+        self._holds_lock = True
+        try:
+            self._member.check_writable()
+        except MemberError:
+            self._end()
+            raise
+        self._epoch = self._member.epoch
+        self.data().control('BEGIN IMMEDIATE')
+
+    @asynccontextmanager
+    async def write(self) -> AsyncIterator['Transaction']:
+        """Execute a change; commits it if no transaction is open."""
+        await self.begin_write()
+        try:
+            async with self._services.slot():
+                self._member.check_writable(self._epoch)
+                yield self
+                if not self.has_many_statements:
+                    await self.commit()
+        except BaseException:
+            if not self.has_many_statements:
+                self.roll_back()
+            raise
+
+    def run(self, statement: Statement) -> sqlite3.Cursor:
+        """Execute a change of data and record it if it changed a row."""
+        changes = self.data().changes
+        cursor = self.data().run(statement)
+        if self.data().changes != changes:
+            self._statements.append(statement)
+        return cursor
+
+    def run_definition(self, statement: Statement) -> None:
+        """Execute and record a change of the schema."""
+        self.data().run(statement)
+        self._statements.append(statement)
+
+    def has_automatic_key(self, table: str) -> bool:
+        """Return whether a table has an ``AUTO_INCREMENT`` column."""
+        return self.data().has_automatic_key(table)
+
+    async def commit(self) -> None:
+        """Commit; returns when the entry is synced."""
+        if not self._statements:
+            self.roll_back()
+            return
+        try:
+            self.last_commit = self._member.commit(
+                self.data(), self._statements, self._epoch
+            )
+        except MemberError:
+            self.roll_back()
+            raise
+        self._end()
+        self._lose_answer()
+
+    def roll_back(self) -> None:
+        """Roll back, if a transaction is open."""
+        if self._holds_lock:
+            self.data().roll_back()
+        self._end()
+
+    async def savepoint(self, name: str) -> None:
+        """Set a savepoint in an open transaction."""
+        if not self.has_many_statements:
+            return
+        await self.begin_write()
+        self.data().control(f'SAVEPOINT {identifier(name)}')
+        self._savepoints[name] = len(self._statements)
+
+    def roll_back_to(self, name: str) -> None:
+        """Undo the changes since a savepoint."""
+        if not self._holds_lock or name not in self._savepoints:
+            raise MemberError(1305, f'SAVEPOINT {name} does not exist')
+        self.data().control(f'ROLLBACK TO {identifier(name)}')
+        del self._statements[self._savepoints[name] :]
+
+    def close(self) -> None:
+        """Roll back and close the connection to the data."""
+        self.roll_back()
+        if self._data is not None:
+            self._data.close()
+            self._data = None
+
+    def _abort(self) -> None:
+        self._is_aborted = self.has_many_statements
+        self.roll_back()
+
+    def _end(self) -> None:
+        self._is_explicit = False
+        self._is_read_only = False
+        self._statements.clear()
+        self._savepoints.clear()
+        if self._holds_lock:
+            self._holds_lock = False
+            self._member.writer.release()
+
+    def _lose_answer(self) -> None:
+        faults = self._services.faults
+        if self.connection is None or not faults.commit_answer:
+            return
+        mode, faults.commit_answer = faults.commit_answer, ''
+        if mode == 'silent':
+            self.connection.go_silent()
+        else:
+            self.connection.break_off()
