Serve the thin whole path from a driver to three members

Cause: mysql-mimic's packet stream is compiled and cannot be subclassed, so each caller was disconnected at once; and without shares no proxy may open a connection. Change: the bounded stream wraps the library's; equal shares until the leased division joins.

--- a/lavendergate/daemon/control.py
+++ b/lavendergate/daemon/control.py
@@ -10,15 +10,15 @@
 from lavendergate.backends.admin_mysql import MySqlMemberAdmin
 from lavendergate.controllers.control_log import ControlLog
 from lavendergate.controllers.control_node import ControlNode
+from lavendergate.controllers.equal_shares import EqualShares
 from lavendergate.controllers.failover import FailoverController
 from lavendergate.controllers.membership import MembershipController
-from lavendergate.controllers.share_source import NoShares, ShareSource
 from lavendergate.controllers.status import StatusController
 from lavendergate.core.commands import SettingChange
 from lavendergate.core.failover_types import Report
 from lavendergate.core.settings.document import SettingsDocument
 from lavendergate.core.settings.tree import validate_change
-from lavendergate.core.types import GroupId, HostId
+from lavendergate.core.types import GroupId, HostId, UpstreamId
 from lavendergate.daemon.context import ProcessContext
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import AnnounceReply, AnnounceRequest
@@ -60,7 +60,7 @@
             validate_change=_problem_of_change,
         )
         self._log = ControlLog(node=self._node)
-        shares: ShareSource = NoShares()
+        shares = EqualShares(connection_limits=self._connection_limits)
         self._membership = MembershipController(
             log=self._log,
             announce_key=options.announce_key.encode(),
@@ -103,6 +103,13 @@
         self._tasks.start_soon(self._membership.run)
         self._tasks.start_soon(self._failover.run)
 
+    def _connection_limits(self) -> dict[UpstreamId, int]:
+        members = self._membership.observer.directory.members
+        return {
+            upstream_id: entry.announcement.connection_limit
+            for upstream_id, entry in members.items()
+        }
+
     async def _forward(
         self, address: str, request: AnnounceRequest
     ) -> AnnounceReply:
--- a/lavendergate/frontend/connection.py
+++ b/lavendergate/frontend/connection.py
@@ -44,8 +44,29 @@
 _FULL_PART_BYTES = 0xFFFFFF
 
 
-class BoundedStream(MysqlStream):
-    """A packet stream that refuses payloads above a bound."""
+class BoundedStream:
+    """A packet stream that refuses payloads above a bound.
+
+    The library's stream is compiled and cannot be subclassed, so that this
+    one wraps it and replaces reading only.
+
+    Parameters
+    ----------
+    reader, writer
+        The connection.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self._stream = MysqlStream(reader, writer)
+        self.seq = self._stream.seq
+        self.write = self._stream.write
+        self.write_many = self._stream.write_many
+        self.drain = self._stream.drain
+        self.reset_seq = self._stream.reset_seq
+        self.start_tls = self._stream.start_tls
 
     async def read(self) -> bytes:
         """Read one payload, which may span several packets.
