Answer session functions and wait for idle connections before leaving

Drivers ask for CONNECTION_ID() and the like. A member that left at once when no statement was running cut off proxies that had not yet learned that it was leaving; it now goes on until it is no primary and has been idle for one second, at most for the limit.

--- a/standin/connection.py
+++ b/standin/connection.py
@@ -88,10 +88,11 @@
         """Whether the administrator account is logged in."""
         return self.session.is_administrator
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether the connection has neither statement nor transaction."""
-        return self._current_sql is None and not self.session.in_transaction
+    def is_idle_for(self, idle_s: float) -> bool:
+        """Return whether it had no statement or transaction for a time."""
+        if self._current_sql is not None or self.session.in_transaction:
+            return False
+        return time.monotonic() - self._status_at >= idle_s
 
     @property
     def peer_names(self) -> set[str]:
@@ -215,6 +216,11 @@
     async def _unknown_command(self, data: bytes) -> None:
         raise MemberError(_UNKNOWN_COMMAND, 'Unknown command')
 
+    async def handle_change_user(self, data: bytes) -> None:
+        """Log in anew; the transaction is rolled back."""
+        await self.session.reset()
+        await super().handle_change_user(data)
+
     async def handle_query(self, data: bytes) -> None:
         """Answer a text query."""
         reader = io.BytesIO(data)
@@ -281,6 +287,7 @@
         await self.session.init(self)
         if self.session.database:
             await self.session.use(self.session.database)
+        self._registry.remove(self)
         self._registry.add(self)
         await asyncio.sleep(self._faults.connect_delay_s)
         self._refresh_status()
--- a/standin/server.py
+++ b/standin/server.py
@@ -11,6 +11,7 @@
 from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
 from mysql_mimic.stream import ConnectionClosed
 
+from lavendergate.core.types import MemberRole
 from standin.announcer import Announcer
 from standin.connection import MemberConnection
 from standin.fault_commands import FaultCommands
@@ -28,6 +29,8 @@
 
 _MS_PER_S = 1000
 _IDLE_CHECK_INTERVAL_S = 0.05
+# Hosts need this time to learn that the member is leaving.
+_IDLE_TIME_S = 1.0
 
 
 class MemberServer:
@@ -75,12 +78,12 @@
         self._announcing = asyncio.create_task(self.announcer.run())
 
     async def leave(self) -> None:
-        """Announce the leaving and wait until connections are idle."""
+        """Announce the leaving and go on until connections are idle."""
         self.announcer.is_leaving = True
         await self.announcer.announce()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._options.leave_limit_s):
-                while any(not each.is_idle for each in self.registry):
+                while not self._is_idle():
                     await asyncio.sleep(_IDLE_CHECK_INTERVAL_S)
 
     async def stop(self) -> None:
@@ -96,6 +99,13 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self.member.close()
 
+    def _is_idle(self) -> bool:
+        # A primary is not idle: it waits for the switchover to another one.
+        return self.member.role is not MemberRole.primary and all(
+            connection.is_administrator or connection.is_idle_for(_IDLE_TIME_S)
+            for connection in self.registry
+        )
+
     def _make_services(self) -> MemberServices:
         services = MemberServices(
             group_id=self._options.group,
--- a/standin/session.py
+++ b/standin/session.py
@@ -259,6 +259,12 @@
                 return int(self._transaction.is_autocommit)
             case 'read_only' | 'super_read_only':
                 return int(not self._services.is_primary)
+            case 'connection_id()' if self._connection is not None:
+                return self._connection.connection_id
+            case 'database()' | 'schema()':
+                return self.database
+            case 'user()' | 'current_user()' | 'session_user()':
+                return f'{self.username}@%'
         return self._values.read(short_name)
 
     def _statement(self, sql: str) -> Statement:
--- a/standin/show.py
+++ b/standin/show.py
@@ -47,8 +47,9 @@
         MemberError
             With number 1193 if it does not exist.
         """
-        if name in {'identity', 'last_insert_id'}:
+        if name in {'identity', 'last_insert_id', 'last_insert_id()'}:
             return self.last_insert_id
+        name = name.removesuffix('()')
         if name in self._additional:
             return self._additional[name]
         if name not in self._variables.schema:
--- a/standin/translate.py
+++ b/standin/translate.py
@@ -54,19 +54,26 @@
 
     def write(self, tokens: Sequence[Token]) -> str:
         parts: list[str] = []
-        skip = False
-        for index, token in enumerate(tokens):
-            if skip:
-                skip = False
-                continue
+        index = 0
+        while index < len(tokens):
+            token = tokens[index]
             following = tokens[index + 1] if index + 1 < len(tokens) else None
             if _is_introducer(token, following):
                 parts.append(_introduced(token, following))
-                skip = True
-                continue
-            parts.append(self._text(token, following))
+                index += 2
+            elif _is_session_function(tokens, index):
+                parts.append(self._session_function(token))
+                index += 3
+            else:
+                parts.append(self._text(token, following))
+                index += 1
         return _joined(parts)
 
+    def _session_function(self, token: Token) -> str:
+        if self._read_variable is None:
+            raise syntax_error(token.text)
+        return literal(self._read_variable(f'{token.text.lower()}()'))
+
     def _text(self, token: Token, following: Token | None) -> str:
         match token.kind:
             case 'string':
@@ -100,6 +107,10 @@
 _FUNCTIONS_WITHOUT_ARGUMENTS = frozenset(
     ('CURRENT_TIMESTAMP', 'LOCALTIME', 'LOCALTIMESTAMP')
 )
+_SESSION_FUNCTIONS = frozenset(
+    ('CONNECTION_ID', 'DATABASE', 'SCHEMA', 'USER', 'CURRENT_USER')
+    + ('SESSION_USER', 'VERSION', 'LAST_INSERT_ID', 'ROW_COUNT')
+)
 _WORDS = {
     'DIV': '/',
     'RLIKE': 'REGEXP',
@@ -135,6 +146,11 @@
     return _WORDS.get(upper, token.text)
 
 
+def _is_session_function(tokens: Sequence[Token], index: int) -> bool:
+    texts = [token.text for token in tokens[index + 1 : index + 3]]
+    return tokens[index].upper in _SESSION_FUNCTIONS and texts == ['(', ')']
+
+
 def _is_introducer(token: Token, following: Token | None) -> bool:
     return (
         token.upper in {'_BINARY', '_UTF8MB4', '_UTF8'}
