--- a/standin/server.py
+++ b/standin/server.py
@@ -69,6 +69,7 @@
         self._announcing: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_stopped = False
 
     async def start(self) -> None:
         """Listen, and begin to announce."""
@@ -88,6 +89,9 @@
 
     async def stop(self) -> None:
         """Close listener and connections."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
         self._puller.stop()
         if self._server is not None:
             self._server.close()
