--- a/standin/services.py
+++ b/standin/services.py
@@ -52,12 +52,21 @@
         self.registry = registry
         self.procedures: Procedures | None = None
         self._slots = asyncio.Semaphore(slots)
+        self._reads = {role: 0 for role in MemberRole}
 
     @property
     def is_primary(self) -> bool:
         """Whether the member accepts writes."""
         return self.member.role is MemberRole.primary
 
+    def count_read(self) -> None:
+        """Count a read of tables under the member's current role."""
+        self._reads[self.member.role] += 1
+
+    def reads(self, role: MemberRole) -> int:
+        """Return the number of reads that the member answered in a role."""
+        return self._reads[role]
+
     @asynccontextmanager
     async def slot(self) -> AsyncIterator[None]:
         """Wait for a slot and occupy it for the service time."""
--- a/standin/session.py
+++ b/standin/session.py
@@ -153,6 +153,7 @@
         if _locks_rows(tokens) and self._transaction.has_many_statements:
             await self._transaction.begin_write()
         async with self._services.slot():
+            self._services.count_read()
             return self._rows(statement)
 
     def _rows(self, statement: Statement) -> Reply:
--- a/standin/show.py
+++ b/standin/show.py
@@ -5,6 +5,7 @@
 
 from mysql_mimic.variables import SessionVariables
 
+from lavendergate.core.types import MemberRole
 from standin.database import DataConnection
 from standin.errors import MemberError
 from standin.log import Statement
@@ -118,6 +119,12 @@
         )
     if 'DATABASES' in words or 'SCHEMAS' in words:
         return table_reply(('Database',), ((services.group_id,),))
+    if words[1:] == ['STATUS']:
+        counts = [
+            (f'reads_as_{role.value}', str(services.reads(role)))
+            for role in MemberRole
+        ]
+        return table_reply(('Variable_name', 'Value'), counts)
     if 'VARIABLES' in words:
         pattern = tokens[-1].text if tokens[-1].kind == 'string' else None
         return table_reply(
