Add the property test of the settings tree

Six deliberate faults are detected: a resend decided again, last writer wins, a shared node, a wrong parent, a host that goes back and values kept across versions.

--- a/lavendergate/core/settings/tree.py
+++ b/lavendergate/core/settings/tree.py
@@ -36,6 +36,7 @@
     'SettingsTree',
     'affected',
     'apply_changes',
+    'change_problem',
     'diff',
     'effective',
     'explain',
@@ -108,6 +109,17 @@
     return Err(problems) if problems else Ok(after)
 
 
+def change_problem(
+    document: SettingsDocument, changes: Sequence[SettingChange]
+) -> str | None:
+    """Return why a change is not valid, one line for each problem, or None."""
+    match validate_change(document, changes):
+        case Err(problems):
+            return '\n'.join(map(str, problems))
+        case _:
+            return None
+
+
 def diff(
     before: SettingsDocument, after: SettingsDocument
 ) -> tuple[SettingDifference, ...]:
--- /dev/null
+++ b/properties/test_settings.py
@@ -0,0 +1,399 @@
+"""Property test of the settings tree against a naive dictionary model."""
+
+import unittest
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from lavendergate.core.commands import ChangeSettings, SettingChange
+from lavendergate.core.settings.document import SettingsDocument, SettingValue
+from lavendergate.core.settings.in_force import InForceSettings, Offer
+from lavendergate.core.settings.paths import Place
+from lavendergate.core.settings.resolution import (
+    EffectiveSettings,
+    SettingsTree,
+)
+from lavendergate.core.settings.schema import SCHEMA
+from lavendergate.core.settings.tree import (
+    affected,
+    apply_changes,
+    diff,
+    explain,
+    validate_change,
+)
+from lavendergate.core.types import (
+    CallerId,
+    GroupId,
+    Region,
+    SettingsVersion,
+)
+
+KEYS = ('read.max_age_ms', 'queue.limit', 'caller.concurrency')
+PLACES = tuple(
+    Place(region=Region(region), group=GroupId(group), caller=caller)
+    for region, group in (('a', 'g1'), ('a', 'g2'), ('b', 'g3'))
+    for caller in (None, CallerId('planner'), CallerId('billing'))
+)
+PATHS = ('/', '/a', '/b', *(place.path for place in PLACES))
+HOSTS = 3
+OPERATORS = 3
+STEPS = 40
+
+Model = dict[tuple[str, str], SettingValue]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Edit:
+    """An operator sends a change based on the version that it read last.
+
+    With `reread` the operator reads the current version just before.
+    """
+
+    operator: int
+    reread: bool
+    changes: tuple[SettingChange, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reread:
+    """An operator reads the current version."""
+
+    operator: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Resend:
+    """An operator sends its last change again."""
+
+    operator: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deliver:
+    """A host is offered the version that lies so many changes back."""
+
+    host: int
+    back: int
+
+
+Step = Edit | Reread | Resend | Deliver
+
+
+class Register:
+    """Compare-and-set with operation ids, as the replicated log applies it."""
+
+    def __init__(self) -> None:
+        self.document = SettingsDocument()
+        self.answers: dict[str, bool] = {}
+
+    def change(self, command: ChangeSettings) -> bool:
+        """Return whether the change was accepted."""
+        if command.operation_id not in self.answers:
+            self.answers[command.operation_id] = self.decide(command)
+        return self.answers[command.operation_id]
+
+    def decide(self, command: ChangeSettings) -> bool:
+        """Accept a valid change of the current version."""
+        if command.base_version != self.document.version:
+            return False
+        match validate_change(self.document, command.changes):
+            case Ok(after):
+                self.document = after
+                return True
+            case Err(_):
+                return False
+
+
+@dataclass(kw_only=True)
+class Subject:
+    """The parts under test; faulty ones replace them."""
+
+    register: type[Register] = Register
+    tree: type[SettingsTree] = SettingsTree
+    in_force: type[InForceSettings] = InForceSettings
+
+
+@dataclass(kw_only=True)
+class Run:
+    """One schedule, with the model beside the subject."""
+
+    subject: Subject
+    register: Register = field(init=False)
+    hosts: list[InForceSettings] = field(init=False)
+    delivered: list[int] = field(default_factory=lambda: [0] * HOSTS)
+    documents: list[SettingsDocument] = field(init=False)
+    models: list[Model] = field(default_factory=lambda: [{}])
+    read: list[int] = field(default_factory=lambda: [0] * OPERATORS)
+    sent: dict[int, tuple[ChangeSettings, bool]] = field(default_factory=dict)
+    operations: int = 0
+
+    def __post_init__(self) -> None:
+        """Start with the empty tree everywhere."""
+        self.register = self.subject.register()
+        self.hosts = [self.subject.in_force(now=0) for _ in range(HOSTS)]
+        self.documents = [self.register.document]
+
+    def perform(self, step: Step) -> None:
+        """Perform a step and compare with the model."""
+        match step:
+            case Edit():
+                self.edit(step)
+            case Reread():
+                self.read[step.operator] = len(self.models) - 1
+            case Resend() if step.operator in self.sent:
+                command, first = self.sent[step.operator]
+                assert self.register.change(command) is first
+            case Deliver():
+                self.deliver(step)
+        assert self.register.document.version == len(self.models) - 1
+        if isinstance(step, Edit):
+            self.compare(self.register.document, self.models[-1])
+
+    def edit(self, step: Edit) -> None:
+        """Send a change and update the model as a dictionary would."""
+        self.operations += 1
+        if step.reread:
+            self.read[step.operator] = len(self.models) - 1
+        base = self.read[step.operator]
+        command = ChangeSettings(
+            operation_id=f'operation-{self.operations}',
+            base_version=SettingsVersion(base),
+            author=f'operator-{step.operator}',
+            changes=step.changes,
+        )
+        accepted = self.register.change(command)
+        self.sent[step.operator] = (command, accepted)
+        is_current = base == len(self.models) - 1
+        assert accepted is (is_current and _is_valid(step.changes))
+        if accepted:
+            self.accept(step.changes)
+
+    def accept(self, changes: Sequence[SettingChange]) -> None:
+        """Note the next version, and check the dry run against it."""
+        before = self.models[-1]
+        after = dict(before)
+        for change in changes:
+            after.pop((change.path, change.key), None)
+            if change.value is not None:
+                after[change.path, change.key] = change.value
+        foretold = {
+            (item.place.path, item.key, item.before, item.after)
+            for item in affected(self.documents[-1], changes, PLACES)
+        }
+        expected = {
+            (place.path, key, _inherit(before, place, key), value)
+            for place in PLACES
+            for key in KEYS
+            if (value := _inherit(after, place, key))
+            != _inherit(before, place, key)
+        }
+        assert foretold == expected
+        changed = {
+            (item.path, item.key)
+            for item in diff(self.documents[-1], self.register.document)
+        }
+        assert changed == {
+            place
+            for place in before.keys() | after.keys()
+            if before.get(place) != after.get(place)
+        }
+        self.models.append(after)
+        self.documents.append(self.register.document)
+
+    def deliver(self, step: Deliver) -> None:
+        """Offer a host a current or former version."""
+        version = max(len(self.models) - 1 - step.back, 0)
+        host = self.hosts[step.host]
+        host.offer(self.documents[version], now=0)
+        newest = max(self.delivered[step.host], version)
+        self.delivered[step.host] = newest
+        assert host.version == newest
+        for place in PLACES:
+            where = (place.region, place.group, place.caller)
+            _compare(host.tree.effective(*where), self.models[newest], place)
+
+    def compare(self, document: SettingsDocument, model: Model) -> None:
+        """Compare values in force and their origins with the model."""
+        tree = self.subject.tree(document)
+        for place in PLACES:
+            where = (place.region, place.group, place.caller)
+            for _ in range(2):
+                _compare(tree.effective(*where), model, place)
+            for origin in explain(document, *where):
+                if origin.path is not None:
+                    assert model[origin.path, origin.key] == origin.value
+
+
+def _is_valid(changes: Sequence[SettingChange]) -> bool:
+    places = {(change.path, change.key) for change in changes}
+    return len(places) == len(changes) > 0 and all(
+        change.value is None
+        or (
+            change.value != -1
+            and (change.key != 'queue.limit' or change.path.count('/') < 3)
+        )
+        for change in changes
+    )
+
+
+def _inherit(model: Model, place: Place, key: str) -> SettingValue | None:
+    parts = [place.region, place.group, place.caller]
+    for depth in (3, 2, 1, 0):
+        names = [str(part) for part in parts[:depth]]
+        found = model.get(('/' + '/'.join(names), key))
+        if found is not None:
+            return found
+    return SCHEMA[key].default
+
+
+def _compare(actual: EffectiveSettings, model: Model, place: Place) -> None:
+    for key in KEYS:
+        value = getattr(actual, SCHEMA[key].attribute)
+        assert value == _inherit(model, place, key), (place.path, key, value)
+
+
+def _random_changes(chance: Random) -> tuple[SettingChange, ...]:
+    values = (*range(1, 10), None, None, -1)
+    return tuple(
+        SettingChange(
+            path=chance.choice(PATHS),
+            key=chance.choice(KEYS),
+            value=chance.choice(values),
+        )
+        for _ in range(chance.choice((1, 1, 1, 2, 3)))
+    )
+
+
+def random_step(chance: Random) -> Step:
+    """Return a random step, edits of the current version most often."""
+    operator = chance.randrange(OPERATORS)
+    kind = chance.choice((Edit, Edit, Edit, Reread, Resend, Deliver, Deliver))
+    if kind is Edit:
+        return Edit(
+            operator=operator,
+            reread=chance.random() < 0.7,
+            changes=_random_changes(chance),
+        )
+    if kind is Deliver:
+        back = chance.choice((0, 0, 1, 2, 5))
+        return Deliver(host=chance.randrange(HOSTS), back=back)
+    return (
+        Reread(operator=operator)
+        if kind is Reread
+        else Resend(operator=operator)
+    )
+
+
+def check(subject: Subject) -> None:
+    """Run random schedules against the subject."""
+
+    # Schedules are drawn from a seed: drawn step by step, most of them
+    # were short and few changes were accepted.
+    @settings(max_examples=100, derandomize=True, deadline=None, database=None)
+    @given(st.integers(0, 2**32 - 1))
+    def run(seed: int) -> None:
+        chance = Random(seed)
+        schedule = Run(subject=subject)
+        for _ in range(STEPS):
+            schedule.perform(random_step(chance))
+
+    run()
+
+
+class RepeatingRegister(Register):
+    """Fault: a resend is decided again."""
+
+    def change(self, command: ChangeSettings) -> bool:
+        return self.decide(command)
+
+
+class CarelessRegister(Register):
+    """Fault: the last writer wins, whatever version it read."""
+
+    def decide(self, command: ChangeSettings) -> bool:
+        match validate_change(self.document, command.changes):
+            case Ok(after):
+                self.document = after
+                return True
+            case Err(_):
+                return False
+
+
+class AliasingRegister(Register):
+    """Fault: a new version shares changed nodes with the former one."""
+
+    def decide(self, command: ChangeSettings) -> bool:
+        before = self.document
+        accepted = super().decide(command)
+        if accepted:
+            before.nodes.clear()
+            before.nodes.update(self.document.nodes)
+        return accepted
+
+
+class ForgetfulTree(SettingsTree):
+    """Fault: a caller without a node inherits from the region."""
+
+    def effective(
+        self,
+        region: Region | None = None,
+        group: GroupId | None = None,
+        caller: CallerId | None = None,
+    ) -> EffectiveSettings:
+        path = f'/{region}/{group}/{caller}'
+        if caller and path not in self.document.nodes:
+            group = None
+        return super().effective(region, group, caller)
+
+
+class ObedientHost(InForceSettings):
+    """Fault: the last offered version is in force."""
+
+    def offer(self, document: SettingsDocument, now: float) -> Offer:
+        self._tree = SettingsTree(document)
+        return Offer.taken
+
+
+class CachingHost(InForceSettings):
+    """Fault: resolved values are kept when a new version arrives."""
+
+    def offer(self, document: SettingsDocument, now: float) -> Offer:
+        resolved = self._tree._resolved
+        answer = super().offer(document, now)
+        self._tree._resolved = resolved
+        return answer
+
+
+class SettingsPropertyTest(unittest.TestCase):
+    """The tree behaves as a dictionary with inheritance."""
+
+    def test_tree_equals_model(self) -> None:
+        """Guards against lost, doubled or reverted changes."""
+        check(Subject())
+
+    def test_deliberate_faults_are_detected(self) -> None:
+        """Guards against a property that cannot fail."""
+        faults = (
+            Subject(register=RepeatingRegister),
+            Subject(register=CarelessRegister),
+            Subject(register=AliasingRegister),
+            Subject(tree=ForgetfulTree),
+            Subject(in_force=ObedientHost),
+            Subject(in_force=CachingHost),
+        )
+        for fault in faults:
+            with self.subTest(fault=fault):
+                with self.assertRaises(AssertionError):
+                    check(fault)
+
+    def test_applied_changes_leave_the_document_alone(self) -> None:
+        """Guards against a former version that changes under its readers."""
+        change = SettingChange(path='/a', key='queue.limit', value=1)
+        first = apply_changes(SettingsDocument(), [change])
+        other = SettingChange(path='/a', key='queue.limit', value=2)
+        apply_changes(first, [other])
+        self.assertEqual(first.nodes, {'/a': {'queue.limit': 1}})
