--- /dev/null
+++ b/lavendergate/observability/timeline_views.py
@@ -0,0 +1,93 @@
+"""Renders a timeline as text, JSON lines or a self-contained HTML page."""
+
+import html
+
+import msgspec
+
+from lavendergate.observability.timeline import Line, Timeline
+
+_STYLE = """
+body { font: 14px sans-serif; margin: 1em; }
+table { border-collapse: collapse; }
+th { position: sticky; top: 0; background: #eee; }
+th, td { border: 1px solid #ccc; padding: 2px 6px; vertical-align: top; }
+td.time { font-family: monospace; white-space: nowrap; }
+.debug { color: #777; }
+.warning { background: #fff0c0; }
+.error { background: #ffd0d0; }
+"""
+
+
+def render_text(timeline: Timeline) -> str:
+    """Return one line per event, with notes on unreadable lines at the end."""
+    width = max(map(len, timeline.hosts), default=0)
+    lines = [
+        f'{_wall(line)}  {line.host:<{width}}  {line.number} '
+        f'{line.level:<7}  {line.text}{_extra(line)}'
+        for line in timeline.lines
+    ]
+    return '\n'.join((*lines, *_notes(timeline)))
+
+
+def render_json(timeline: Timeline) -> str:
+    """Return one JSON object per event."""
+    return '\n'.join(
+        msgspec.json.encode(line).decode() for line in timeline.lines
+    )
+
+
+def render_html(timeline: Timeline) -> str:
+    """Return a page with one column per process and one row per event."""
+    hosts = timeline.hosts
+    head = ''.join(f'<th>{html.escape(host)}</th>' for host in hosts)
+    rows = ''.join(_row(line, hosts) for line in timeline.lines)
+    notes = ''.join(f'<p>{html.escape(note)}</p>' for note in _notes(timeline))
+    return (
+        '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">'
+        f'<title>lavendergate timeline</title><style>{_STYLE}</style></head>'
+        f'<body><table><tr><th>time</th>{head}</tr>{rows}</table>{notes}'
+        '</body></html>\n'
+    )
+
+
+def _row(line: Line, hosts: tuple[str, ...]) -> str:
+    tip = html.escape(msgspec.json.encode(line.fields).decode())
+    cell = (
+        f'<td class="{html.escape(line.level)}" title="{tip}">{line.number} '
+        f'{html.escape(line.text)}</td>'
+    )
+    lane = hosts.index(line.host)
+    before = '<td></td>' * lane
+    after = '<td></td>' * (len(hosts) - lane - 1)
+    wall = html.escape(_wall(line))
+    return f'<tr><td class="time">{wall}</td>{before}{cell}{after}</tr>'
+
+
+def _wall(line: Line) -> str:
+    return line.time
+
+
+def _extra(line: Line) -> str:
+    """Return the fields whose values the text does not show."""
+    hidden = {
+        name: value
+        for name, value in line.fields.items()
+        if value is not None and str(value) not in line.text
+    }
+    if not hidden:
+        return ''
+    shown = ' '.join(f'{name}={value}' for name, value in hidden.items())
+    return f'  ({shown})'
+
+
+def _notes(timeline: Timeline) -> list[str]:
+    notes = []
+    for skipped in timeline.skipped:
+        if skipped.torn:
+            notes.append(f'note: {skipped.path}: the last line is incomplete')
+        if skipped.damaged:
+            notes.append(
+                f'note: {skipped.path}: {skipped.damaged} lines are not '
+                'readable'
+            )
+    return notes
