Let the target of a switchover promise before a candidate is picked

Cause: the old primary and any other member form a majority, so the member that answered its fence first was promoted; with PYTHONHASHSEED=0 and 1 the switchover test ended at the wrong member.

Change: for 500 ms of fencing a switchover needs the target's promise.

--- a/lavendergate/core/failover_rules.py
+++ b/lavendergate/core/failover_rules.py
@@ -69,13 +69,19 @@
     attempt: Attempt,
     fenced: Iterable[UpstreamId],
     *,
-    counts_suspect: bool,
+    is_urgent: bool,
 ) -> bool:
-    """Whether a majority of the committed members promised the term."""
+    """Whether a majority of the committed members promised the term.
+
+    Unless it is urgent, the target of a switchover must be among them, and
+    the suspect does not count otherwise.
+    """
     counted = record.member_ids.intersection(fenced)
-    if not counts_suspect and attempt.suspect is not None:
-        counted -= {attempt.suspect}
-    return len(counted) >= record.majority
+    if len(counted) < record.majority or is_urgent:
+        return len(counted) >= record.majority
+    if attempt.target is not None:
+        return attempt.target in counted
+    return len(counted - {attempt.suspect}) >= record.majority
 
 
 def pick_candidate(
--- a/lavendergate/core/failover_steps.py
+++ b/lavendergate/core/failover_steps.py
@@ -47,9 +47,9 @@
 _CATCH_UP_S = 0.5
 _PROPOSAL_WAIT_S = 1.0
 
-# Time for the members other than the suspect to promise first, since a
-# suspect that callers cannot reach should not become primary again.
-_SUSPECT_DELAY_S = 0.5
+# Time for the preferred members to promise: the target of a switchover, or
+# those other than a suspect that callers cannot reach.
+_PREFERENCE_S = 0.5
 
 
 def begin(state: GroupFailover, attempt: Attempt, now: float) -> Step:
@@ -95,7 +95,7 @@
 ) -> Step:
     """Fence all members that have not promised the term yet."""
     phase = Fencing(
-        attempt=attempt, fenced=fenced, alone_until=now + _SUSPECT_DELAY_S
+        attempt=attempt, fenced=fenced, preferred_until=now + _PREFERENCE_S
     )
     state = replace(state, phase=phase, retry_at={})
     return continue_fencing(state, phase, now)
@@ -110,7 +110,7 @@
         observed.record,
         phase.attempt,
         phase.fenced,
-        counts_suspect=_counts_suspect(phase, now),
+        is_urgent=now >= phase.preferred_until,
     )
     if is_complete:
         return _promote(state, phase, now)
@@ -271,12 +271,6 @@
     )
 
 
-def _counts_suspect(phase: Fencing, now: float) -> bool:
-    if phase.attempt.reason is Reason.switchover:
-        return True
-    return now >= phase.alone_until
-
-
 def _catch_up(
     state: GroupFailover,
     attempt: Attempt,
--- a/lavendergate/core/failover_types.py
+++ b/lavendergate/core/failover_types.py
@@ -100,13 +100,14 @@
     ----------
     fenced
         Status of each member that promised the term.
-    alone_until
-        Until when the suspect's promise does not count.
+    preferred_until
+        Until when only the target, or members other than the suspect, are
+        promoted.
     """
 
     attempt: Attempt
     fenced: Mapping[UpstreamId, MemberStatus]
-    alone_until: float
+    preferred_until: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
