--- a/standin/session.py
+++ b/standin/session.py
@@ -153,6 +153,7 @@
         if _locks_rows(tokens) and self._transaction.has_many_statements:
             await self._transaction.begin_write()
         async with self._services.slot():
+            self._services.count_read()
             return self._rows(statement)
 
     def _rows(self, statement: Statement) -> Reply:
@@ -259,6 +260,12 @@
                 return int(self._transaction.is_autocommit)
             case 'read_only' | 'super_read_only':
                 return int(not self._services.is_primary)
+            case 'connection_id()' if self._connection is not None:
+                return self._connection.connection_id
+            case 'database()' | 'schema()':
+                return self.database
+            case 'user()' | 'current_user()' | 'session_user()':
+                return f'{self.username}@%'
         return self._values.read(short_name)
 
     def _statement(self, sql: str) -> Statement:
--- a/standin/show.py
+++ b/standin/show.py
@@ -5,6 +5,7 @@
 
 from mysql_mimic.variables import SessionVariables
 
+from lavendergate.core.types import MemberRole
 from standin.database import DataConnection
 from standin.errors import MemberError
 from standin.log import Statement
@@ -47,8 +48,9 @@
         MemberError
             With number 1193 if it does not exist.
         """
-        if name in {'identity', 'last_insert_id'}:
+        if name in {'identity', 'last_insert_id', 'last_insert_id()'}:
             return self.last_insert_id
+        name = name.removesuffix('()')
         if name in self._additional:
             return self._additional[name]
         if name not in self._variables.schema:
@@ -117,6 +119,12 @@
         )
     if 'DATABASES' in words or 'SCHEMAS' in words:
         return table_reply(('Database',), ((services.group_id,),))
+    if words[1:] == ['STATUS']:
+        counts = [
+            (f'reads_as_{role.value}', str(services.reads(role)))
+            for role in MemberRole
+        ]
+        return table_reply(('Variable_name', 'Value'), counts)
     if 'VARIABLES' in words:
         pattern = tokens[-1].text if tokens[-1].kind == 'string' else None
         return table_reply(
