Drive pools, confirmations and read indexes with the tested cores

Cause: the drivers decided by themselves, so that the proofs of the cores said nothing about the daemon. Change: connections, confirmation and read_index perform the effects of core/pool, core/confirmation and core/read_index.

--- a/lavendergate/controllers/confirmation.py
+++ b/lavendergate/controllers/confirmation.py
@@ -1,7 +1,7 @@
-"""Confirmation of writes and of primaries by the replicas of a group.
+"""Confirmation of writes by the replicas of a group.
 
-One task per replica asks with ``group_wait`` for the highest position that
-anyone waits for, so that one answer serves all lower positions.
+The decisions are in `lavendergate.core.confirmation`; this module asks the
+replicas and wakes the writes that wait.
 """
 
 from dataclasses import dataclass, field
@@ -16,8 +16,16 @@
 )
 from lavendergate.controllers.connections import ConnectionPools
 from lavendergate.controllers.directory import Directory
+from lavendergate.core.confirmation import (
+    Effects,
+    StartWait,
+    WaitEnd,
+    WriteConfirmations,
+    WriteId,
+    WritesConfirmed,
+    WritesUnknown,
+)
 from lavendergate.core.types import (
-    LOG_START,
     GroupId,
     GroupView,
     LogPosition,
@@ -27,8 +35,8 @@
 )
 
 # Between rounds the connection goes back to the pool, so that reads are not
-# kept from it by a replica that lags.
-WAIT_TIMEOUT_MS = 50
+# kept from it for long by a replica that lags.
+WAIT_TIMEOUT_MS = 100
 # The member answers after WAIT_TIMEOUT_MS at the latest; a connection that
 # is silent for longer is retired.
 ANSWER_TIMEOUT_S = 1.0
@@ -36,30 +44,10 @@
 CONNECTION_TIMEOUT_S = 0.5
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class WaitAnswer:
-    """Answer of a member to ``group_wait``."""
-
-    is_held: bool
-    promised_term: Term
-    last_entry: LogPosition
-
-
-@dataclass(kw_only=True, eq=False, slots=True)
-class _Pending:
-    """One waiter for a position in a term.
-
-    Parameters
-    ----------
-    needed
-        Replicas that must confirm.
-    """
-
-    term: Term
-    position: LogPosition
-    needed: int
-    confirmed_by: set[UpstreamId] = field(default_factory=set)
+@dataclass(kw_only=True, slots=True)
+class _PendingWrite:
     done: anyio.Event = field(default_factory=anyio.Event)
+    is_confirmed: bool = False
 
 
 class GroupConfirmer:
@@ -87,106 +75,103 @@
         self._directory = directory
         self._pools = pools
         self._tasks = tasks
-        self._pending: set[_Pending] = set()
-        self._asking: set[UpstreamId] = set()
+        self._cores: dict[Term, WriteConfirmations] = {}
+        self._pending: dict[WriteId, _PendingWrite] = {}
+        self._last_id = 0
 
     async def confirm(
         self, *, term: Term, position: LogPosition, deadline: float
     ) -> bool:
         """Wait until a majority holds a position in an unchanged term.
 
-        The primary itself counts; `majority - 1` replicas must confirm.
-
         Returns
         -------
         bool
-            False if the deadline passed first.
+            False if the term ended or the deadline passed first; the write
+            may be lost or kept.
         """
         view = self._directory.group(self._group_id)
         if view is None:
             return False
-        pending = _Pending(
-            term=term, position=position, needed=view.majority - 1
-        )
-        if pending.needed <= 0:
-            return True
-        self._pending.add(pending)
-        self._ask_replicas(view)
-        with anyio.CancelScope(deadline=deadline):
-            try:
-                await pending.done.wait()
-            finally:
-                self._pending.discard(pending)
-        return pending.done.is_set()
-
-    def _ask_replicas(self, view: GroupView) -> None:
-        for upstream_id in view.member_ids:
-            if upstream_id == view.primary or upstream_id in self._asking:
-                continue
-            self._asking.add(upstream_id)
-            self._tasks.start_soon(self._ask, upstream_id)
-
-    async def _ask(self, upstream_id: UpstreamId) -> None:
+        core = self._core(term, view)
+        self._last_id += 1
+        write_id = WriteId(self._last_id)
+        pending = _PendingWrite()
+        self._pending[write_id] = pending
+        self._perform(core, core.add(write_id, position))
         try:
-            while self._targets(upstream_id):
-                await self._ask_once(upstream_id)
+            with anyio.CancelScope(deadline=deadline):
+                await pending.done.wait()
         finally:
-            self._asking.discard(upstream_id)
-
-    def _targets(self, upstream_id: UpstreamId) -> set[_Pending]:
-        return {
-            pending
-            for pending in self._pending
-            if not pending.done.is_set()
-            and upstream_id not in pending.confirmed_by
-        }
+            self._pending.pop(write_id, None)
+            core.expire(write_id)
+        return pending.is_confirmed
+
+    def _core(self, term: Term, view: GroupView) -> WriteConfirmations:
+        core = self._cores.get(term)
+        if core is None:
+            older = tuple(one for one in self._cores if one < term)
+            for old_term in older:
+                if not self._cores[old_term].pending:
+                    self._cores.pop(old_term)
+            core = WriteConfirmations(
+                term=term,
+                needed=view.majority - 1,
+                replicas=view.member_ids - {view.primary},
+            )
+            self._cores[term] = core
+        return core
+
+    def _perform(self, core: WriteConfirmations, effects: Effects) -> None:
+        for effect in effects:
+            match effect:
+                case StartWait():
+                    self._tasks.start_soon(self._wait, core, effect)
+                case WritesConfirmed(writes=writes):
+                    self._finish(writes, is_confirmed=True)
+                case WritesUnknown(writes=writes):
+                    self._finish(writes, is_confirmed=False)
+
+    def _finish(
+        self, writes: tuple[WriteId, ...], *, is_confirmed: bool
+    ) -> None:
+        for write_id in writes:
+            pending = self._pending.get(write_id)
+            if pending is not None:
+                pending.is_confirmed = is_confirmed
+                pending.done.set()
+
+    async def _wait(self, core: WriteConfirmations, effect: StartWait) -> None:
+        end = await self._ask(effect.upstream_id, effect.position)
+        if end is None:
+            core.wait_failed(effect.upstream_id)
+            await anyio.sleep(RETRY_DELAY_S)
+            self._perform(core, core.retry_waits())
+        else:
+            self._perform(core, core.wait_ended(effect.upstream_id, end))
 
-    async def _ask_once(self, upstream_id: UpstreamId) -> None:
+    async def _ask(
+        self, upstream_id: UpstreamId, position: LogPosition
+    ) -> WaitEnd | None:
         pool = self._pools.get(upstream_id)
         if pool is None:
-            await anyio.sleep(RETRY_DELAY_S)
-            return
+            return None
         deadline = anyio.current_time() + CONNECTION_TIMEOUT_S
         try:
             async with pool.connection(deadline=deadline) as connection:
-                await self._serve_targets(upstream_id, connection)
+                with anyio.fail_after(ANSWER_TIMEOUT_S):
+                    end = await group_wait(
+                        connection, position, WAIT_TIMEOUT_MS
+                    )
         except (MemberError, TimeoutError):
-            await anyio.sleep(RETRY_DELAY_S)
-
-    async def _serve_targets(
-        self, upstream_id: UpstreamId, connection: UpstreamConnection
-    ) -> None:
-        targets = self._targets(upstream_id)
-        if not targets:
-            return
-        # The lowest position is asked for, because the answer tells the
-        # last entry and so serves the higher ones that arrived with it.
-        wanted = min(pending.position for pending in targets)
-        with anyio.fail_after(ANSWER_TIMEOUT_S):
-            answer = await group_wait(connection, wanted, WAIT_TIMEOUT_MS)
-        self._take_answer(upstream_id, answer, targets)
-
-    def _take_answer(
-        self,
-        upstream_id: UpstreamId,
-        answer: WaitAnswer,
-        targets: set[_Pending],
-    ) -> None:
-        self._directory.note_position(upstream_id, answer.last_entry)
-        for pending in targets:
-            if answer.promised_term != pending.term:
-                # A fence of a later term ended this term: a confirmation
-                # would acknowledge a write of a replaced primary.
-                continue
-            if _covers(answer.last_entry, pending.position):
-                pending.confirmed_by.add(upstream_id)
-                if len(pending.confirmed_by) >= pending.needed:
-                    pending.done.set()
+            return None
+        self._directory.note_position(upstream_id, end.last_entry)
+        return end
 
 
 async def group_wait(
     connection: UpstreamConnection, position: LogPosition, timeout_ms: int
-) -> WaitAnswer:
+) -> WaitEnd:
     """Ask a member to wait until it holds a position."""
     query_result = await connection.execute(
         f'CALL group_wait({position.term}, {position.position}, {timeout_ms})'
@@ -204,7 +189,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class PrimaryStatus:
+class MemberReply:
     """What a member says about itself and its log."""
 
     role: MemberRole
@@ -212,12 +197,12 @@
     last_entry: LogPosition
 
 
-async def primary_status(connection: UpstreamConnection) -> PrimaryStatus:
+async def ask_status(connection: UpstreamConnection) -> MemberReply:
     """Ask a member for its role and its last entry."""
     answer = await connection.execute('CALL group_status()')
     names = [column.name for column in answer.columns]
     row = dict(zip(names, answer.rows[0], strict=True))
-    return PrimaryStatus(
+    return MemberReply(
         role=MemberRole((row['role'] or b'').decode()),
         promised_term=Term(int(row['promised_term'] or 0)),
         last_entry=LogPosition(
@@ -227,20 +212,11 @@
     )
 
 
-def _wait_answer(query_result: QueryResult) -> WaitAnswer:
-    held, promised, log_term, position = (
+def _wait_answer(query_result: QueryResult) -> WaitEnd:
+    _held, promised, log_term, position = (
         int(part or 0) for part in query_result.rows[0]
     )
-    return WaitAnswer(
-        is_held=bool(held),
+    return WaitEnd(
         promised_term=Term(promised),
         last_entry=LogPosition(term=Term(log_term), position=position),
     )
-
-
-def _covers(last_entry: LogPosition, position: LogPosition) -> bool:
-    if position == LOG_START:
-        return True
-    if last_entry.term == position.term:
-        return last_entry.position >= position.position
-    return False
--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -1,15 +1,17 @@
 """Connections of this proxy to the members.
 
-Each member has one pool. Its limit is the share that the control leader
-granted, so that the sum over all proxies stays below the member's limit.
+The decisions are in `lavendergate.core.pool`; this module opens and closes
+connections and wakes those who wait. Each pool's share is what the control
+leader granted, so that the sum over all proxies stays below the member's
+limit.
 """
 
-from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
+from anyio.abc import TaskGroup
 
 from lavendergate.backends.base import (
     MemberAddress,
@@ -17,6 +19,7 @@
     UpstreamBackend,
     UpstreamConnection,
 )
+from lavendergate.core import pool as pool_core
 from lavendergate.core.types import GroupId, UpstreamId
 
 CONNECT_TIMEOUT_S = 2.0
@@ -33,6 +36,22 @@
     open_connections: int
     busy: int
     waiting: int
+    wanted: int
+
+
+@dataclass(kw_only=True, slots=True)
+class _Waiter:
+    """Someone who waits for a connection, or for the error of opening one."""
+
+    event: anyio.Event = field(default_factory=anyio.Event)
+    connection_id: pool_core.ConnectionId | None = None
+    error: MemberError | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Loan:
+    connection_id: pool_core.ConnectionId
+    owner_id: pool_core.OwnerId
 
 
 class MemberPool:
@@ -44,6 +63,8 @@
         The member; the group's name is the database of its connections.
     backend
         Opens connections.
+    tasks
+        Task group in which connections are opened.
     """
 
     def __init__(
@@ -53,48 +74,70 @@
         group_id: GroupId,
         address: MemberAddress,
         backend: UpstreamBackend,
+        tasks: TaskGroup,
     ) -> None:
-        self.upstream_id = upstream_id
-        self.address = address
+        self._upstream_id = upstream_id
+        self._address = address
         self._group_id = group_id
         self._backend = backend
-        self._idle: deque[UpstreamConnection] = deque()
-        self._waiters: deque[anyio.Event] = deque()
-        self._open = 0
-        self._limit = 0
+        self._tasks = tasks
+        self._core = pool_core.MemberPool(
+            share=0, settings=pool_core.PoolSettings()
+        )
+        self._connections: dict[pool_core.ConnectionId, UpstreamConnection] = {}
+        self._loans: dict[UpstreamConnection, _Loan] = {}
+        self._waiters: dict[pool_core.OwnerId, _Waiter] = {}
+        self._last_owner = 0
+
+    @property
+    def upstream_id(self) -> UpstreamId:
+        """The member."""
+        return self._upstream_id
+
+    @property
+    def address(self) -> MemberAddress:
+        """Where the member accepts connections."""
+        return self._address
 
     @property
     def limit(self) -> int:
         """Connections that this proxy may hold to the member."""
-        return self._limit
+        return self._core.share
 
     @property
     def load(self) -> PoolLoad:
         """Use of the pool."""
         return PoolLoad(
-            open_connections=self._open,
-            busy=self._open - len(self._idle),
+            open_connections=self._core.open_connections,
+            busy=len(self._loans),
             waiting=len(self._waiters),
+            wanted=self._core.wanted_connections,
         )
 
     def set_limit(self, limit: int) -> None:
         """Change the share; busy connections are closed when released."""
-        self._limit = limit
-        while self._idle and self._open > limit:
-            self._discard(self._idle.popleft())
-        for _ in range(limit - self._open):
-            self._wake_next()
+        if limit != self._core.share:
+            self._perform(self._core.change_share(limit))
 
-    def close_idle(self) -> None:
-        """Close all idle connections."""
-        while self._idle:
-            self._discard(self._idle.popleft())
+    def tick(self, now: float) -> None:
+        """Close connections that are idle for long, open missing ones."""
+        self._perform(self._core.tick(now))
 
     @asynccontextmanager
     async def connection(
-        self, *, deadline: float, session_statements: tuple[str, ...] = ()
+        self, *, deadline: float
     ) -> AsyncIterator[UpstreamConnection]:
-        """Lend a connection for the duration of a block.
+        """Lend a connection for the duration of a block."""
+        connection = await self.acquire(deadline=deadline)
+        try:
+            yield connection
+        finally:
+            self.release(connection)
+
+    async def acquire(
+        self, *, deadline: float, session_statements: tuple[str, ...] = ()
+    ) -> UpstreamConnection:
+        """Take a connection; the caller gives it back with `release`.
 
         Parameters
         ----------
@@ -105,52 +148,66 @@
 
         Raises
         ------
-        NoConnectionError, UpstreamUnreachableError
-            If there is no connection; nothing was sent.
+        MemberError
+            If there is no connection; the caller's statement was not sent.
         """
-        connection = await self.acquire(
-            deadline=deadline, session_statements=session_statements
-        )
-        try:
-            yield connection
-        finally:
-            self.release(connection)
-
-    async def acquire(
-        self, *, deadline: float, session_statements: tuple[str, ...] = ()
-    ) -> UpstreamConnection:
-        """Take a connection; the caller gives it back with `release`."""
         while True:
-            connection = self._take_idle(session_statements)
-            if connection is None and self._open < self._limit:
-                connection = await self._open_connection(deadline)
-            if connection is None:
-                await self._wait(deadline)
+            connection = await self._take(deadline)
+            carried = connection.session_statements
+            if carried == session_statements:
+                return connection
+            if carried:
+                # It carries the settings of another session.
+                self._retire(connection)
                 continue
-            if connection.session_statements != session_statements:
-                await self._prepare(connection, session_statements, deadline)
+            await self._prepare(connection, session_statements, deadline)
             return connection
 
     def release(self, connection: UpstreamConnection) -> None:
         """Give a connection back; an unusable one is closed."""
-        if connection.is_usable and self._open <= self._limit:
-            self._idle.append(connection)
-            self._wake_next()
-        else:
-            self._discard(connection)
-
-    def _take_idle(
-        self, session_statements: tuple[str, ...]
-    ) -> UpstreamConnection | None:
-        # The last one used is the least likely to have gone silent.
-        for connection in reversed(self._idle):
-            if connection.session_statements in {(), session_statements}:
-                self._idle.remove(connection)
+        if not connection.is_usable:
+            self._retire(connection)
+            return
+        loan = self._loans.pop(connection)
+        self._perform(
+            self._core.release(
+                loan.connection_id, loan.owner_id, anyio.current_time()
+            )
+        )
+
+    async def _take(self, deadline: float) -> UpstreamConnection:
+        self._last_owner += 1
+        owner_id = pool_core.OwnerId(self._last_owner)
+        waiter = _Waiter()
+        self._waiters[owner_id] = waiter
+        self._perform(self._core.acquire(owner_id))
+        try:
+            with anyio.CancelScope(deadline=deadline):
+                await waiter.event.wait()
+        except BaseException:
+            self._give_up(owner_id, waiter)
+            raise
+        self._waiters.pop(owner_id, None)
+        if waiter.connection_id is not None:
+            connection = self._connections[waiter.connection_id]
+            if connection.is_usable:
                 return connection
-        if self._idle and self._open >= self._limit:
-            # All idle connections carry the settings of other sessions.
-            self._discard(self._idle.popleft())
-        return None
+            self._retire(connection)
+            return await self._take(deadline)
+        self._core.cancel(owner_id)
+        raise waiter.error or self._no_connection()
+
+    def _give_up(self, owner_id: pool_core.OwnerId, waiter: _Waiter) -> None:
+        self._waiters.pop(owner_id, None)
+        self._core.cancel(owner_id)
+        if waiter.connection_id is not None:
+            self.release(self._connections[waiter.connection_id])
+
+    def _no_connection(self) -> NoConnectionError:
+        return NoConnectionError(
+            f'no free connection to {self._upstream_id} before the deadline; '
+            f'this proxy may hold {self.limit} connections and all are in use'
+        )
 
     async def _prepare(
         self,
@@ -164,59 +221,70 @@
                 for statement in session_statements:
                     await connection.execute(statement)
         except BaseException:
-            self._discard(connection)
+            self._retire(connection)
             raise
 
-    async def _open_connection(self, deadline: float) -> UpstreamConnection:
-        self._open += 1
-        timeout_s = min(CONNECT_TIMEOUT_S, deadline - anyio.current_time())
-        try:
-            return await self._backend.connect(
-                self.address, database=self._group_id, timeout_s=timeout_s
-            )
-        except BaseException:
-            self._open -= 1
-            self._wake_next()
-            raise
+    def _retire(self, connection: UpstreamConnection) -> None:
+        loan = self._loans.pop(connection)
+        self._perform(self._core.retire(loan.connection_id))
+
+    def _perform(self, effects: pool_core.Effects) -> None:
+        for effect in effects:
+            match effect:
+                case pool_core.Assign(
+                    owner_id=owner_id, connection_id=connection_id
+                ):
+                    self._assign(owner_id, connection_id)
+                case pool_core.Open(connection_id=connection_id):
+                    self._tasks.start_soon(self._open, connection_id)
+                case pool_core.Close(connection_id=connection_id):
+                    self._close(connection_id)
+
+    def _assign(
+        self, owner_id: pool_core.OwnerId, connection_id: pool_core.ConnectionId
+    ) -> None:
+        waiter = self._waiters[owner_id]
+        waiter.connection_id = connection_id
+        loan = _Loan(connection_id=connection_id, owner_id=owner_id)
+        self._loans[self._connections[connection_id]] = loan
+        waiter.event.set()
 
-    async def _wait(self, deadline: float) -> None:
-        waiter = anyio.Event()
-        self._waiters.append(waiter)
-        scope = anyio.CancelScope(deadline=deadline)
-        with scope:
-            try:
-                await waiter.wait()
-            finally:
-                self._leave_queue(waiter, was_cancelled=scope.cancel_called)
-        if scope.cancelled_caught:
-            raise NoConnectionError(
-                f'no free connection to {self.upstream_id} before the '
-                f'deadline; this proxy may hold {self._limit} connections '
-                f'and all are in use'
+    async def _open(self, connection_id: pool_core.ConnectionId) -> None:
+        try:
+            connection = await self._backend.connect(
+                self._address,
+                database=self._group_id,
+                timeout_s=CONNECT_TIMEOUT_S,
             )
-
-    def _leave_queue(self, waiter: anyio.Event, *, was_cancelled: bool) -> None:
-        if not waiter.is_set():
-            self._waiters.remove(waiter)
-        elif was_cancelled:
-            # The connection offered to this waiter goes to the next one.
-            self._wake_next()
-
-    def _discard(self, connection: UpstreamConnection) -> None:
-        connection.abort()
-        self._open -= 1
-        self._wake_next()
-
-    def _wake_next(self) -> None:
-        if self._waiters:
-            self._waiters.popleft().set()
+        except MemberError as error:
+            self._perform(self._core.closed(connection_id))
+            self._fail_first_waiter(error)
+            return
+        self._connections[connection_id] = connection
+        now = anyio.current_time()
+        self._perform(self._core.opened(connection_id, now))
+
+    def _fail_first_waiter(self, error: MemberError) -> None:
+        """Report the error to one who waits; the next attempt is theirs."""
+        for owner_id, waiter in self._waiters.items():
+            if self._core.cancel(owner_id):
+                waiter.error = error
+                waiter.event.set()
+                return
+
+    def _close(self, connection_id: pool_core.ConnectionId) -> None:
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None:
+            connection.abort()
+        self._perform(self._core.closed(connection_id))
 
 
 class ConnectionPools:
     """Pools of all members that this proxy knows."""
 
-    def __init__(self, *, backend: UpstreamBackend) -> None:
+    def __init__(self, *, backend: UpstreamBackend, tasks: TaskGroup) -> None:
         self._backend = backend
+        self._tasks = tasks
         self._pools: dict[UpstreamId, MemberPool] = {}
 
     @property
@@ -236,16 +304,17 @@
         address: MemberAddress,
     ) -> MemberPool:
         """Return the pool of a member; a changed address makes a new one."""
-        pool = self._pools.get(upstream_id)
-        if pool is not None and pool.address == address:
-            return pool
-        if pool is not None:
-            pool.set_limit(0)
-        pool = MemberPool(
+        known = self._pools.get(upstream_id)
+        if known is not None and known.address == address:
+            return known
+        if known is not None:
+            known.set_limit(0)
+        added = MemberPool(
             upstream_id=upstream_id,
             group_id=group_id,
             address=address,
             backend=self._backend,
+            tasks=self._tasks,
         )
-        self._pools[upstream_id] = pool
-        return pool
+        self._pools[upstream_id] = added
+        return added
--- a/lavendergate/controllers/proxy_shares.py
+++ b/lavendergate/controllers/proxy_shares.py
@@ -45,6 +45,7 @@
         """Set the limits of all pools by the grants and their leases."""
         for pool in self._pools.pools:
             pool.set_limit(self._limit(pool, now))
+            pool.tick(now)
 
     def demands(self) -> tuple[ShareDemand, ...]:
         """Return connections in use and wanted, by member."""
@@ -64,5 +65,5 @@
         return ShareDemand(
             upstream_id=pool.upstream_id,
             open_connections=load.open_connections,
-            wanted_connections=load.busy + load.waiting,
+            wanted_connections=load.wanted,
         )
--- a/lavendergate/controllers/read_index.py
+++ b/lavendergate/controllers/read_index.py
@@ -1,8 +1,7 @@
 """Confirmed positions of primaries, for reads without a token.
 
-A round asks the primary for its position and then has the replicas confirm
-that their promised term is unchanged. After that every write that was
-acknowledged before the round began is at or below the position.
+The decisions are in `lavendergate.core.read_index`; this module asks the
+primary and the replicas and wakes the reads that wait.
 """
 
 from dataclasses import dataclass, field
@@ -12,37 +11,37 @@
 
 from lavendergate.backends.base import MemberError
 from lavendergate.controllers.confirmation import (
-    GroupConfirmer,
-    primary_status,
+    MemberReply,
+    ask_status,
 )
 from lavendergate.controllers.connections import ConnectionPools
 from lavendergate.controllers.directory import Directory
+from lavendergate.core.read_index import (
+    Effects,
+    IndexSource,
+    ReaderId,
+    ReadersFailed,
+    ReadersServed,
+    ReadIndexBatcher,
+    RoundId,
+    StartRound,
+)
 from lavendergate.core.types import (
-    LOG_START,
     GroupId,
     GroupView,
     LogPosition,
     MemberRole,
-    Term,
+    UpstreamId,
 )
 
 ROUND_TIMEOUT_S = 1.0
-RETRY_DELAY_S = 0.02
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConfirmedPosition:
-    """Position of a primary that was confirmed in its term."""
-
-    term: Term
-    position: LogPosition
+RETRY_DELAY_S = 0.05
 
 
-@dataclass(kw_only=True, eq=False, slots=True)
-class _Round:
-    has_readers: bool = False
-    answer: ConfirmedPosition | None = None
+@dataclass(kw_only=True, slots=True)
+class _Reader:
     done: anyio.Event = field(default_factory=anyio.Event)
+    position: LogPosition | None = None
 
 
 class GroupReadIndex:
@@ -54,90 +53,118 @@
         group_id: GroupId,
         directory: Directory,
         pools: ConnectionPools,
-        confirmer: GroupConfirmer,
         tasks: TaskGroup,
     ) -> None:
         self._group_id = group_id
         self._directory = directory
         self._pools = pools
-        self._confirmer = confirmer
         self._tasks = tasks
-        self._next = _Round()
-        self._is_running = False
+        self._core = ReadIndexBatcher()
+        self._readers: dict[ReaderId, _Reader] = {}
+        self._last_id = 0
 
-    async def read(self, *, deadline: float) -> ConfirmedPosition | None:
-        """Return a position confirmed after this call began.
+    async def read(self, *, deadline: float) -> LogPosition | None:
+        """Return a position of the primary confirmed after this call began.
 
         Returns
         -------
-        ConfirmedPosition or None
+        LogPosition or None
             None if no round succeeded before the deadline.
         """
         while anyio.current_time() < deadline:
-            # A round that is already running may have read the primary's
-            # position before this read arrived.
-            joined = self._next
-            joined.has_readers = True
-            self._ensure_running()
-            with anyio.CancelScope(deadline=deadline):
-                await joined.done.wait()
-            if joined.answer is not None:
-                return joined.answer
+            view = self._directory.group(self._group_id)
+            position = None
+            if view is not None and view.primary is not None:
+                position = await self._join_round(view, deadline)
+            if position is not None:
+                return position
+            pause_end = min(deadline, anyio.current_time() + RETRY_DELAY_S)
+            await self._directory.wait_for_change(deadline=pause_end)
         return None
 
-    def _ensure_running(self) -> None:
-        if not self._is_running:
-            self._is_running = True
-            self._tasks.start_soon(self._run)
-
-    async def _run(self) -> None:
-        try:
-            while self._next.has_readers:
-                await self._run_round()
-        finally:
-            self._is_running = False
-
-    async def _run_round(self) -> None:
-        current = self._next
-        self._next = _Round()
+    async def _join_round(
+        self, view: GroupView, deadline: float
+    ) -> LogPosition | None:
+        if view.primary is None:
+            return None
+        self._last_id += 1
+        reader_id = ReaderId(self._last_id)
+        reader = _Reader()
+        self._readers[reader_id] = reader
+        source = IndexSource(
+            primary=view.primary, term=view.term, needed=view.majority - 1
+        )
+        self._perform(self._core.arrive(reader_id, source))
         try:
-            current.answer = await self._confirm_primary()
+            with anyio.CancelScope(deadline=deadline):
+                await reader.done.wait()
         finally:
-            if current.answer is None:
-                await anyio.sleep(RETRY_DELAY_S)
-            current.done.set()
+            self._readers.pop(reader_id, None)
+            self._core.leave(reader_id)
+        return reader.position
+
+    def _perform(self, effects: Effects) -> None:
+        for effect in effects:
+            match effect:
+                case StartRound():
+                    self._tasks.start_soon(self._run_round, effect)
+                case ReadersServed(readers=readers, position=position):
+                    self._finish(readers, position)
+                case ReadersFailed(readers=readers):
+                    self._finish(readers, None)
+
+    def _finish(
+        self, readers: tuple[ReaderId, ...], position: LogPosition | None
+    ) -> None:
+        for reader_id in readers:
+            reader = self._readers.get(reader_id)
+            if reader is not None:
+                reader.position = position
+                reader.done.set()
 
-    async def _confirm_primary(self) -> ConfirmedPosition | None:
-        deadline = anyio.current_time() + ROUND_TIMEOUT_S
+    async def _run_round(self, effect: StartRound) -> None:
         view = self._directory.group(self._group_id)
-        if view is None or view.primary is None:
-            await self._directory.wait_for_change(deadline=deadline)
-            return None
-        try:
-            with anyio.fail_after(ROUND_TIMEOUT_S):
-                position = await self._primary_position(view, deadline)
-        except (MemberError, TimeoutError):
-            return None
-        if position is None:
-            return None
-        is_confirmed = await self._confirmer.confirm(
-            term=view.term, position=LOG_START, deadline=deadline
+        replicas = () if view is None else view.member_ids - {effect.primary}
+        with anyio.move_on_after(ROUND_TIMEOUT_S):
+            async with anyio.create_task_group() as questions:
+                questions.start_soon(self._ask_primary, effect)
+                for upstream_id in replicas:
+                    questions.start_soon(
+                        self._ask_replica, effect.round_id, upstream_id
+                    )
+        self._perform(self._core.abandon(effect.round_id))
+
+    async def _ask_primary(self, effect: StartRound) -> None:
+        status = await self._status(effect.primary)
+        if status is None or status.role is not MemberRole.primary:
+            self._perform(self._core.abandon(effect.round_id))
+            return
+        self._perform(
+            self._core.primary_answered(
+                effect.round_id, status.last_entry, status.promised_term
+            )
         )
-        if not is_confirmed:
-            return None
-        return ConfirmedPosition(term=view.term, position=position)
 
-    async def _primary_position(
-        self, view: GroupView, deadline: float
-    ) -> LogPosition | None:
-        pool = self._pools.get(view.primary) if view.primary else None
+    async def _ask_replica(
+        self, round_id: RoundId, upstream_id: UpstreamId
+    ) -> None:
+        status = await self._status(upstream_id)
+        if status is not None:
+            self._perform(
+                self._core.replica_answered(
+                    round_id, upstream_id, status.promised_term
+                )
+            )
+
+    async def _status(self, upstream_id: UpstreamId) -> MemberReply | None:
+        pool = self._pools.get(upstream_id)
         if pool is None:
             return None
-        async with pool.connection(deadline=deadline) as connection:
-            status = await primary_status(connection)
-        if status.role is not MemberRole.primary:
-            return None
-        if status.promised_term != view.term:
+        deadline = anyio.current_time() + ROUND_TIMEOUT_S
+        try:
+            async with pool.connection(deadline=deadline) as connection:
+                status = await ask_status(connection)
+        except (MemberError, TimeoutError):
             return None
-        self._directory.note_position(pool.upstream_id, status.last_entry)
-        return status.last_entry
+        self._directory.note_position(upstream_id, status.last_entry)
+        return status
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -68,7 +68,7 @@
             program_name=f'{PROGRAM_NAME_PREFIX}{options.host_id}',
         )
         self._directory = Directory()
-        self._pools = ConnectionPools(backend=self._backend)
+        self._pools = ConnectionPools(backend=self._backend, tasks=tasks)
         self._loads = MemberLoads()
         self._settings = InForceSettings(now=anyio.current_time())
         self._shares = ProxyShares(pools=self._pools)
@@ -220,9 +220,6 @@
             group_id=group_id,
             directory=self._directory,
             pools=self._pools,
-            # A confirmer of its own: confirmations of writes may wait for
-            # a replica that lags, which reads must not wait for.
-            confirmer=self._make_confirmer(group_id),
             tasks=self._tasks,
         )
 
--- a/lavendergate/filters/execute.py
+++ b/lavendergate/filters/execute.py
@@ -11,8 +11,8 @@
     UpstreamError,
 )
 from lavendergate.controllers.confirmation import (
+    ask_status,
     last_commit,
-    primary_status,
 )
 from lavendergate.core.classification import StatementKind
 from lavendergate.core.errors import UnknownOutcomeError
@@ -107,7 +107,7 @@
 
 
 async def _last_entry(connection: UpstreamConnection) -> LogPosition:
-    status = await primary_status(connection)
+    status = await ask_status(connection)
     return status.last_entry
 
 
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -236,7 +236,7 @@
                     waited_ms=_elapsed_ms(request),
                 )
             )
-        attempt.position = confirmed.position
+        attempt.position = confirmed
         attempt.is_read_index = True
         return None
 
@@ -296,7 +296,7 @@
                     connection, decision.position, decision.timeout_ms
                 )
             self._directory.note_position(pool.upstream_id, answer.last_entry)
-            is_held = answer.is_held
+            is_held = answer.last_entry >= decision.position
         except (MemberError, TimeoutError):
             self._loads.note_failure(pool.upstream_id)
         finally:
