Add lavendergatectl

Operators had no way to see or change the running system. The tool shows status, groups, members, proxies and connections, changes the settings tree with dry run, confirmation by count and operation ids, orders switchovers, removes members, starts and repairs control and shows the timeline. It asks the next host when one fails and follows the named leader. A switchover is not sent to another host after a lost answer, since it would move the primary twice. SETTINGS_HISTORY is the method that control has to answer for history, diff and rollback.

--- /dev/null
+++ b/lavendergate/cli/main.py
@@ -0,0 +1,210 @@
+"""Entry point of ``lavendergatectl``.
+
+Exit codes: 0 done and nothing wrong, 1 refused or a problem was found, 2
+wrong arguments, 3 no control host answers.
+"""
+
+import sys
+from collections.abc import Callable, Iterable
+from typing import Annotated
+
+import anyio
+from cyclopts import App, CycloptsError, Parameter
+
+from lavendergate.cli import cluster_calls
+from lavendergate.cli.control_client import ControlClient
+from lavendergate.cli.options import (
+    ControlOptions,
+    Format,
+    parse_addresses,
+)
+from lavendergate.cli.outcome import CommandError, ExitCode, refused
+from lavendergate.cli.settings_commands import settings_app
+from lavendergate.cli.status_views import (
+    connection_rows,
+    group_rows,
+    member_rows,
+    proxy_rows,
+    summary,
+)
+from lavendergate.cli.tables import Row, show, table, write_json, write_text
+from lavendergate.cli.timeline_command import timeline
+from lavendergate.core.commands import RemoveMember
+from lavendergate.core.types import GroupId, UpstreamId
+from lavendergate.rpc.messages import (
+    ProposeRequest,
+    StatusReply,
+    SwitchoverRequest,
+)
+from lavendergate.rpc.service import PROPOSE, SWITCHOVER
+
+_CONTROL = ControlOptions()
+_SWITCHOVER_TIMEOUT_S = 15
+
+app = App(
+    name='lavendergatectl',
+    help='Shows and controls lavendergate. Exit codes: 0 done, 1 refused or '
+    'a problem was found, 2 wrong arguments, 3 no control host answers.',
+    result_action='return_value',
+)
+members_app = App(name='members', help='Show and remove members.')
+cluster_app = App(name='cluster', help='First start and repair of control.')
+app.command(settings_app)
+app.command(members_app)
+app.command(cluster_app)
+app.command(timeline)
+
+
+@app.command
+async def status(*, options: ControlOptions = _CONTROL) -> None:
+    """Tell whether anything is wrong, where, since when and what to do."""
+    found = summary(await ControlClient(options).status())
+    if options.format is Format.json:
+        write_json(found)
+    else:
+        write_text(
+            f'leader {found.leader or "unknown"}, settings version '
+            f'{found.settings_version}, {found.groups} groups, '
+            f'{found.members} members, {found.proxies} proxies'
+        )
+        if found.control_hosts:
+            write_text(table(found.control_hosts))
+        write_text('\n'.join(found.problems) or 'nothing is wrong')
+    if not found.is_well:
+        raise refused(f'{len(found.problems)} problems')
+
+
+@app.command
+async def groups(*, options: ControlOptions = _CONTROL) -> None:
+    """Show terms, primaries and lag of all groups."""
+    await _show_rows(options, group_rows)
+
+
+@app.command
+async def proxies(*, options: ControlOptions = _CONTROL) -> None:
+    """Show all proxies."""
+    await _show_rows(options, proxy_rows)
+
+
+@app.command
+async def connections(*, options: ControlOptions = _CONTROL) -> None:
+    """Show connections and shares of each proxy and member."""
+    await _show_rows(options, connection_rows)
+
+
+@members_app.default
+async def members(
+    group: str = '', *, options: ControlOptions = _CONTROL
+) -> None:
+    """Show the members of all groups or of one."""
+    await _show_rows(options, lambda found: member_rows(found, group))
+
+
+@members_app.command
+async def remove(
+    group: str, member: str, *, options: ControlOptions = _CONTROL
+) -> None:
+    """Remove a member, so that it no longer counts for majorities."""
+    client = ControlClient(options)
+    await client.status_with_quorum()
+    command = RemoveMember(
+        group_id=GroupId(group), upstream_id=UpstreamId(member)
+    )
+    reply = await client.ask(PROPOSE, ProposeRequest(command=command))
+    if not reply.accepted:
+        raise refused(reply.problem or 'control refused the removal')
+    write_text(f'member {member} was removed from group {group}')
+
+
+@app.command
+async def switchover(
+    group: str,
+    *,
+    to: str = '',
+    options: ControlOptions = _CONTROL,
+) -> None:
+    """Move the primary of a group to another member.
+
+    Parameters
+    ----------
+    group
+        Group to change.
+    to
+        New primary; the member that is furthest ahead if missing.
+    """
+    await ControlClient(options).status_with_quorum()
+    client = ControlClient(options, timeout_s=_SWITCHOVER_TIMEOUT_S)
+    request = SwitchoverRequest(
+        group_id=GroupId(group), target=UpstreamId(to) if to else None
+    )
+    reply = await client.ask(SWITCHOVER, request, is_repeatable=False)
+    if not reply.accepted:
+        raise refused(reply.problem or 'control refused the switchover')
+    write_text(f'the switchover of group {group} is done')
+
+
+@cluster_app.command(name='init')
+async def cluster_init(
+    *,
+    hosts: Annotated[str, Parameter(help='All control hosts, ip:port,…')],
+    resume: bool = False,
+    options: ControlOptions = _CONTROL,
+) -> None:
+    """Write the first configuration to new control hosts.
+
+    Parameters
+    ----------
+    resume
+        Go on after a former attempt that reached only some hosts.
+    """
+    addresses = parse_addresses(hosts)
+    client = ControlClient(options, addresses=addresses)
+    voters = await cluster_calls.initialise(
+        client, addresses, is_resumed=resume
+    )
+    write_text(f'initialised with voters {", ".join(voters)}')
+
+
+@cluster_app.command(name='replace')
+async def cluster_replace(
+    old: str, new: str, *, options: ControlOptions = _CONTROL
+) -> None:
+    """Replace a control host.
+
+    Parameters
+    ----------
+    old
+        Host id of the voter to remove.
+    new
+        Address ip:port of the new, empty host.
+    """
+    client = ControlClient(options)
+    await client.status_with_quorum()
+    address = parse_addresses(new)[0]
+    host_id = await cluster_calls.replace(client, old, address)
+    write_text(f'host {host_id} replaces {old}')
+
+
+async def _show_rows(
+    options: ControlOptions,
+    rows_of: Callable[[StatusReply], Iterable[Row]],
+) -> None:
+    found = await ControlClient(options).status()
+    show(list(rows_of(found)), options.format, empty='none')
+
+
+async def run(arguments: list[str]) -> ExitCode:
+    """Run a command and return its exit code."""
+    try:
+        await app.run_async(arguments, exit_on_error=False, print_error=True)
+    except CycloptsError:
+        return ExitCode.usage
+    except CommandError as error:
+        sys.stderr.write(f'{error}\n')
+        return error.exit_code
+    return ExitCode.ok
+
+
+def main() -> None:
+    """Run ``lavendergatectl``."""
+    sys.exit(anyio.run(run, sys.argv[1:]))
--- /dev/null
+++ b/lavendergate/cli/outcome.py
@@ -0,0 +1,36 @@
+"""Exit codes and failures of the command-line tool."""
+
+import enum
+
+
+@enum.unique
+class ExitCode(enum.IntEnum):
+    """Exit codes of `lavendergatectl`."""
+
+    ok = 0
+    refused = 1
+    usage = 2
+    unreachable = 3
+
+
+class CommandError(Exception):
+    """Ends a command with a message and an exit code."""
+
+    def __init__(self, message: str, exit_code: ExitCode) -> None:
+        super().__init__(message)
+        self.exit_code = exit_code
+
+
+def refused(message: str) -> CommandError:
+    """Return the failure of a refused change, or of a problem found."""
+    return CommandError(message, ExitCode.refused)
+
+
+def usage(message: str) -> CommandError:
+    """Return the failure of a wrong argument."""
+    return CommandError(message, ExitCode.usage)
+
+
+def unreachable(message: str) -> CommandError:
+    """Return the failure to reach control."""
+    return CommandError(message, ExitCode.unreachable)
--- /dev/null
+++ b/lavendergate/cli/settings_views.py
@@ -0,0 +1,147 @@
+"""Rows of the tables about settings. Secret values are never shown."""
+
+from collections.abc import Iterable, Sequence
+
+from lavendergate.cli.tables import Row
+from lavendergate.core.commands import SettingChange
+from lavendergate.core.settings.document import (
+    ROOT_PATH,
+    SettingsDocument,
+    SettingValue,
+)
+from lavendergate.core.settings.history import HistoryEntry
+from lavendergate.core.settings.paths import NodeLevel, Place, level_of
+from lavendergate.core.settings.schema import SCHEMA
+from lavendergate.core.settings.tree import (
+    AffectedPlace,
+    Origin,
+    SettingDifference,
+    SettingsTree,
+)
+from lavendergate.core.types import CallerId, GroupId, Region
+from lavendergate.rpc.messages import StatusReply
+
+HIDDEN = '(hidden)'
+
+
+def shown(key: str, value: SettingValue | None) -> object:
+    """Return a value as it may be shown."""
+    if value is None:
+        return None
+    spec = SCHEMA.get(key)
+    is_secret = key.startswith('token.') if spec is None else spec.is_secret
+    if not is_secret:
+        return value
+    keys = value if isinstance(value, tuple) else (str(value),)
+    return ', '.join(f'{key.partition(":")[0]}:{HIDDEN}' for key in keys)
+
+
+def known_places(status: StatusReply) -> frozenset[Place]:
+    """Return announced groups, and groups and callers that have nodes."""
+    tree = SettingsTree(status.settings)
+    places = set()
+    for group in status.groups:
+        regions = [report.announcement.region for report in group.members]
+        region = tree.region_of(group.group_id, regions)
+        if region is not None:
+            places.add(Place(region=region, group=group.group_id))
+    for path in status.settings.nodes:
+        if level_of(path) >= NodeLevel.group:
+            places.add(place_of(path))
+    return frozenset(places)
+
+
+def place_of(path: str) -> Place:
+    """Return the place of a group's or caller's node."""
+    names = [*path.split('/')[1:], None]
+    return Place(
+        region=Region(str(names[0])),
+        group=GroupId(str(names[1])),
+        caller=CallerId(names[2]) if names[2] else None,
+    )
+
+
+def node_rows(document: SettingsDocument) -> list[Row]:
+    """Return a row for each value that a node sets itself."""
+    return [
+        {'node': path, 'key': key, 'value': shown(key, value)}
+        for path, node in sorted(document.nodes.items())
+        for key, value in sorted(node.items())
+    ]
+
+
+def origin_rows(origins: Iterable[Origin]) -> list[Row]:
+    """Return a row for each value in force."""
+    return [
+        {
+            'key': origin.key,
+            'value': shown(origin.key, origin.value),
+            'unit': SCHEMA[origin.key].unit,
+            'from': origin.path or 'default',
+        }
+        for origin in origins
+    ]
+
+
+def difference_rows(differences: Iterable[SettingDifference]) -> list[Row]:
+    """Return a row for each key that differs."""
+    return [
+        {
+            'node': difference.path,
+            'key': difference.key,
+            'before': shown(difference.key, difference.before),
+            'after': shown(difference.key, difference.after),
+        }
+        for difference in differences
+    ]
+
+
+def affected_rows(places: Iterable[AffectedPlace]) -> list[Row]:
+    """Return a row for each value in force that changes."""
+    return [
+        {
+            'group': affected.place.group,
+            'caller': affected.place.caller,
+            'region': affected.place.region,
+            'key': affected.key,
+            'before': shown(affected.key, affected.before),
+            'after': shown(affected.key, affected.after),
+            'risky': SCHEMA[affected.key].is_risky,
+        }
+        for affected in places
+    ]
+
+
+def history_rows(entries: Iterable[HistoryEntry]) -> list[Row]:
+    """Return a row for each accepted change, newest first."""
+    return [
+        {
+            'version': entry.version,
+            'author': entry.author,
+            'operation_id': entry.operation_id,
+            'changes': _describe(entry.changes),
+        }
+        for entry in reversed(tuple(entries))
+    ]
+
+
+def names_of(
+    path: str,
+) -> tuple[Region | None, GroupId | None, CallerId | None]:
+    """Return region, group and caller of a path."""
+    names = [] if path == ROOT_PATH else path.split('/')[1:]
+    region, group, caller = (*names, None, None, None)[: NodeLevel.caller]
+    return (
+        Region(region) if region else None,
+        GroupId(group) if group else None,
+        CallerId(caller) if caller else None,
+    )
+
+
+def _describe(changes: Sequence[SettingChange]) -> str:
+    return '; '.join(
+        f'{change.path} {change.key} = {shown(change.key, change.value)}'
+        if change.value is not None
+        else f'{change.path} {change.key} unset'
+        for change in changes
+    )
--- /dev/null
+++ b/lavendergate/cli/tables.py
@@ -0,0 +1,67 @@
+"""Output as aligned tables or JSON."""
+
+import sys
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from lavendergate.cli.options import Format
+
+Row = Mapping[str, object]
+
+
+def show(rows: Sequence[Row], form: Format, *, empty: str) -> None:
+    """Print rows with equal keys.
+
+    Parameters
+    ----------
+    empty
+        Text of a table without rows.
+    """
+    if form is Format.json:
+        write_json(list(rows))
+    else:
+        write_text(table(rows) if rows else empty)
+
+
+def write_json(value: object) -> None:
+    """Print a value as JSON."""
+    encoded = msgspec.json.encode(value)
+    write_text(msgspec.json.format(encoded, indent=2).decode())
+
+
+def write_text(text: str) -> None:
+    """Print text."""
+    sys.stdout.write(f'{text}\n')
+
+
+def write_note(text: str) -> None:
+    """Print text to standard error."""
+    sys.stderr.write(f'{text}\n')
+
+
+def table(rows: Sequence[Row]) -> str:
+    """Return rows as text with aligned columns."""
+    names = list(rows[0])
+    cells = [[_text(row[name]) for name in names] for row in rows]
+    lines = [[name.replace('_', ' ') for name in names], *cells]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return '\n'.join(_line(line, widths) for line in lines)
+
+
+def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
+    padded = (
+        cell.ljust(width) for cell, width in zip(cells, widths, strict=True)
+    )
+    return '  '.join(padded).rstrip()
+
+
+def _text(value: object) -> str:
+    match value:
+        case None:
+            return '-'
+        case bool():
+            return 'yes' if value else 'no'
+        case tuple() | list():
+            return ', '.join(map(str, value)) or '-'
+    return str(value)
--- /dev/null
+++ b/lavendergate/cli/timeline_command.py
@@ -0,0 +1,100 @@
+"""Command ``lavendergatectl timeline``."""
+
+import enum
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import Parameter
+
+from lavendergate.cli.outcome import usage
+from lavendergate.cli.tables import write_text
+from lavendergate.observability.timeline import Filter, read_timeline
+from lavendergate.observability.timeline_views import (
+    render_html,
+    render_json,
+    render_text,
+)
+
+
+@enum.unique
+class TimelineFormat(enum.Enum):
+    """Form of a timeline."""
+
+    text = 'text'
+    json = 'json'
+    html = 'html'
+
+
+_RENDERERS = {
+    TimelineFormat.text: render_text,
+    TimelineFormat.json: render_json,
+    TimelineFormat.html: render_html,
+}
+
+
+@Parameter(name='*')
+@dataclass(frozen=True, kw_only=True)
+class Selection:
+    """Which events of the timeline to show.
+
+    Parameters
+    ----------
+    group, host, request, session
+        Show only events with this value.
+    event
+        Show only these numbers, or ranges of numbers: 4 is 4xxx.
+    since, until
+        Show only this time range; local time unless a zone is given.
+    """
+
+    group: str = ''
+    host: str = ''
+    request: str = ''
+    session: str = ''
+    event: tuple[int, ...] = ()
+    since: datetime | None = None
+    until: datetime | None = None
+
+    def filter(self) -> Filter:
+        """Return the selection as a filter."""
+        return Filter(
+            fields={
+                'group': self.group,
+                'request_id': self.request,
+                'session': self.session,
+            },
+            host=self.host,
+            numbers=frozenset(self.event),
+            since=self.since,
+            until=self.until,
+        )
+
+
+_ALL = Selection()
+
+
+def timeline(
+    *files: Path,
+    form: Annotated[
+        TimelineFormat, Parameter(name='--format')
+    ] = TimelineFormat.text,
+    selection: Selection = _ALL,
+) -> None:
+    """Merge the event files of all processes in causal order.
+
+    Parameters
+    ----------
+    files
+        Event files, or directories that contain them.
+    form
+        Form of the output.
+    """
+    if not files:
+        raise usage('no file is given; name event files or directories')
+    try:
+        merged = read_timeline(files, selection.filter())
+    except OSError as error:
+        raise usage(f'{error}') from error
+    write_text(_RENDERERS[form](merged))
--- a/lavendergate/observability/catalogue.py
+++ b/lavendergate/observability/catalogue.py
@@ -41,7 +41,7 @@
         'error. A line holds `number`, `message_type` (the name), `level`, '
         '`host`, `clock` (hybrid logical clock: milliseconds times 65,536 '
         'plus a counter), `time` (wall time), `text` and `fields`. Events of '
-        'level debug are written only with `--log-level debug`. Fields in '
+        'level debug are written only where the process asks for it. Fields in '
         'brackets are optional.'
     )
     for thousand, (title, events) in RANGES.items():
--- /dev/null
+++ b/lavendergate/rpc/settings_service.py
@@ -0,0 +1,41 @@
+"""Method that answers with the history of the settings."""
+
+from dataclasses import dataclass
+
+from lavendergate.core.settings.history import HistoryEntry
+from lavendergate.rpc.service import Method
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsHistoryRequest:
+    """Asks a control host for accepted changes of the settings.
+
+    Parameters
+    ----------
+    limit
+        Number of the newest changes to return.
+    """
+
+    limit: int = 1000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsHistoryReply:
+    """Accepted changes, oldest first.
+
+    Parameters
+    ----------
+    leader
+        Address of the leader, if the receiver is not the leader and may
+        lag behind.
+    """
+
+    entries: tuple[HistoryEntry, ...]
+    leader: str | None = None
+
+
+SETTINGS_HISTORY = Method(
+    path='/lavendergate.Control/SettingsHistory',
+    request_type=SettingsHistoryRequest,
+    reply_type=SettingsHistoryReply,
+)
