Write events to files and run the demo with the command-line tool

Cause: lavendergatectl did nothing when run as a module, so the demo's cluster init changed nothing and no group became known. Change: entry point of the module; daemons write their events below the data directory.

--- a/lavendergate/cli/main.py
+++ b/lavendergate/cli/main.py
@@ -208,3 +208,7 @@
 def main() -> None:
     """Run ``lavendergatectl``."""
     sys.exit(anyio.run(run, sys.argv[1:]))
+
+
+if __name__ == '__main__':
+    main()
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -2,16 +2,18 @@
 
 import secrets
 import signal
+from pathlib import Path
 
 import anyio
 from anyio.abc import TaskGroup
 from grpclib.server import Server
 
+from lavendergate.core.types import HostId
 from lavendergate.daemon.context import ProcessContext
 from lavendergate.daemon.control import ControlRole
 from lavendergate.daemon.options import DaemonOptions
 from lavendergate.daemon.proxy import ProxyRole
-from lavendergate.observability.log import MemoryEventLog
+from lavendergate.observability.file_log import open_event_log
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.rpc.codec import MessagePackCodec
@@ -26,11 +28,17 @@
 
 async def run_daemon(options: DaemonOptions) -> None:
     """Run the roles of a host until it is told to stop."""
+    clock = ProcessClock()
+    host_id = HostId(options.host_id)
     context = ProcessContext(
         options=options,
         incarnation=secrets.token_hex(INCARNATION_BYTES),
-        clock=ProcessClock(),
-        events=MemoryEventLog(),
+        clock=clock,
+        events=open_event_log(
+            host=host_id,
+            clock=clock,
+            data_directory=Path(options.data_directory),
+        ),
     )
     context.events.emit(
         ProcessEvent.process_started,
