--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -95,8 +95,13 @@
         for number in range(_BILLINGS):
             billing = Billing(user='billing', workload=workload, seed=number)
             tasks.append(asyncio.create_task(billing.work(f'bill{number}')))
-        killed_at = await self._kill_primary(SCHEMAS[0])
-        await asyncio.gather(*tasks)
+        try:
+            killed_at = await self._kill_primary(SCHEMAS[0])
+            await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
         return failover_gap_s(
             self._history, SCHEMAS[0], killed_at, workload.ends_at
         )
@@ -107,6 +112,7 @@
             find_primary, self._fleet.members, group
         )
         if primary is None:
+            self._check_processes()
             raise DemoError(f'{group} has no primary')
         state = await asyncio.to_thread(read_state, primary)
         if state is not None:
@@ -137,12 +143,7 @@
         ends_at = time.monotonic() + _START_LIMIT_S
         problem = ''
         while time.monotonic() < ends_at:
-            ended = self._fleet.ended()
-            if ended:
-                raise DemoError(
-                    f'{", ".join(ended)} ended; see the .out files in '
-                    f'{self._fleet.directory}'
-                )
+            self._check_processes()
             problem = attempt(*options) or ''  # type: ignore[operator]
             if not problem:
                 self._say(f'{name}: ready')
@@ -152,6 +153,14 @@
             f'{name}: not ready after {_START_LIMIT_S} s: {problem}'
         )
 
+    def _check_processes(self) -> None:
+        ended = self._fleet.ended()
+        if ended:
+            raise DemoError(
+                f'{", ".join(ended)} ended; see the .out files in '
+                f'{self._fleet.directory}'
+            )
+
     def _initialize(self) -> str | None:
         return self._fleet.initialize_control()
 
@@ -185,6 +194,7 @@
             if primary is not None:
                 return read_write_ids(primary)
             time.sleep(_RETRY_S)
+        self._check_processes()
         raise DemoError(f'{group} has no primary at the end')
 
     def _count_reads(self) -> tuple[int, int]:
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -13,7 +13,7 @@
 from demo.history import History, Outcome, Write
 from demo.processes import CALLER_PASSWORD, SCHEMAS
 
-NOT_RUN = 9001
+_NOT_RUN_TEXT = 'not run'
 _STATEMENT_LIMIT_S = 6.0
 _CONNECT_LIMIT_S = 3.0
 _BILLING_ATTEMPTS = 20
@@ -107,16 +107,18 @@
 
     async def work(self, name: str) -> None:
         """Write and read until the workload ends."""
-        for number in itertools.count():
-            if not self.workload.is_running:
-                break
-            group = self.random.choice(SCHEMAS)
-            write_id = f'{name}-{number}'
-            port = self.any_port()
-            if await self._write(port, group, write_id):
-                await self._read_back(port, group, write_id)
-            await asyncio.sleep(_CREW_PAUSE_S)
-        self.close()
+        try:
+            for number in itertools.count():
+                if not self.workload.is_running:
+                    break
+                group = self.random.choice(SCHEMAS)
+                write_id = f'{name}-{number}'
+                port = self.any_port()
+                if await self._write(port, group, write_id):
+                    await self._read_back(port, group, write_id)
+                await asyncio.sleep(_CREW_PAUSE_S)
+        finally:
+            self.close()
 
     async def _write(self, port: int, group: str, write_id: str) -> bool:
         panes = self.random.randint(1, 40)
@@ -172,13 +174,15 @@
 
     async def work(self, name: str) -> None:
         """Write invoices until the workload ends."""
-        for number in itertools.count():
-            if not self.workload.is_running:
-                break
-            group = self.random.choice(SCHEMAS)
-            await self._bill(group, f'{name}-{number}')
-            await asyncio.sleep(_CREW_PAUSE_S)
-        self.close()
+        try:
+            for number in itertools.count():
+                if not self.workload.is_running:
+                    break
+                group = self.random.choice(SCHEMAS)
+                await self._bill(group, f'{name}-{number}')
+                await asyncio.sleep(_CREW_PAUSE_S)
+        finally:
+            self.close()
 
     async def _bill(self, group: str, write_id: str) -> None:
         statement = (
@@ -247,10 +251,10 @@
 
 
 def _outcome(error: BaseException) -> Outcome:
-    is_refusal = bool(error.args) and error.args[0] == NOT_RUN
+    is_refusal = _text(error).startswith(_NOT_RUN_TEXT)
     return Outcome.not_run if is_refusal else Outcome.unknown
 
 
 def _text(error: BaseException) -> str:
-    text = ' '.join(map(str, error.args)) or type(error).__name__
+    text = str(error.args[-1]) if error.args else type(error).__name__
     return text[:70]
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -79,9 +79,9 @@
         self.processes[name].wait()
 
     def ended(self) -> list[str]:
-        """Return the processes that have ended."""
+        """Return the processes that have ended, with their exit status."""
         return [
-            name
+            f'{name} (exit status {process.returncode})'
             for name, process in self.processes.items()
             if process.poll() is not None
         ]
