--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -131,7 +131,7 @@
             hard_state=stored.hard_state,
             log=stored.log,
             snapshot=stored.snapshot,
-            timing=self._options.timing,
+            options=self._options.node,
             jitter=self._random(),
             now=now,
         )
--- a/lavendergate/controllers/driver_options.py
+++ b/lavendergate/controllers/driver_options.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from lavendergate.core.consensus.types import Timing
+from lavendergate.core.consensus.types import NodeOptions
 
 _ENTRIES_PER_SNAPSHOT = 1000
 # A follower that lags by less needs no snapshot.
@@ -15,7 +15,7 @@
 
     Parameters
     ----------
-    timing
+    node
         Timeouts of the replicated log.
     entries_per_snapshot
         Applied entries after which a snapshot replaces them.
@@ -23,6 +23,6 @@
         Entries that are kept beside a snapshot.
     """
 
-    timing: Timing = field(default_factory=Timing)
+    node: NodeOptions = field(default_factory=NodeOptions)
     entries_per_snapshot: int = _ENTRIES_PER_SNAPSHOT
     retained_entries: int = _RETAINED_ENTRIES
--- a/lavendergate/core/consensus/election.py
+++ b/lavendergate/core/consensus/election.py
@@ -29,14 +29,14 @@
     A node that cannot win keeps its term, so that it does not disturb a
     working leader when its partition heals.
     """
-    timeout_s = state.timing.randomized_timeout_s(jitter)
+    timeout_s = state.options.randomized_timeout_s(jitter)
     waiting = replace(
         state,
         leader=None,
         election_timeout_s=timeout_s,
         election_at=now + timeout_s,
     )
-    if not state.is_voter:
+    if not state.may_campaign:
         return waiting, ()
     asking = replace(
         waiting, role=PreCandidate(granted=frozenset((state.identity,)))
@@ -109,7 +109,7 @@
     """
     if state.leader == state.identity:
         return True
-    recent = now - state.heard_at < state.timing.election_timeout_s
+    recent = now - state.heard_at < state.options.election_timeout_s
     return state.leader is not None and recent
 
 
--- a/lavendergate/core/consensus/machine.py
+++ b/lavendergate/core/consensus/machine.py
@@ -53,8 +53,8 @@
 from lavendergate.core.consensus.types import (
     HardState,
     NodeId,
+    NodeOptions,
     Snapshot,
-    Timing,
     configuration_of,
 )
 
@@ -65,7 +65,7 @@
     hard_state: HardState,
     log: Log,
     snapshot: Snapshot | None,
-    timing: Timing,
+    options: NodeOptions,
     jitter: float,
     now: float,
 ) -> NodeState:
@@ -77,7 +77,7 @@
         Identity that is stored together with the other parts.
     hard_state, log, snapshot
         Synced state.
-    timing
+    options
         Timeouts.
     jitter
         Random number from 0 to 1 for the first election timeout.
@@ -97,7 +97,7 @@
             known for known in configurations if known.index > commit_index
         )
         configurations = (first, *later)
-    timeout_s = timing.randomized_timeout_s(jitter)
+    timeout_s = options.randomized_timeout_s(jitter)
     return NodeState(
         identity=identity,
         hard_state=hard_state,
@@ -105,7 +105,7 @@
         snapshot=snapshot,
         commit_index=commit_index,
         configurations=configurations,
-        timing=timing,
+        options=options,
         election_timeout_s=timeout_s,
         election_at=now + timeout_s,
     )
@@ -164,7 +164,7 @@
     state, effects = check_quorum(state, role, now)
     if not isinstance(state.role, Leader):
         return state, effects
-    heartbeat_at = now + state.timing.heartbeat_interval_s
+    heartbeat_at = now + state.options.heartbeat_interval_s
     role = replace(state.role, heartbeat_at=heartbeat_at)
     return send_pending(replace(state, role=role), now, heartbeat=True)
 
--- a/lavendergate/core/consensus/quorum.py
+++ b/lavendergate/core/consensus/quorum.py
@@ -15,7 +15,7 @@
     current = state.configuration
     if current is None:
         return False
-    since = now - state.timing.election_timeout_s
+    since = now - state.options.election_timeout_s
     answered = frozenset(
         node
         for node, known in role.progress.items()
--- a/lavendergate/core/consensus/replication.py
+++ b/lavendergate/core/consensus/replication.py
@@ -30,7 +30,6 @@
     NodeId,
 )
 
-_MAX_ENTRIES = 256
 # The driver reports lost messages; this bounds the wait if it does not. It
 # leaves time for the transfer of a snapshot.
 _RETRY_TIMEOUTS = 10
@@ -44,7 +43,7 @@
         leader=state.identity,
         role=Leader(
             first_index=last_index + 1,
-            heartbeat_at=now + state.timing.heartbeat_interval_s,
+            heartbeat_at=now + state.options.heartbeat_interval_s,
             progress={},
         ),
     )
@@ -201,7 +200,7 @@
 def _may_send(state: NodeState, known: Progress, now: float) -> bool:
     if known.next_index > state.log.last.index:
         return False
-    retry_s = state.timing.election_timeout_s * _RETRY_TIMEOUTS
+    retry_s = state.options.election_timeout_s * _RETRY_TIMEOUTS
     return not known.in_flight or now - known.sent_at >= retry_s
 
 
@@ -210,7 +209,7 @@
     previous_term = state.log.term_at(previous_index)
     if previous_term is None:
         return _snapshot_request(state, role)
-    last_index = previous_index + _MAX_ENTRIES
+    last_index = previous_index + state.options.entries_per_message
     return AppendRequest(
         term=state.term,
         previous=EntryId(index=previous_index, term=previous_term),
--- a/lavendergate/core/consensus/state.py
+++ b/lavendergate/core/consensus/state.py
@@ -18,8 +18,8 @@
     Entry,
     HardState,
     NodeId,
+    NodeOptions,
     Snapshot,
-    Timing,
     configuration_of,
 )
 
@@ -118,7 +118,7 @@
     identity: NodeId
     hard_state: HardState
     log: Log
-    timing: Timing
+    options: NodeOptions
     election_timeout_s: float
     election_at: float
     snapshot: Snapshot | None = None
@@ -140,10 +140,31 @@
 
     @property
     def is_voter(self) -> bool:
-        """Whether the node itself votes."""
+        """Whether the configuration in force names the node as a voter."""
         current = self.configuration
         return current is not None and self.identity in current.voters
 
+    @property
+    def may_campaign(self) -> bool:
+        """Whether the node may ask for votes.
+
+        A node whose removal is not committed may have the only log that is
+        new enough to win, so it goes on until the removal is committed. It
+        does not count its own vote.
+        """
+        return any(
+            self.identity in configuration.voters
+            for configuration in self._undecided_configurations
+        )
+
+    @property
+    def _undecided_configurations(self) -> tuple[Configuration, ...]:
+        decided = sum(
+            configuration.index <= self.commit_index
+            for configuration in self.configurations
+        )
+        return self.configurations[max(decided - 1, 0) :]
+
 
 Transition = tuple[NodeState, Effects]
 
--- a/lavendergate/core/consensus/types.py
+++ b/lavendergate/core/consensus/types.py
@@ -15,6 +15,7 @@
 
 _ELECTION_TIMEOUT_S = 0.3
 _HEARTBEAT_INTERVAL_S = 0.1
+_ENTRIES_PER_MESSAGE = 256
 
 
 class NodeId(
@@ -173,20 +174,23 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Timing:
-    """Timeouts of the replicated log, in seconds.
+class NodeOptions:
+    """Timeouts and limits of a node.
 
     Parameters
     ----------
     election_timeout_s
         Shortest time without contact to the leader before an election; the
-        longest one is twice as long.
+        longest one is twice as long, in seconds.
     heartbeat_interval_s
-        Time between messages of an idle leader.
+        Time between messages of an idle leader, in seconds.
+    entries_per_message
+        Most entries that a leader sends at once.
     """
 
     election_timeout_s: float = _ELECTION_TIMEOUT_S
     heartbeat_interval_s: float = _HEARTBEAT_INTERVAL_S
+    entries_per_message: int = _ENTRIES_PER_MESSAGE
 
     def randomized_timeout_s(self, jitter: float) -> float:
         """Return an election timeout.
