--- a/lavendergate/storage/files.py
+++ b/lavendergate/storage/files.py
@@ -65,19 +65,11 @@
         """Read the stored state; an empty directory gets a new identity."""
         self._directory.mkdir(parents=True, exist_ok=True)
         self._lock()
-        if not self._path(_IDENTITY).exists():
-            self._create()
-        identity = self._read_identity()
-        snapshot = self._read_snapshot()
-        replay = self._read_log()
-        self._hard_state = replay.hard_state
-        self._log_file = os.open(self._path(_LOG), os.O_WRONLY | os.O_APPEND)
-        return StoredState(
-            identity=identity,
-            hard_state=replay.hard_state,
-            log=replay.log_beside(snapshot),
-            snapshot=snapshot,
-        )
+        try:
+            return self._load()
+        except Exception:
+            self.close()
+            raise
 
     def save_hard_state(self, hard_state: HardState) -> None:
         """Buffer the hard state."""
@@ -121,6 +113,24 @@
     def _path(self, name: str) -> Path:
         return self._directory / name
 
+    def _load(self) -> StoredState:
+        if not self._path(_IDENTITY).exists():
+            self._create()
+        identity = self._read_identity()
+        snapshot = self._read_snapshot()
+        replay = self._read_log()
+        self._hard_state = replay.hard_state
+        self._log_file = os.open(self._path(_LOG), os.O_WRONLY | os.O_APPEND)
+        # A former process may have ended between writing and syncing.
+        os.fsync(self._log_file)
+        _sync_directory(self._directory)
+        return StoredState(
+            identity=identity,
+            hard_state=replay.hard_state,
+            log=replay.log_beside(snapshot),
+            snapshot=snapshot,
+        )
+
     def _lock(self) -> None:
         self._lock_file = os.open(
             self._path(_LOCK), os.O_RDWR | os.O_CREAT, _FILE_MODE
--- /dev/null
+++ b/lavendergate/tests/test_file_storage.py
@@ -0,0 +1,143 @@
+"""Tests of the log's files."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from lavendergate.core.commands import ChangeVoters
+from lavendergate.core.consensus.log import Log
+from lavendergate.core.consensus.types import (
+    ConsensusTerm,
+    Entry,
+    HardState,
+    Snapshot,
+)
+from lavendergate.core.types import HostId
+from lavendergate.storage.base import (
+    DamagedFileError,
+    StorageError,
+    StoredState,
+)
+from lavendergate.storage.files import FileStorage
+
+_TERM = ConsensusTerm(3)
+
+
+def _entry(index: int) -> Entry:
+    return Entry(index=index, term=_TERM, payload=b'payload')
+
+
+class FileStorageTest(unittest.TestCase):
+    """What a node finds after a restart."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name) / 'c1'
+        self.log = self.directory / 'log'
+
+    def load(self, host_id: str = 'c1') -> tuple[FileStorage, StoredState]:
+        storage = FileStorage(directory=self.directory, host_id=HostId(host_id))
+        self.addCleanup(storage.close)
+        return storage, storage.load()
+
+    def write(self, entries: int) -> int:
+        """Sync entries one by one; return the offset of the last record."""
+        storage, _ = self.load()
+        offset = 0
+        for index in range(1, entries + 1):
+            offset = self.log.stat().st_size
+            storage.append((_entry(index),))
+            storage.sync()
+        storage.close()
+        return offset
+
+    def change_byte(self, offset: int) -> None:
+        content = bytearray(self.log.read_bytes())
+        content[offset] ^= 0xFF
+        self.log.write_bytes(content)
+
+    def test_synced_changes_survive_and_others_do_not(self) -> None:
+        """Guards against a promise that the files do not hold."""
+        storage, first = self.load()
+        hard_state = HardState(term=_TERM, voted_for=first.identity)
+        storage.save_hard_state(hard_state)
+        storage.append(tuple(_entry(index) for index in range(1, 6)))
+        storage.truncate(4)
+        storage.sync()
+        storage.append((_entry(4),))
+        storage.close()
+        _, loaded = self.load()
+        self.assertEqual(loaded.identity, first.identity)
+        self.assertEqual(loaded.hard_state, hard_state)
+        self.assertEqual(loaded.log.last.index, 3)
+
+    def test_torn_tail_is_cut(self) -> None:
+        """Guards against a host that cannot start after a power failure.
+
+        Every length of the last record is tried; the next record must be
+        readable after the cut.
+        """
+        offset = self.write(3)
+        whole = self.log.read_bytes()
+        for size in range(offset, len(whole)):
+            self.log.write_bytes(whole[:size])
+            storage, loaded = self.load()
+            self.assertEqual(loaded.log.last.index, 2)
+            storage.append((_entry(3),))
+            storage.sync()
+            storage.close()
+            storage, loaded = self.load()
+            storage.close()
+            self.assertEqual(loaded.log.last.index, 3)
+
+    def test_damage_before_the_tail_is_reported(self) -> None:
+        """Guards against synced entries that are cut as if they were torn.
+
+        Every byte before the last record is changed, lengths included.
+        """
+        offset = self.write(3)
+        whole = self.log.read_bytes()
+        for position in range(offset):
+            self.log.write_bytes(whole)
+            self.change_byte(position)
+            with self.assertRaises(DamagedFileError) as caught:
+                self.load()
+            self.assertEqual(caught.exception.path, str(self.log))
+            self.assertLessEqual(caught.exception.offset, position)
+
+    def test_old_log_beside_a_new_snapshot(self) -> None:
+        """Guards against a crash between the files of a snapshot."""
+        self.write(3)
+        old = self.log.read_bytes()
+        storage, _ = self.load()
+        snapshot = Snapshot(
+            last=_entry(9).entry_id,
+            voters=ChangeVoters(
+                voters=frozenset(), learners=frozenset(), addresses={}
+            ),
+            state=b'state',
+        )
+        storage.save_snapshot(snapshot, Log(base=snapshot.last))
+        storage.close()
+        self.log.write_bytes(old)
+        _, loaded = self.load()
+        self.assertEqual(loaded.snapshot, snapshot)
+        self.assertEqual(loaded.log, Log(base=snapshot.last))
+
+    def test_directory_of_another_host_or_in_use(self) -> None:
+        """Guards against two nodes that vote with one identity."""
+        storage, _ = self.load()
+        with self.assertRaisesRegex(StorageError, 'in use'):
+            self.load()
+        storage.close()
+        with self.assertRaisesRegex(StorageError, 'belongs to host c1'):
+            self.load('c2')
+
+    def test_missing_log_is_not_an_empty_disk(self) -> None:
+        """Guards against a host that lost its votes but keeps its identity."""
+        storage, _ = self.load()
+        storage.close()
+        self.log.unlink()
+        with self.assertRaises(DamagedFileError):
+            self.load()
