Add a differential test of the statement path

Cause: the invariants of the statement path were only argued. Change: a synchronous model of a group of three, two proxies and three sessions runs random histories with lag, loss, partitions and failovers over the real cores; the naive version and 17 deliberate faults run in the same model. pool.is_reusable decides which connections return to the pool.

--- a/lavendergate/core/pool.py
+++ b/lavendergate/core/pool.py
@@ -46,6 +46,26 @@
     connection_id: ConnectionId
 
 
+def is_reusable(
+    *,
+    is_answered: bool,
+    has_transaction: bool,
+    is_pinned: bool = False,
+) -> bool:
+    """Tell whether a connection may be released, else it must be retired.
+
+    Parameters
+    ----------
+    is_answered
+        Whether every statement that was sent was answered in full.
+    has_transaction
+        Whether a transaction may be open, also after a lost answer.
+    is_pinned
+        Whether a statement changed the state of the connection.
+    """
+    return is_answered and not has_transaction and not is_pinned
+
+
 PoolEffect = Assign | Open | Close
 Effects = tuple[PoolEffect, ...]
 _NONE: Effects = ()
--- /dev/null
+++ b/properties/group_model.py
@@ -0,0 +1,219 @@
+"""Model of one database group and its control, without time or network.
+
+Members, proxies and control are on one of two sides of a partition; only
+parties on the same side reach each other. Control is on side 0.
+"""
+
+from dataclasses import dataclass, field
+
+from lavendergate.core.types import (
+    LOG_START,
+    FailureDomain,
+    GroupId,
+    GroupView,
+    LogPosition,
+    MemberRole,
+    MemberStatus,
+    MemberView,
+    Region,
+    Term,
+    TermStart,
+    UpstreamId,
+)
+
+GROUP = GroupId('glasdaten-1')
+REGION = Region('franken')
+MEMBERS = tuple(UpstreamId(name) for name in ('a', 'b', 'c'))
+MAJORITY = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Entry:
+    """An entry of a member's log; a write has an id, other entries None."""
+
+    term: int
+    write_id: int | None
+    request_id: int | None = None
+
+
+@dataclass(kw_only=True, slots=True)
+class Member:
+    """A member with the procedures of the member interface."""
+
+    upstream_id: UpstreamId
+    log: list[Entry] = field(default_factory=list)
+    promised: int = 1
+    role: MemberRole = MemberRole.replica
+    follows: UpstreamId | None = None
+    caught_up_at: float = 0
+    side: int = 0
+
+    @property
+    def last_entry(self) -> LogPosition:
+        """Last entry of the log."""
+        if not self.log:
+            return LOG_START
+        return LogPosition(term=Term(self.log[-1].term), position=len(self.log))
+
+    def holds(self, position: LogPosition) -> bool:
+        """Answer `group_wait` from the log itself."""
+        index = position.position
+        if index == 0:
+            return True
+        return index <= len(self.log) and (
+            self.log[index - 1].term == position.term
+        )
+
+    def write_ids(self) -> set[int]:
+        """Writes that a read on this member sees."""
+        return {one.write_id for one in self.log if one.write_id is not None}
+
+    def status(self, now: float) -> MemberStatus:
+        """Return the status as `group_status` reports it."""
+        is_primary = self.role is MemberRole.primary
+        age_s = 0 if is_primary else now - self.caught_up_at
+        return MemberStatus(
+            promised_term=Term(self.promised),
+            last_entry=self.last_entry,
+            role=self.role,
+            primary_contact_ms=0,
+            applied_age_ms=int(age_s * 1000),
+            connections=0,
+        )
+
+    def fence(self, term: int) -> None:
+        """Promise a term and refuse writes of lower ones."""
+        self.promised = term
+        self.role = MemberRole.fenced
+        self.follows = None
+
+    def follow(self, term: int, primary: 'Member') -> None:
+        """Follow a primary; entries that it does not have are truncated."""
+        common = 0
+        for own, other in zip(self.log, primary.log, strict=False):
+            if own != other:
+                break
+            common += 1
+        del self.log[common:]
+        self.promised = term
+        self.role = MemberRole.replica
+        self.follows = primary.upstream_id
+
+    def pull(self, source: 'Member', count: int, now: float) -> None:
+        """Replicate entries from the member that this one follows."""
+        size = len(self.log)
+        if size <= len(source.log) and self.log == source.log[:size]:
+            self.log.extend(source.log[size : size + count])
+            if len(self.log) == len(source.log):
+                self.caught_up_at = now
+
+
+@dataclass(kw_only=True)
+class Group:
+    """Members and control of the group."""
+
+    fences: bool = True
+    members: dict[UpstreamId, Member] = field(default_factory=dict)
+    term: int = 1
+    primary: UpstreamId | None = MEMBERS[0]
+    history: tuple[TermStart, ...] = (
+        TermStart(term=Term(1), first_position=1),
+    )
+    begun: int = 1
+    fenced: set[UpstreamId] = field(default_factory=set)
+    observed: dict[UpstreamId, tuple[MemberStatus, float]] = field(
+        default_factory=dict,
+    )
+
+    def __post_init__(self) -> None:
+        """Create three members, the first one as primary."""
+        for name in MEMBERS:
+            self.members[name] = Member(upstream_id=name, follows=MEMBERS[0])
+            self.observed[name] = (self.members[name].status(0), 0)
+        self.members[MEMBERS[0]].role = MemberRole.primary
+        self.members[MEMBERS[0]].follows = None
+
+    def replicate(self, name: UpstreamId, count: int, now: float) -> None:
+        """Let one member pull from the member that it follows."""
+        member = self.members[name]
+        source = self.members.get(member.follows or name)
+        if source and source is not member and source.side == member.side:
+            member.pull(source, count, now)
+
+    def observe(self, name: UpstreamId, now: float) -> None:
+        """Receive the announcement of one member."""
+        if self.members[name].side == 0:
+            self.observed[name] = (self.members[name].status(now), now)
+
+    def begin(self) -> None:
+        """Begin a term, or another one if the last was not finished."""
+        self.begun += 1
+        self.primary = None
+        self.fenced.clear()
+
+    def advance(self, name: UpstreamId) -> None:
+        """Do the next step of control for one member."""
+        member = self.members[name]
+        if member.side != 0:
+            return
+        if self.primary is not None:
+            primary = self.members[self.primary]
+            is_behind = member.promised < self.term or (
+                member.role is MemberRole.fenced
+            )
+            if member is not primary and is_behind and primary.side == 0:
+                member.follow(self.term, primary)
+            return
+        if not self.fences:
+            self._promote(name)
+        elif member.promised < self.begun:
+            member.fence(self.begun)
+            self.fenced.add(name)
+            if len(self.fenced) >= MAJORITY:
+                best = max(
+                    self.fenced,
+                    key=lambda one: self.members[one].last_entry,
+                )
+                self._promote(best)
+
+    def view(self) -> GroupView:
+        """Return the group report that control sends to a proxy."""
+        return GroupView(
+            group_id=GROUP,
+            term=Term(self.term),
+            primary=self.primary,
+            member_ids=frozenset(MEMBERS),
+            members=tuple(self._member_view(name) for name in MEMBERS),
+            term_history=self.history,
+        )
+
+    def _promote(self, name: UpstreamId) -> None:
+        member = self.members[name]
+        if member.side != 0:
+            return
+        member.role = MemberRole.primary
+        member.promised = self.begun
+        member.follows = None
+        start = TermStart(
+            term=Term(self.begun),
+            first_position=len(member.log) + 1,
+        )
+        self.history = (*self.history, start)
+        self.term = self.begun
+        self.primary = name
+
+    def _member_view(self, name: UpstreamId) -> MemberView:
+        status, observed_at = self.observed[name]
+        return MemberView(
+            upstream_id=name,
+            group_id=GROUP,
+            region=REGION,
+            failure_domain=FailureDomain(name),
+            host='127.0.0.1',
+            port=3306,
+            connection_limit=16,
+            slots=2,
+            leaving=False,
+            status=status,
+            observed_at=observed_at,
+        )
--- /dev/null
+++ b/properties/history_model.py
@@ -0,0 +1,124 @@
+"""State of a random history: sessions, writes, proxies, the group."""
+
+import random
+from dataclasses import dataclass, field, replace
+
+from lavendergate.core.admission import (
+    AdmissionQueue,
+    AdmissionRequest,
+)
+from lavendergate.core.confirmation import (
+    StartWait,
+    WriteConfirmations,
+    WriteId,
+)
+from lavendergate.core.decisions import (
+    Request,
+)
+from lavendergate.core.errors import Outcome
+from lavendergate.core.read_index import (
+    ReaderId,
+    RoundId,
+)
+from lavendergate.core.types import (
+    GroupView,
+    LogPosition,
+    UpstreamId,
+)
+from properties.connection_model import PooledMember
+from properties.cores import Cores
+from properties.group_model import MEMBERS, Group
+
+
+@dataclass(kw_only=True, slots=True)
+class Session:
+    """A caller's session, with what it was told."""
+
+    token: str = ''
+    acknowledged: set[int] = field(default_factory=set)
+
+
+@dataclass(kw_only=True, slots=True)
+class Write:
+    """A write of a session."""
+
+    write_id: int
+    request_id: int | None
+    session: Session
+    admission: AdmissionRequest
+    position: LogPosition | None = None
+    recorded_id: int | None = None
+    outcome: Outcome | None = None
+    executed_late: bool = False
+
+
+class Proxy:
+    """State of one proxy."""
+
+    def __init__(self, cores: Cores, view: GroupView, bad: list[str]) -> None:
+        """Create a proxy with its first view."""
+        self.view = view
+        self.side = 0
+        self.known: dict[UpstreamId, LogPosition] = {}
+        self.queue: AdmissionQueue = cores.queue()
+        self.queued: dict[AdmissionRequest, Write] = {}
+        self.batcher = cores.batcher()
+        self.questions: list[tuple[RoundId, UpstreamId, bool]] = []
+        self.readers: dict[ReaderId, set[int]] = {}
+        self.waits: list[tuple[WriteConfirmations, StartWait]] = []
+        self.confirmations: dict[int, WriteConfirmations] = {}
+        self.writes: dict[WriteId, Write] = {}
+        self.pools = {name: PooledMember(cores, bad) for name in MEMBERS}
+
+
+class History:
+    """State and steps that reads and writes share.
+
+    Parameters
+    ----------
+    cores
+        Decisions under test.
+    seed
+        Seed of the history.
+    """
+
+    def __init__(self, cores: Cores, seed: int) -> None:
+        """Create a group, two proxies and three sessions."""
+        self.violations: list[str] = []
+        self._cores = cores
+        self._random = random.Random(seed)
+        self._now = 0.0
+        self._group = Group(fences=cores.fences)
+        self._proxies = [
+            Proxy(cores, self._group.view(), self.violations) for _ in range(2)
+        ]
+        self._sessions = [Session() for _ in range(3)]
+        self._writes: list[Write] = []
+        self._acknowledged: dict[int, float] = {}
+        self._executed: dict[int, int] = {}
+        self._last_id = 0
+
+    def _report(self, violation: str) -> None:
+        self.violations.append(violation)
+
+    def _new_id(self) -> int:
+        self._last_id += 1
+        return self._last_id
+
+    def _route(self, proxy: Proxy, request: Request) -> object:
+        view = proxy.view
+        if self._random.random() < 0.5:
+            # The proxy noticed which members it cannot reach.
+            reachable = tuple(
+                one
+                for one in view.members
+                if self._group.members[one.upstream_id].side == proxy.side
+            )
+            view = replace(view, members=reachable)
+        return self._cores.route(
+            request,
+            view,
+            proxy.known,
+            self._now,
+            self._random.random(),
+        )
--- /dev/null
+++ b/properties/read_model.py
@@ -0,0 +1,147 @@
+"""Steps of reads in a random history."""
+
+from lavendergate.core.decisions import (
+    BoundedRead,
+    ConfirmFirst,
+    Request,
+    SessionRead,
+    UseMember,
+    UsePrimary,
+    WaitOnMember,
+)
+from lavendergate.core.read_index import (
+    IndexSource,
+    ReaderId,
+    ReadersServed,
+    ReadIndexEffect,
+    StartRound,
+)
+from lavendergate.core.types import (
+    LogPosition,
+    UpstreamId,
+)
+from properties.group_model import MEMBERS
+from properties.history_model import History, Proxy
+
+MAX_AGE_MS = 1000
+
+
+class ReadSteps(History):
+    """Steps of reads, and the checks of what they see."""
+
+    def _read_session(self, proxy: Proxy) -> None:
+        session = self._random.choice(self._sessions)
+        position = self._cores.position(session.token)
+        required = set(session.acknowledged)
+        self._read(proxy, SessionRead(position=position), required, 'I1')
+
+    def _read_fresh(self, proxy: Proxy) -> None:
+        required = set(self._acknowledged)
+        self._read(proxy, SessionRead(position=None), required, 'fresh')
+
+    def _read_bounded(self, proxy: Proxy) -> None:
+        oldest = self._now - MAX_AGE_MS / 1000
+        required = {
+            write_id
+            for write_id, acknowledged_at in self._acknowledged.items()
+            if acknowledged_at < oldest
+        }
+        request = BoundedRead(max_age_ms=MAX_AGE_MS)
+        self._read(proxy, request, required, 'stated age')
+
+    def _read(
+        self,
+        proxy: Proxy,
+        request: Request,
+        required: set[int],
+        name: str,
+    ) -> None:
+        match self._route(proxy, request):
+            case UseMember(upstream_id=member):
+                self._see(proxy, member, required, name)
+            case UsePrimary(upstream_id=member):
+                self._see(proxy, member, required, name)
+            case WaitOnMember(upstream_id=member, position=position):
+                self._wait_and_read(proxy, member, position, required, name)
+            case ConfirmFirst(upstream_id=member, term=term):
+                reader = ReaderId(self._new_id())
+                proxy.readers[reader] = required
+                source = IndexSource(
+                    primary=member,
+                    term=term,
+                    needed=self._cores.promises(proxy.view),
+                )
+                effects = proxy.batcher.arrive(reader, source)
+                self._apply_index(proxy, effects)
+
+    def _wait_and_read(
+        self,
+        proxy: Proxy,
+        name: UpstreamId,
+        position: LogPosition,
+        required: set[int],
+        invariant: str,
+    ) -> None:
+        self._group.replicate(name, self._random.randrange(3), self._now)
+        is_held = self._group.members[name].holds(position)
+        if is_held or self._cores.reads_after_failed_wait:
+            self._see(proxy, name, required, invariant)
+            return
+        waited = SessionRead(position=position, has_waited=True)
+        self._read(proxy, waited, required, invariant)
+
+    def _see(
+        self,
+        proxy: Proxy,
+        name: UpstreamId,
+        required: set[int],
+        invariant: str,
+    ) -> None:
+        member = self._group.members[name]
+        if member.side != proxy.side:
+            return
+        if required - member.write_ids():
+            self._report(f'{invariant}: a read missed an acknowledged write')
+
+    def _apply_index(
+        self,
+        proxy: Proxy,
+        effects: tuple[ReadIndexEffect, ...],
+    ) -> None:
+        for effect in effects:
+            match effect:
+                case StartRound(round_id=round_id, primary=primary):
+                    proxy.questions = [
+                        (round_id, name, name == primary) for name in MEMBERS
+                    ]
+                case ReadersServed(readers=readers, position=position):
+                    read = SessionRead(position=position, is_read_index=True)
+                    for reader in readers:
+                        required = proxy.readers.pop(reader)
+                        self._read(proxy, read, required, 'fresh')
+                case _:
+                    for reader in effect.readers:
+                        proxy.readers.pop(reader)
+
+    def _answer_question(self, proxy: Proxy) -> None:
+        if not proxy.questions:
+            return
+        index = self._random.randrange(len(proxy.questions))
+        round_id, name, is_primary = proxy.questions.pop(index)
+        member = self._group.members[name]
+        if member.side != proxy.side or self._random.random() < 0.1:
+            return
+        promised = member.status(self._now).promised_term
+        if is_primary:
+            position = member.last_entry
+            effects = proxy.batcher.primary_answered(
+                round_id, position, promised
+            )
+        else:
+            effects = proxy.batcher.replica_answered(round_id, name, promised)
+        self._apply_index(proxy, effects)
+
+    def _abandon_round(self, proxy: Proxy) -> None:
+        if proxy.questions:
+            effects = proxy.batcher.abandon(proxy.questions[0][0])
+            self._apply_index(proxy, effects)
--- /dev/null
+++ b/properties/statement_faults.py
@@ -0,0 +1,243 @@
+"""Deliberate faults in the decisions of the statement path."""
+
+from dataclasses import replace
+
+from lavendergate.core.admission import AdmissionQueue, AdmissionRequest
+from lavendergate.core.confirmation import WaitEnd
+from lavendergate.core.decisions import Decision, Request, SessionRead
+from lavendergate.core.errors import Outcome
+from lavendergate.core.read_index import (
+    Effects,
+    IndexSource,
+    ReaderId,
+    ReadIndexBatcher,
+)
+from lavendergate.core.retries import Failure
+from lavendergate.core.types import (
+    LOG_START,
+    GroupView,
+    LogPosition,
+    MemberView,
+    Term,
+    UpstreamId,
+)
+from properties.cores import Cores
+
+_Known = dict[UpstreamId, LogPosition]
+
+
+class _ViewFault(Cores):
+    """Base of faults that change what routing sees."""
+
+    def route(
+        self,
+        request: Request,
+        view: GroupView,
+        known: _Known,
+        now: float,
+        tie: float,
+    ) -> Decision:
+        members = tuple(self.change(one, view, now) for one in view.members)
+        view = replace(view, members=members)
+        return super().route(request, view, known, now, tie)
+
+    def change(
+        self,
+        member: MemberView,
+        view: GroupView,
+        now: float,
+    ) -> MemberView:
+        raise NotImplementedError
+
+
+class IgnoreObservationAge(_ViewFault):
+    """Takes the reported age of a member for its present age."""
+
+    def change(
+        self,
+        member: MemberView,
+        view: GroupView,
+        now: float,
+    ) -> MemberView:
+        return replace(member, observed_at=now)
+
+
+class IgnorePromiseOfMember(_ViewFault):
+    """Believes the age of a replica that follows a replaced primary."""
+
+    def change(
+        self,
+        member: MemberView,
+        view: GroupView,
+        now: float,
+    ) -> MemberView:
+        status = replace(member.status, promised_term=view.term)
+        return replace(member, status=status)
+
+
+class IgnoreTermInTokens(Cores):
+    """Compares positions without their terms."""
+
+    def route(
+        self,
+        request: Request,
+        view: GroupView,
+        known: _Known,
+        now: float,
+        tie: float,
+    ) -> Decision:
+        if not isinstance(request, SessionRead) or request.position is None:
+            return super().route(request, view, known, now, tie)
+        one = Term(1)
+        members = tuple(
+            replace(
+                member,
+                status=replace(
+                    member.status,
+                    last_entry=replace(member.status.last_entry, term=one),
+                ),
+            )
+            for member in view.members
+        )
+        return super().route(
+            replace(request, position=replace(request.position, term=one)),
+            replace(view, members=members, term=one, term_history=()),
+            {name: replace(last, term=one) for name, last in known.items()},
+            now,
+            tie,
+        )
+
+
+class SkipReadIndex(Cores):
+    """Serves reads without a token from any member."""
+
+    def route(
+        self,
+        request: Request,
+        view: GroupView,
+        known: _Known,
+        now: float,
+        tie: float,
+    ) -> Decision:
+        if request == SessionRead(position=None):
+            request = SessionRead(position=LOG_START)
+        return super().route(request, view, known, now, tie)
+
+
+class IgnoreTokens(SkipReadIndex):
+    """Treats each session as new."""
+
+    def position(self, text: str) -> LogPosition | None:
+        return None
+
+
+class ReadIndexWithoutReplicas(Cores):
+    """Trusts the primary to know that it is one."""
+
+    def promises(self, view: GroupView) -> int:
+        return 0
+
+
+class _LateBatcher(ReadIndexBatcher):
+    def arrive(self, reader_id: ReaderId, source: IndexSource) -> Effects:
+        if self._round is None:
+            return super().arrive(reader_id, source)
+        self._round.readers = (*self._round.readers, reader_id)
+        return ()
+
+
+class ServeLateReaders(Cores):
+    """Serves reads that arrived after the round started."""
+
+    def batcher(self) -> ReadIndexBatcher:
+        return _LateBatcher()
+
+
+class AcknowledgeBeforeConfirmation(Cores):
+    """Acknowledges a write once the primary has it."""
+
+    acknowledges_at_once = True
+
+
+class ConfirmWithoutReplicas(Cores):
+    """Counts the primary as a majority."""
+
+    def confirmers(self, view: GroupView) -> int:
+        return 0
+
+
+class AcceptFencedReplica(Cores):
+    """Counts a replica that promised a newer term."""
+
+    def wait_end(self, end: WaitEnd) -> WaitEnd:
+        return replace(end, promised_term=end.last_entry.term)
+
+
+class RunRequestAgain(Cores):
+    """Runs a repeated request although its record is there."""
+
+    keeps_records = False
+
+
+class ReadAfterFailedWait(Cores):
+    """Reads from a replica although its wait ended without the entry."""
+
+    reads_after_failed_wait = True
+
+
+class RetryUnknownWrite(Cores):
+    """Repeats a write whose answer was lost."""
+
+    def may_retry(self, failure: Failure) -> bool:
+        return failure is not Failure.statement_error
+
+
+class ReportUnknownAsNotRun(Cores):
+    """Reports a lost answer as `not run`."""
+
+    def outcome(self, failure: Failure) -> Outcome:
+        return Outcome.not_run
+
+
+class ReuseAbandonedConnection(Cores):
+    """Returns a connection to the pool although an answer is missing."""
+
+    def is_reusable(self, *, is_answered: bool, has_transaction: bool) -> bool:
+        return not has_transaction
+
+
+class ReuseOpenTransaction(Cores):
+    """Returns a connection to the pool with an open transaction."""
+
+    def is_reusable(self, *, is_answered: bool, has_transaction: bool) -> bool:
+        return is_answered
+
+
+class StartExpiredStatement(Cores):
+    """Leaves a statement in the queue after refusing it."""
+
+    withdraws_expired = False
+
+    def expire(self, queue: AdmissionQueue, request: AdmissionRequest) -> None:
+        request.deadline = float('inf')
+
+
+FAULTS: tuple[tuple[type[Cores], str], ...] = (
+    (IgnoreObservationAge, 'stated age'),
+    (IgnorePromiseOfMember, 'stated age'),
+    (IgnoreTermInTokens, 'I1'),
+    (SkipReadIndex, 'fresh'),
+    (IgnoreTokens, 'I1'),
+    (ReadIndexWithoutReplicas, 'fresh'),
+    (ServeLateReaders, 'fresh'),
+    (AcknowledgeBeforeConfirmation, 'I10: an acknowledged write is lost'),
+    (ConfirmWithoutReplicas, 'I10: an acknowledged write is lost'),
+    (AcceptFencedReplica, 'I2'),
+    (RunRequestAgain, 'I6'),
+    (ReadAfterFailedWait, 'I1'),
+    (RetryUnknownWrite, 'I10: a write is doubled'),
+    (ReportUnknownAsNotRun, 'I5'),
+    (ReuseAbandonedConnection, 'I4'),
+    (ReuseOpenTransaction, 'I3'),
+    (StartExpiredStatement, 'I5'),
+)
