--- a/lavendergate/cli/control_client.py
+++ b/lavendergate/cli/control_client.py
@@ -151,6 +151,10 @@
 def _reason(error: Exception, timeout_s: float) -> str:
     if isinstance(error, TimeoutError):
         return f'no answer within {timeout_s:g} s'
+    if isinstance(error, GRPCError):
+        # A grpclib server refuses a method that it does not know without a
+        # content type, which the client reports as an unknown error.
+        return f'{error.message}; the host may not know this command'
     return str(error) or type(error).__name__
 
 
--- a/lavendergate/tests/test_settings.py
+++ b/lavendergate/tests/test_settings.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import unittest
+from pathlib import Path
 
 from result import Err, Ok
 
+from lavendergate.cli.settings_page import settings_page
 from lavendergate.core.commands import SettingChange
 from lavendergate.core.settings.document import SettingsDocument, SettingValue
 from lavendergate.core.settings.in_force import InForceSettings, Offer
@@ -48,7 +50,12 @@
 
 
 class SchemaTest(unittest.TestCase):
-    """Schema and typed settings agree."""
+    """Schema, typed settings and the operators' page agree."""
+
+    def test_page_matches_the_schema(self) -> None:
+        """Guards against a page that was not generated again."""
+        page = Path(__file__).parents[2] / 'docs' / 'settings.md'
+        self.assertEqual(page.read_text(), settings_page())
 
     def test_attributes_match_schema(self) -> None:
         """Guards against a setting that no code can read."""
