Admit statements through the group's queue and limit retries

Cause: the daemon had no admission, no retry budget and no ejection, so that overload reached the members and retries were unbounded. Change: admission filter and driver on core/admission, adaptive limits, retry budgets, ejection of slow replicas.

--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -1,6 +1,7 @@
 """The proxy role: everything between callers and members."""
 
 import random
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -8,6 +9,11 @@
 
 from lavendergate.backends.admin import PROGRAM_NAME_PREFIX
 from lavendergate.backends.mysql import MySqlBackend
+from lavendergate.controllers.admission import (
+    UNBOUNDED,
+    GroupAdmission,
+    GroupCapacity,
+)
 from lavendergate.controllers.announcement_relay import AnnouncementRelay
 from lavendergate.controllers.confirmation import GroupConfirmer
 from lavendergate.controllers.connections import ConnectionPools
@@ -18,6 +24,7 @@
 from lavendergate.controllers.probes import Prober
 from lavendergate.controllers.proxy_shares import ProxyShares
 from lavendergate.controllers.read_index import GroupReadIndex
+from lavendergate.controllers.retry_budgets import RetryBudgets
 from lavendergate.controllers.token_keys import TokenKeyring
 from lavendergate.core.errors import StatementError
 from lavendergate.core.settings.in_force import InForceSettings
@@ -28,8 +35,10 @@
     GroupId,
     HostId,
     Region,
+    UpstreamId,
 )
 from lavendergate.daemon.context import ProcessContext
+from lavendergate.filters.admit import AdmitFilter
 from lavendergate.filters.at_most_once import AtMostOnce, AtMostOnceFilter
 from lavendergate.filters.base import Filter, Forward, SessionState, build_chain
 from lavendergate.filters.classify import ClassifyFilter
@@ -74,6 +83,7 @@
         self._shares = ProxyShares(pools=self._pools)
         self._relay = AnnouncementRelay(hosts=options.control)
         self._confirmers: dict[GroupId, GroupConfirmer] = {}
+        self._admissions: dict[GroupId, GroupAdmission] = {}
         self._read_indexes: dict[GroupId, GroupReadIndex] = {}
         self._keyring = TokenKeyring(
             fallback_secret=options.announce_key.encode()
@@ -119,6 +129,18 @@
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
             self._shares.enforce(anyio.current_time())
+            for admission in self._admissions.values():
+                admission.start_queued()
+            self._evaluate_ejection()
+
+    def _evaluate_ejection(self) -> None:
+        tree = self._settings.tree
+        for group_id, view in self._directory.groups.items():
+            regions = [member.region for member in view.members]
+            settings = tree.effective(
+                tree.region_of(group_id, regions), group_id
+            )
+            self._loads.evaluate_ejection(view, factor=settings.ejection_factor)
 
     def _make_session(self) -> CallerSession:
         return CallerSession(
@@ -168,12 +190,14 @@
             LocalFilter(sign=self._sign, outcomes=outcomes),
             ConfirmFilter(confirmer=self._confirmer),
             TransactionFilter(primaries=primaries, at_most_once=at_most_once),
+            AdmitFilter(admission=self._admission),
             RouteFilter(
                 region=Region(self._context.options.region),
                 directory=self._directory,
                 pools=self._pools,
                 primaries=primaries,
                 loads=self._loads,
+                budgets=RetryBudgets(),
                 read_index=self._read_index,
                 random_number=random.random,
             ),
@@ -208,6 +232,39 @@
             tasks=self._tasks,
         )
 
+    def _admission(self, group_id: GroupId) -> GroupAdmission:
+        admission = self._admissions.get(group_id)
+        if admission is None:
+            admission = GroupAdmission(
+                group_id=group_id,
+                capacity=partial(self._capacity, group_id),
+            )
+            self._admissions[group_id] = admission
+        return admission
+
+    def _capacity(self, group_id: GroupId) -> GroupCapacity:
+        view = self._directory.group(group_id)
+        if view is None:
+            return UNBOUNDED
+        allowed = {
+            member.upstream_id: self._allowed(member.upstream_id)
+            for member in view.members
+        }
+        if view.primary is None:
+            # Writes wait for the promotion in the routing filter, whose
+            # wait ends with the deadline.
+            return UNBOUNDED
+        return GroupCapacity(
+            primary=max(allowed.get(view.primary, 0), 1),
+            total=max(sum(allowed.values()), 1),
+        )
+
+    def _allowed(self, upstream_id: UpstreamId) -> int:
+        pool = self._pools.get(upstream_id)
+        if pool is None:
+            return 0
+        return self._loads.allowed(upstream_id, pool.limit)
+
     def _read_index(self, group_id: GroupId) -> GroupReadIndex:
         read_index = self._read_indexes.get(group_id)
         if read_index is None:
--- /dev/null
+++ b/lavendergate/filters/admit.py
@@ -0,0 +1,82 @@
+"""Holds statements back while the members of a group are busy."""
+
+from collections.abc import Callable
+
+from result import Err
+
+from lavendergate.controllers.admission import GroupAdmission
+from lavendergate.core.admission import (
+    AdmissionRequest,
+    AdmissionSettings,
+    QueueClass,
+)
+from lavendergate.core.classification import StatementKind
+from lavendergate.core.types import GroupId
+from lavendergate.filters.base import (
+    Filter,
+    Forward,
+    StatementRequest,
+    StatementResult,
+    failed,
+)
+
+_READS = frozenset((StatementKind.read,))
+
+
+class AdmitFilter(Filter):
+    """Queues statements by class and group.
+
+    Statements of open transactions do not pass this filter: they already
+    hold their connection.
+
+    Parameters
+    ----------
+    admission
+        Returns the queue of a group.
+    """
+
+    def __init__(
+        self, *, admission: Callable[[GroupId], GroupAdmission]
+    ) -> None:
+        self._admission = admission
+
+    async def handle(
+        self, request: StatementRequest, forward: Forward
+    ) -> StatementResult:
+        """Wait for admission, then forward the statement."""
+        group_id = request.session.group_id
+        if group_id is None:
+            return await forward(request)
+        admission = self._admission(group_id)
+        ticket = AdmissionRequest(
+            caller_id=request.session.caller_id,
+            queue_class=queue_class(request),
+            needs_primary=request.kind not in _READS,
+            deadline=request.deadline,
+        )
+        entered = await admission.enter(
+            ticket,
+            AdmissionSettings(
+                queue_limit=request.settings.queue_limit,
+                caller_concurrency=request.settings.caller_concurrency,
+            ),
+        )
+        if isinstance(entered, Err):
+            return failed(entered.err_value)
+        try:
+            return await forward(request)
+        finally:
+            admission.leave(ticket)
+
+
+def queue_class(request: StatementRequest) -> QueueClass:
+    """Return the class: from the settings, or by the statement."""
+    configured = request.settings.queue_class
+    if configured is not None:
+        return QueueClass[configured]
+    if request.kind not in _READS:
+        return QueueClass.write
+    max_age_ms = request.hints.max_age_ms
+    if max_age_ms is None:
+        max_age_ms = request.settings.read_max_age_ms
+    return QueueClass.stale if max_age_ms else QueueClass.session
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -16,6 +16,7 @@
 from lavendergate.controllers.loads import MemberLoads
 from lavendergate.controllers.primary import PrimaryConnector
 from lavendergate.controllers.read_index import GroupReadIndex
+from lavendergate.controllers.retry_budgets import RetryBudgets
 from lavendergate.core.classification import StatementKind
 from lavendergate.core.decisions import (
     BoundedRead,
@@ -68,7 +69,6 @@
     position: LogPosition | None
     is_read_index: bool = False
     has_waited: bool = False
-    attempts: int = 0
 
 
 class RouteFilter(Filter):
@@ -92,6 +92,7 @@
         pools: ConnectionPools,
         primaries: PrimaryConnector,
         loads: MemberLoads,
+        budgets: RetryBudgets,
         read_index: Callable[[GroupId], GroupReadIndex],
         random_number: Callable[[], float],
     ) -> None:
@@ -100,6 +101,7 @@
         self._pools = pools
         self._primaries = primaries
         self._loads = loads
+        self._budgets = budgets
         self._read_index = read_index
         self._random_number = random_number
 
@@ -110,6 +112,11 @@
         group_id = request.session.group_id
         if group_id is None or self._directory.group(group_id) is None:
             return failed(UnknownGroupError(schema=group_id or '(none)'))
+        self._budgets.record_request(
+            request.session.caller_id,
+            group_id,
+            percent=request.settings.retry_budget_percent,
+        )
         if request.kind in _ON_PRIMARY:
             return await self._write(request, group_id, forward)
         return await self._read(request, group_id, forward)
@@ -137,7 +144,8 @@
             if not _is_read_only(outcome):
                 return outcome
             # The member is no longer the primary and has refused the
-            # write, so that it may be sent to the next primary.
+            # write, so that it may be sent to the next primary. Waiting for
+            # a newer view bounds these attempts without the retry budget.
             if not await self._directory.wait_for_change(
                 deadline=request.deadline
             ):
@@ -262,7 +270,6 @@
         attempt: _ReadAttempt,
         forward: Forward,
     ) -> StatementResult | None:
-        attempt.attempts += 1
         try:
             connection = await pool.acquire(
                 deadline=request.deadline,
@@ -276,12 +283,18 @@
                 attempt.has_waited = True
                 return None
         outcome = await self._run_on(pool, connection, request, forward)
-        if _is_unknown(outcome) and attempt.attempts <= _MAX_READ_RETRIES:
+        if _is_unknown(outcome) and self._may_retry(request):
             # A read may run twice without harm.
             self._loads.note_failure(pool.upstream_id)
             return None
         return outcome
 
+    def _may_retry(self, request: StatementRequest) -> bool:
+        group_id = request.session.group_id
+        if group_id is None or anyio.current_time() >= request.deadline:
+            return False
+        return self._budgets.try_retry(request.session.caller_id, group_id)
+
     async def _wait(
         self,
         pool: MemberPool,
@@ -381,5 +394,4 @@
     return int((anyio.current_time() - request.arrived_at) * _MS_PER_S)
 
 
-_MAX_READ_RETRIES = 2
 _RETRY_PAUSE_S = 0.02
