Test the stand-in's faults and split its long modules

Silence, a cut from the group and a cut from callers are what failover tests build on, so each is tested. The demo prints its directory first, so that the summary ends the output, and removes it after a clean run.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,6 +1,7 @@
 """Runs the demo: ``python -m demo``."""
 
 import asyncio
+import shutil
 import sys
 import tempfile
 import time
@@ -214,6 +215,7 @@
 def main() -> int:
     """Run the demo and return its exit status."""
     directory = Path(tempfile.mkdtemp(prefix='lavendergate-demo-'))
+    print(f'data and output of the processes: {directory}')
     fleet = make_fleet(directory)
     try:
         is_clean = Demo(fleet=fleet).run()
@@ -222,7 +224,8 @@
         return 1
     finally:
         fleet.stop()
-        print(f'output of the processes: {directory}')
+    if is_clean:
+        shutil.rmtree(directory, ignore_errors=True)
     return 0 if is_clean else 1
 
 
--- a/lavendergate/tests/test_standin.py
+++ b/lavendergate/tests/test_standin.py
@@ -292,6 +292,49 @@
         self.assertEqual(await other.run('SELECT name FROM rounds'), (('a',),))
 
 
+class FaultTest(GroupTestCase):
+    """Faults that other tests build on."""
+
+    async def fault(self, name: str, value: object) -> None:
+        await self.admins[0].run('CALL standin_fault(%s, %s)', name, value)
+
+    async def test_silent_connection_stays_open(self) -> None:
+        """Guards against silence that the client sees as an error."""
+        old = await self.connect(0)
+        await self.fault('silence_connections', '')
+        silent = asyncio.create_task(old.error('SELECT 1'))
+        new = await self.connect(0)
+        self.assertEqual(await new.run('SELECT 1'), ((1,),))
+        rows = await self.admins[0].run('SHOW PROCESSLIST')
+        self.assertFalse(silent.done())
+        await self.admins[0].run(f'KILL {rows[1][0]}')
+        self.assertEqual(await silent, 2013)
+
+    async def test_cut_off_from_the_group_only(self) -> None:
+        """Guards against a partition that lets entries pass."""
+        await self.elect(1, 0, 1)
+        await self.fault('cut_replication', 1)
+        writer = await self.connect(0)
+        await writer.run(TABLE)
+        replica = await self.connect(1)
+        follow = f"CALL group_follow(1, '127.0.0.1', {self.ports[0]})"
+        self.assertEqual(await self.admins[1].error(follow), 1644)
+        self.assertEqual(await replica.error('SELECT * FROM rounds'), 1146)
+        await self.fault('clear', '')
+        held = await replica.run(f'CALL group_wait(1, 1, {FAR_MS})')
+        self.assertEqual(held[0][0], 1)
+
+    async def test_cut_off_from_callers_only(self) -> None:
+        """Guards against a partition that locks the administrator out."""
+        await self.fault('refuse', 'callers')
+        with self.assertRaises(pymysql.err.OperationalError):
+            await self.connect(0)
+        status = await self.admins[0].run('CALL group_status()')
+        self.assertEqual(status[0][-1], 1)
+        await self.fault('refuse', '')
+        await self.connect(0)
+
+
 class CrashTest(unittest.TestCase):
     """A member in a process of its own."""
 
--- a/standin/connection.py
+++ b/standin/connection.py
@@ -21,7 +21,7 @@
 from standin.faults import ALL_CALLERS, Faults
 from standin.parameters import decode_text, read_parameters
 from standin.registry import ConnectionRegistry
-from standin.replies import Reply
+from standin.replies import Reply, binary_row_packets, column_packets
 from standin.session import MemberSession
 from standin.stream import MemberStream
 from standin.tokens import tokenize
@@ -345,22 +345,10 @@
         )
 
     async def _write_binary_rows(self, reply: Reply) -> None:
-        parts = [types.uint_len(len(reply.columns))]
-        parts += [
-            packets.make_column_definition_41(
-                server_charset=self.server_charset,
-                name=column.name,
-                column_type=column.type,
-                character_set=column.character_set,
-            )
-            for column in reply.columns
-        ]
+        parts = column_packets(reply, self.server_charset)
         if not self.deprecate_eof():
             parts.append(self.eof())
-        parts += [
-            packets.make_binary_resultrow(row, reply.columns)
-            for row in reply.rows
-        ]
+        parts += binary_row_packets(reply)
         parts.append(self.ok_or_eof())
         self.stream.write_many(parts)
         await self.stream.drain()
--- a/standin/replies.py
+++ b/standin/replies.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from mysql_mimic import packets
 from mysql_mimic.charset import CharacterSet
 from mysql_mimic.results import ResultColumn
-from mysql_mimic.types import ColumnType
+from mysql_mimic.types import ColumnType, uint_len
 
 Row = Sequence[Any]
 
@@ -30,6 +31,27 @@
     return Reply(columns=columns, rows=rows, affected_rows=len(rows))
 
 
+def column_packets(reply: Reply, charset: CharacterSet) -> list[bytes]:
+    """Return the packets that describe the columns of a reply."""
+    definitions = [
+        packets.make_column_definition_41(
+            server_charset=charset,
+            name=column.name,
+            column_type=column.type,
+            character_set=column.character_set,
+        )
+        for column in reply.columns
+    ]
+    return [uint_len(len(definitions)), *definitions]
+
+
+def binary_row_packets(reply: Reply) -> list[bytes]:
+    """Return the rows of a reply in the binary protocol."""
+    return [
+        packets.make_binary_resultrow(row, reply.columns) for row in reply.rows
+    ]
+
+
 def _column(name: str, values: Sequence[Any]) -> ResultColumn:
     kinds = {type(value) for value in values if value is not None}
     if not kinds:
--- a/standin/session.py
+++ b/standin/session.py
@@ -14,7 +14,13 @@
 from standin.replies import Reply, table_reply
 from standin.services import MemberServices
 from standin.show import Variables, show
-from standin.tables import is_table_definition, translate_table
+from standin.statements import (
+    definition,
+    insert_id,
+    is_call,
+    locks_rows,
+    text_after_verb,
+)
 from standin.tokens import Token, syntax_error, tokenize
 from standin.transaction import Transaction
 from standin.translate import translate
@@ -137,9 +143,9 @@
 
     async def _select(self, tokens: Sequence[Token]) -> Reply:
         reads_tables = any(token.upper == 'FROM' for token in tokens)
-        if not reads_tables and _is_call(tokens, 'SLEEP'):
+        if not reads_tables and is_call(tokens, 'SLEEP'):
             await asyncio.sleep(float(tokens[3].text))
-            return table_reply((_text_after_verb(self._sql),), ((0,),))
+            return table_reply((text_after_verb(self._sql),), ((0,),))
         statement = self._statement(
             translate(
                 tokens,
@@ -150,7 +156,7 @@
         if not reads_tables:
             return self._rows(statement)
         self._check_schema()
-        if _locks_rows(tokens) and self._transaction.has_many_statements:
+        if locks_rows(tokens) and self._transaction.has_many_statements:
             await self._transaction.begin_write()
         async with self._services.slot():
             self._services.count_read()
@@ -171,12 +177,12 @@
         async with self._transaction.write() as write:
             cursor = write.run(self._statement(sql))
             affected = max(cursor.rowcount, 0)
-            insert_id = 0
+            first_id = 0
             if tokens[0].upper in {'INSERT', 'REPLACE'} and affected:
-                insert_id = _insert_id(tokens, write, cursor, affected)
-        if insert_id:
-            self._values.last_insert_id = insert_id
-        return Reply(affected_rows=affected, last_insert_id=insert_id)
+                first_id = insert_id(tokens, write, cursor, affected)
+        if first_id:
+            self._values.last_insert_id = first_id
+        return Reply(affected_rows=affected, last_insert_id=first_id)
 
     async def _define(self, tokens: Sequence[Token]) -> Reply:
         self._check_schema()
@@ -186,7 +192,7 @@
                 1044, 'a member holds one schema; create tables in it'
             )
         async with self._transaction.write() as write:
-            for sql in _definition(tokens):
+            for sql in definition(tokens):
                 write.run_definition(self._statement(sql))
         await self._transaction.commit()
         return Reply()
@@ -291,35 +297,3 @@
     def _check_schema(self) -> None:
         if not self.database and not self._is_qualified:
             raise MemberError(1046, 'No database selected')
-
-
-def _definition(tokens: Sequence[Token]) -> list[str]:
-    if is_table_definition(tokens):
-        return translate_table(tokens)
-    if tokens[0].upper == 'TRUNCATE':
-        return [translate([Token(kind='word', text='DELETE FROM'), tokens[-1]])]
-    return [translate(tokens)]
-
-
-def _insert_id(
-    tokens: Sequence[Token], write: Any, cursor: Any, affected: int
-) -> int:
-    words = [token.upper for token in tokens]
-    table = tokens[words.index('INTO') + 1 if 'INTO' in words else 1].text
-    if not write.has_automatic_key(table):
-        return 0
-    # MySQL reports the first id of a statement, SQLite the last one.
-    return cursor.lastrowid - affected + 1
-
-
-def _is_call(tokens: Sequence[Token], name: str) -> bool:
-    return len(tokens) > 4 and tokens[1].upper == name
-
-
-def _locks_rows(tokens: Sequence[Token]) -> bool:
-    words = [token.upper for token in tokens]
-    return words[-2:] in (['FOR', 'UPDATE'], ['FOR', 'SHARE'])
-
-
-def _text_after_verb(sql: str) -> str:
-    return sql.strip().partition(' ')[2]
