--- a/lavendergate/core/admission.py
+++ b/lavendergate/core/admission.py
@@ -119,6 +119,8 @@
             {} for _ in QueueClass
         )
         self._lanes = (_Lane(), _Lane())
+        # Queued statements by lane and class.
+        self._counts = tuple([0 for _ in QueueClass] for _ in self._lanes)
         self._running: dict[CallerId, int] = {}
         self._queued = 0
 
@@ -145,7 +147,11 @@
         may_start
             Tells whether a member has room for the statement.
         """
-        if self._queued or self._is_caller_full(request.caller_id):
+        # Statements that wait for the primary do not hold up reads on the
+        # replicas, else queued writes would leave the replicas idle.
+        if self._ahead(request.needs_primary, QueueClass.stale):
+            return False
+        if self._is_caller_full(request.caller_id):
             return False
         if not may_start(request):
             return False
@@ -173,6 +179,7 @@
             self.withdraw(victim)
             shed = (victim,)
         self._queues[request.queue_class][request] = None
+        self._counts[request.needs_primary][request.queue_class] += 1
         self._queued += 1
         return Ok(shed)
 
@@ -184,8 +191,8 @@
         """Start queued statements, higher classes first.
 
         `may_start` must count the statements that it has allowed.
-        Statements whose deadline has passed are not started; their drivers
-        withdraw them.
+        Statements that would end after their deadline are not started; their
+        drivers withdraw them at the deadline.
         """
         started: list[AdmissionRequest] = []
         blocked: set[bool] = set()
@@ -209,6 +216,7 @@
         if request not in queue:
             return False
         queue.pop(request)
+        self._counts[request.needs_primary][request.queue_class] -= 1
         self._queued -= 1
         return True
 
@@ -237,7 +245,10 @@
 
     def overload_error(self) -> OverloadError:
         """Return the error of a statement that was shed or found no room."""
-        drain_s = max(lane.wait_s(self._queued) for lane in self._lanes)
+        drain_s = max(
+            lane.wait_s(sum(counts))
+            for lane, counts in zip(self._lanes, self._counts, strict=True)
+        )
         return OverloadError(
             group_id=self._group_id,
             queued=self._queued,
@@ -257,7 +268,11 @@
             yield from tuple(queue)
 
     def _may_run(self, request: AdmissionRequest, now: float) -> bool:
-        if request.deadline <= now:
+        lane = self._lanes[request.needs_primary]
+        # Work that would end after its deadline is wasted. With nothing
+        # running the latency may be out of date, so it does not count.
+        margin_s = lane.latency_s if lane.running else 0
+        if request.deadline <= now + margin_s:
             return False
         return not self._is_caller_full(request.caller_id)
 
@@ -265,11 +280,12 @@
         running = self._running.get(caller_id, 0)
         return running >= self.settings.caller_concurrency
 
+    def _ahead(self, lane: bool, lowest: QueueClass) -> int:
+        return sum(self._counts[lane][lowest:])
+
     def _expected_wait_s(self, request: AdmissionRequest) -> float:
         # Lower classes start later, so they do not delay this statement.
-        # Queued statements of the other lane are counted too, which is
-        # exact only when members take both; the estimate stays cheap.
-        ahead = sum(len(queue) for queue in self._queues[request.queue_class :])
+        ahead = self._ahead(request.needs_primary, request.queue_class)
         return self._lanes[request.needs_primary].wait_s(ahead)
 
     def _deadline_error(self, wait_s: float) -> DeadlineError:
--- a/lavendergate/tests/test_admission.py
+++ b/lavendergate/tests/test_admission.py
@@ -96,6 +96,28 @@
         started = queue.take(0, lambda request: not request.needs_primary)
         self.assertEqual((read,), started)
 
+    def test_queued_writes_leave_the_replicas_busy(self) -> None:
+        """Guards against idle replicas behind a queue full of writes."""
+        queue = _queue(limit=2)
+        for _ in range(2):
+            queue.offer(_request(QueueClass.write), 0)
+        read = _request(QueueClass.session)
+        self.assertTrue(queue.try_start(read, 0, lambda _: True))
+        late = _request(QueueClass.session)
+        self.assertEqual(9004, queue.offer(late, 0).unwrap_err().code)
+
+    def test_statement_that_would_end_late(self) -> None:
+        """Guards against work on a member that nobody waits for."""
+        queue = _queue()
+        first, second = (_request(QueueClass.write) for _ in range(2))
+        self.assertTrue(queue.try_start(first, 0, lambda _: True))
+        queue.finish(first, 1)
+        self.assertTrue(queue.try_start(second, 1, lambda _: True))
+        queue.offer(_request(QueueClass.write, deadline=4), 1)
+        self.assertEqual((), queue.take(3.5, lambda _: True))
+        queue.finish(second, 3.5)
+        self.assertEqual(1, len(queue.take(3.5, lambda _: True)))
+
 
 class AdaptiveLimitTest(unittest.TestCase):
     """Limit from latency."""
