Scan less of the tree when a change is checked or shown

Checking a change split the paths of all nodes, and the dry run resolved all settings of all places. Now only nodes whose path contains the group are split, and only the changed keys are looked up.

--- a/lavendergate/cli/settings_page.py
+++ b/lavendergate/cli/settings_page.py
@@ -4,6 +4,7 @@
 repository.
 """
 
+import html
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -62,8 +63,9 @@
 
 def _row(spec: SettingSpec) -> str:
     risky = 'yes' if spec.is_risky else ''
+    expected = html.escape(spec.expected)
     return (
-        f'| `{spec.key}` | {spec.expected} | {_default(spec)} | '
+        f'| `{spec.key}` | {expected} | {_default(spec)} | '
         f'{NodeLevel(spec.scope).name} | {risky} | {spec.description} |'
     )
 
--- a/lavendergate/core/settings/tree.py
+++ b/lavendergate/core/settings/tree.py
@@ -18,6 +18,7 @@
     SettingsTree,
     effective,
     explain,
+    origin_at,
 )
 from lavendergate.core.settings.schema import SCHEMA
 from lavendergate.core.settings.validation import (
@@ -158,15 +159,14 @@
         Groups and callers to look at, such as those that have nodes or
         that are announced.
     """
-    before = SettingsTree(document)
-    after = SettingsTree(apply_changes(document, changes))
+    after = apply_changes(document, changes)
     changed = {change.path for change in changes}
     keys = tuple(key for key in SCHEMA if _is_changed(key, changes))
     return tuple(
         change
         for place in sorted(known, key=lambda known_place: known_place.path)
         if changed.intersection(lineage(place.path))
-        for change in _changes_at(before, after, place, keys)
+        for change in _changes_at(document, after, place, keys)
     )
 
 
@@ -204,18 +204,14 @@
 
 
 def _changes_at(
-    before: SettingsTree,
-    after: SettingsTree,
+    before: SettingsDocument,
+    after: SettingsDocument,
     place: Place,
     keys: Sequence[str],
 ) -> Iterator[AffectedPlace]:
-    where = (place.region, place.group, place.caller)
-    old = before.effective(*where)
-    new = after.effective(*where)
     for key in keys:
-        attribute = SCHEMA[key].attribute
-        old_value = getattr(old, attribute)
-        new_value = getattr(new, attribute)
+        old_value = origin_at(before, place.path, key).value
+        new_value = origin_at(after, place.path, key).value
         if old_value != new_value:
             yield AffectedPlace(
                 place=place, key=key, before=old_value, after=new_value
--- a/lavendergate/core/settings/validation.py
+++ b/lavendergate/core/settings/validation.py
@@ -196,13 +196,13 @@
     }
     if not groups:
         return
-    regions: dict[str, set[str]] = {}
-    for path in after.nodes:
-        _, _, rest = path.partition('/')
-        region, _, below = rest.partition('/')
-        regions.setdefault(below.partition('/')[0], set()).add(region)
     for group in sorted(groups):
-        found = sorted(regions.get(group, ()))
+        # Most nodes belong to other groups; the search in the text spares
+        # splitting their paths.
+        part = f'/{group}'
+        paths = [path for path in after.nodes if part in path]
+        names = [path.split('/') for path in paths]
+        found = sorted({name[1] for name in names if name[2:3] == [group]})
         if len(found) > 1:
             yield _problem(
                 f'/{found[0]}/{group}',
