Refuse to remove an unknown member or the primary

In a trial control accepted the removal of a member of a group that does not exist. The command now looks at the committed members first, and asks for a switchover before the primary is removed.

--- a/lavendergate/cli/main.py
+++ b/lavendergate/cli/main.py
@@ -25,6 +25,7 @@
     group_rows,
     member_rows,
     proxy_rows,
+    removal_problem,
     summary,
 )
 from lavendergate.cli.tables import Row, show, table, write_json, write_text
@@ -106,7 +107,10 @@
 ) -> None:
     """Remove a member, so that it no longer counts for majorities."""
     client = ControlClient(options)
-    await client.status_with_quorum()
+    found = await client.status_with_quorum()
+    problem = removal_problem(found, group, member)
+    if problem:
+        raise refused(problem)
     command = RemoveMember(
         group_id=GroupId(group), upstream_id=UpstreamId(member)
     )
--- a/lavendergate/cli/status_views.py
+++ b/lavendergate/cli/status_views.py
@@ -7,8 +7,6 @@
 from lavendergate.core.reports import GroupReport, MemberReport
 from lavendergate.rpc.messages import ProxyStatus, StatusReply
 
-_LEADING = 'leader'
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Summary:
@@ -118,6 +116,25 @@
         yield from _connection_rows(proxy)
 
 
+def removal_problem(
+    status: StatusReply, group_id: str, upstream: str
+) -> str | None:
+    """Return why a member should not be removed from a group, or None."""
+    for group in status.groups:
+        if group.group_id != group_id:
+            continue
+        if group.primary == upstream:
+            return (
+                f'{upstream} is the primary of group {group_id}; order '
+                f'"lavendergatectl switchover {group_id}" first'
+            )
+        if upstream in group.member_ids:
+            return None
+        names = ', '.join(sorted(group.member_ids))
+        return f'{upstream} is not in group {group_id}; its members: {names}'
+    return f'no group {group_id} is known; see "lavendergatectl groups"'
+
+
 _MEMBER_COLUMNS = (
     'group',
     'member',
--- a/lavendergate/tests/test_command_line.py
+++ b/lavendergate/tests/test_command_line.py
@@ -377,7 +377,14 @@
         )
 
     async def test_members_remove(self) -> None:
-        """Guards against the removal of another member."""
+        """Guards against the removal of a wrong member or the primary."""
+        command = ('members', 'remove')
+        await self.ctl(*command, 'unknown', 'u2', code=1)
+        shown = await self.ctl(*command, 'glasdaten-1', 'u3', code=1)
+        self.assertIn('its members: u1, u2', shown)
+        shown = await self.ctl(*command, 'glasdaten-1', 'u1', code=1)
+        self.assertIn('switchover', shown)
+        self.assertEqual(self.control.removed, [])
         await self.ctl('members', 'remove', 'glasdaten-1', 'u2')
         self.assertEqual(self.control.removed[0].upstream_id, 'u2')
         self.assertEqual(self.control.removed[0].group_id, 'glasdaten-1')
