Report terms, primaries, leadership and settings changes as events

Cause: the timeline had no events of the control role, and settings were validated while they were applied, so that hosts with different schemas could come to different documents during a rolling upgrade. Change: events for terms, confirmed primaries, leaders and settings; changes are validated before they are proposed; control answers SettingsHistory.

--- /dev/null
+++ b/lavendergate/controllers/settings.py
@@ -0,0 +1,92 @@
+"""Answers changes of the settings and questions about their history."""
+
+from lavendergate.controllers.control_node import ControlNode
+from lavendergate.core.commands import ChangeSettings
+from lavendergate.core.settings.history import HistoryEntry
+from lavendergate.core.settings.tree import change_problem
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.settings_events import SettingsEvent
+from lavendergate.rpc.messages import ProposeReply, ProposeRequest
+from lavendergate.rpc.settings_service import (
+    SettingsHistoryReply,
+    SettingsHistoryRequest,
+)
+
+
+class SettingsController:
+    """Checks changes before they are proposed.
+
+    The state machine does not validate: during a rolling upgrade hosts with
+    different schemas would come to different documents. The check here is
+    enough, because compare-and-set accepts a change only for the version
+    that it was checked against.
+
+    Parameters
+    ----------
+    node
+        The replicated log.
+    events
+        Receives accepted and refused changes.
+    """
+
+    def __init__(self, *, node: ControlNode, events: EventLog) -> None:
+        self._node = node
+        self._events = events
+
+    async def propose(self, request: ProposeRequest) -> ProposeReply:
+        """Answer ``Propose``."""
+        command = request.command
+        if not isinstance(command, ChangeSettings):
+            return await self._node.answer_proposal(request)
+        problem = self._problem(command)
+        if problem is not None:
+            return ProposeReply(accepted=False, problem=problem)
+        reply = await self._node.answer_proposal(request)
+        self._report(command, reply)
+        return reply
+
+    async def history(
+        self, request: SettingsHistoryRequest
+    ) -> SettingsHistoryReply:
+        """Answer ``SettingsHistory``."""
+        view = self._node.view
+        accepted = view.state.settings.history[-request.limit :]
+        return SettingsHistoryReply(
+            entries=tuple(
+                HistoryEntry(
+                    version=change.version,
+                    author=change.author,
+                    operation_id=change.operation_id,
+                    changes=change.changes,
+                )
+                for change in accepted
+            ),
+            leader=None if view.is_leader else view.leader_address,
+        )
+
+    def _problem(self, command: ChangeSettings) -> str | None:
+        settings = self._node.view.state.settings
+        if command.operation_id in settings.operations:
+            # A resend gets its first answer, whatever has changed since.
+            return None
+        if command.base_version != settings.document.version:
+            # The state machine answers with the conflict.
+            return None
+        return change_problem(settings.document, command.changes)
+
+    def _report(self, command: ChangeSettings, reply: ProposeReply) -> None:
+        if reply.accepted:
+            self._events.emit(
+                SettingsEvent.settings_accepted,
+                settings_version=int(reply.settings_version),
+                author=command.author,
+                operation_id=command.operation_id,
+            )
+        elif command.base_version != reply.settings_version:
+            self._events.emit(
+                SettingsEvent.settings_conflict,
+                base_version=int(command.base_version),
+                settings_version=int(reply.settings_version),
+                author=command.author,
+                operation_id=command.operation_id,
+            )
--- a/lavendergate/daemon/context.py
+++ b/lavendergate/daemon/context.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-from lavendergate.core.failover_types import Report
-from lavendergate.core.types import GroupId
 from lavendergate.daemon.options import DaemonOptions
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_clock import ProcessClock
@@ -23,6 +21,3 @@
     incarnation: str
     clock: ProcessClock
     events: EventLog
-
-    def report_failover(self, group_id: GroupId, report: Report) -> None:
-        """Write a report of the failover core as an event."""
--- a/lavendergate/daemon/control.py
+++ b/lavendergate/daemon/control.py
@@ -5,20 +5,19 @@
 from anyio.abc import TaskGroup
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from result import Err
 
 from lavendergate.backends.admin_mysql import MySqlMemberAdmin
-from lavendergate.controllers.control_log import ControlLog
 from lavendergate.controllers.control_node import ControlNode
 from lavendergate.controllers.equal_shares import EqualShares
 from lavendergate.controllers.failover import FailoverController
+from lavendergate.controllers.failover_reports import (
+    FailoverReports,
+    ReportingControlLog,
+)
 from lavendergate.controllers.membership import MembershipController
+from lavendergate.controllers.settings import SettingsController
 from lavendergate.controllers.status import StatusController
-from lavendergate.core.commands import SettingChange
-from lavendergate.core.failover_types import Report
-from lavendergate.core.settings.document import SettingsDocument
-from lavendergate.core.settings.tree import validate_change
-from lavendergate.core.types import GroupId, HostId, UpstreamId
+from lavendergate.core.types import HostId, UpstreamId
 from lavendergate.daemon.context import ProcessContext
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import AnnounceReply, AnnounceRequest
@@ -31,6 +30,7 @@
     UnaryService,
     call,
 )
+from lavendergate.rpc.settings_service import SETTINGS_HISTORY
 from lavendergate.rpc.transport import GrpcTransport
 
 FORWARD_TIMEOUT_S = 0.5
@@ -57,9 +57,12 @@
             address=options.rpc_listen,
             data_directory=Path(options.data_directory) / 'control',
             transport=GrpcTransport(tls=None),
-            validate_change=_problem_of_change,
         )
-        self._log = ControlLog(node=self._node)
+        self._log = ReportingControlLog(node=self._node, events=context.events)
+        self._reports = FailoverReports(node=self._node, events=context.events)
+        self._settings = SettingsController(
+            node=self._node, events=context.events
+        )
         shares = EqualShares(connection_limits=self._connection_limits)
         self._membership = MembershipController(
             log=self._log,
@@ -74,7 +77,7 @@
             admin=MySqlMemberAdmin(
                 user=options.admin_user, password=options.admin_password
             ),
-            report=self._report,
+            report=self._reports.report,
         )
         self._status = StatusController(
             log=self._log,
@@ -90,7 +93,8 @@
             implementations={
                 ANNOUNCE: self._membership.announce,
                 HEARTBEAT: self._membership.heartbeat,
-                PROPOSE: self._node.answer_proposal,
+                PROPOSE: self._settings.propose,
+                SETTINGS_HISTORY: self._settings.history,
                 STATUS: self._status.status,
                 SWITCHOVER: self._status.switchover,
             }
@@ -102,6 +106,7 @@
         await self._tasks.start(self._node.run)
         self._tasks.start_soon(self._membership.run)
         self._tasks.start_soon(self._failover.run)
+        self._tasks.start_soon(self._reports.watch_leadership)
 
     def _connection_limits(self) -> dict[UpstreamId, int]:
         members = self._membership.observer.directory.members
@@ -128,15 +133,3 @@
     def _merge_clock(self, stamp: int) -> int:
         self._context.clock.receive(stamp)
         return self._context.clock.stamp()
-
-    def _report(self, group_id: GroupId, report: Report) -> None:
-        self._context.report_failover(group_id, report)
-
-
-def _problem_of_change(
-    document: SettingsDocument, changes: tuple[SettingChange, ...]
-) -> str | None:
-    checked = validate_change(document, changes)
-    if isinstance(checked, Err):
-        return '; '.join(str(problem) for problem in checked.err_value)
-    return None
--- a/lavendergate/observability/failover_events.py
+++ b/lavendergate/observability/failover_events.py
@@ -157,6 +157,11 @@
         'The group keeps a primary by itself; read the reason and repeat.',
         extra=('term',),
     )
+    failover_progress = define(
+        4044,
+        Level.info,
+        'failover of group {group}, {step}: {message}',
+    )
     primary_adopted = define(
         4050,
         Level.info,
