--- a/lavendergate/frontend/connection.py
+++ b/lavendergate/frontend/connection.py
@@ -121,6 +121,12 @@
 
     session: CallerSession
 
+    def __init__(self, **collaborators: Any) -> None:
+        super().__init__(**collaborators)
+        # Drivers compare the flags of the login with the mode they want,
+        # and send SET autocommit only if it differs.
+        self._update_status()
+
     @property
     def server_charset(self) -> CharacterSet:
         """Character set of results."""
