--- a/lavendergate/rpc/transport.py
+++ b/lavendergate/rpc/transport.py
@@ -3,6 +3,7 @@
 import ssl
 from abc import ABC, abstractmethod
 
+import msgspec
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
@@ -11,6 +12,14 @@
 from lavendergate.rpc.consensus_service import EXCHANGE, ExchangeRequest
 from lavendergate.rpc.service import call
 
+# A peer of another version may answer with bytes that do not decode.
+_LOST_CALL = (
+    GRPCError,
+    StreamTerminatedError,
+    OSError,
+    msgspec.MsgspecError,
+)
+
 
 class TransportError(Exception):
     """A message or its answer was lost."""
@@ -69,7 +78,7 @@
         request = ExchangeRequest(envelope=envelope)
         try:
             reply = await call(channel, EXCHANGE, request, timeout_s=timeout_s)
-        except (GRPCError, StreamTerminatedError, OSError) as error:
+        except _LOST_CALL as error:
             # A connection may stay silent although a new one would work, so
             # a failed one is never used again.
             self._drop(address, channel)
@@ -86,6 +95,10 @@
         channel = self._channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(':')
+            if not port.isdecimal():
+                raise TransportError(
+                    f'{address!r} is not an address: use ip:port'
+                )
             channel = Channel(
                 host, int(port), codec=MessagePackCodec(), ssl=self._tls
             )
--- a/lavendergate/storage/files.py
+++ b/lavendergate/storage/files.py
@@ -9,7 +9,7 @@
 
 import fcntl
 import os
-import uuid
+import secrets
 from pathlib import Path
 
 from lavendergate.core.consensus.log import Log
@@ -40,6 +40,7 @@
 _LOCK = 'lock'
 _FILE_MODE = 0o600
 _NOT_OPEN = -1
+_INCARNATION_BYTES = 8
 
 
 class FileStorage(LogStorage):
@@ -100,7 +101,7 @@
         record = frame(records.encoder.encode(self._changes))
         self._changes = []
         _write(self._log_file, record)
-        os.fdatasync(self._log_file)
+        self._sync_log()
 
     def close(self) -> None:
         """Close the files; buffered changes are dropped."""
@@ -110,6 +111,9 @@
         self._log_file = _NOT_OPEN
         self._lock_file = _NOT_OPEN
 
+    def _sync_log(self) -> None:
+        os.fdatasync(self._log_file)
+
     def _path(self, name: str) -> Path:
         return self._directory / name
 
@@ -145,7 +149,10 @@
 
     def _create(self) -> None:
         identity = records.IdentityFile(
-            identity=NodeId(host_id=self._host_id, incarnation=uuid.uuid4().hex)
+            identity=NodeId(
+                host_id=self._host_id,
+                incarnation=secrets.token_hex(_INCARNATION_BYTES),
+            )
         )
         self._path(_SNAPSHOT).unlink(missing_ok=True)
         changes = records.rewritten(HardState(), Log())
