Begin a transaction again when only its BEGIN was lost

Change: BEGIN is repeated on another connection within the deadline; the pool does not create a cancel scope when a connection is free.

--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -181,12 +181,8 @@
         waiter = _Waiter()
         self._waiters[owner_id] = waiter
         self._perform(self._core.acquire(owner_id))
-        try:
-            with anyio.CancelScope(deadline=deadline):
-                await waiter.event.wait()
-        except BaseException:
-            self._give_up(owner_id, waiter)
-            raise
+        if waiter.connection_id is None:
+            await self._wait(owner_id, waiter, deadline)
         self._waiters.pop(owner_id, None)
         if waiter.connection_id is not None:
             connection = self._connections[waiter.connection_id]
@@ -197,6 +193,16 @@
         self._core.cancel(owner_id)
         raise waiter.error or self._no_connection()
 
+    async def _wait(
+        self, owner_id: pool_core.OwnerId, waiter: _Waiter, deadline: float
+    ) -> None:
+        try:
+            with anyio.CancelScope(deadline=deadline):
+                await waiter.event.wait()
+        except BaseException:
+            self._give_up(owner_id, waiter)
+            raise
+
     def _give_up(self, owner_id: pool_core.OwnerId, waiter: _Waiter) -> None:
         self._waiters.pop(owner_id, None)
         self._core.cancel(owner_id)
--- a/lavendergate/filters/transaction.py
+++ b/lavendergate/filters/transaction.py
@@ -7,7 +7,6 @@
 from lavendergate.core.errors import (
     Outcome,
     RefusedStatementError,
-    StatementError,
     TransactionLostError,
     quoted,
 )
@@ -17,6 +16,7 @@
     Filter,
     Forward,
     OpenTransaction,
+    StatementFailure,
     StatementRequest,
     StatementResult,
     answered,
@@ -114,24 +114,30 @@
 
     async def _open(
         self, request: StatementRequest
-    ) -> Result[OpenTransaction, StatementError]:
+    ) -> Result[OpenTransaction, StatementFailure]:
         session = request.session
         if session.group_id is None:
             raise RuntimeError('the classification requires a group')
-        acquired = await self._primaries.acquire(
-            session.group_id,
-            deadline=request.deadline,
-            session_statements=session.session_statements,
-        )
-        if isinstance(acquired, Err):
-            return acquired
-        primary = acquired.ok_value
-        begun = await run_before_deadline(
-            primary.connection, 'BEGIN', deadline=request.deadline
-        )
-        if isinstance(begun, Err):
+        while True:
+            acquired = await self._primaries.acquire(
+                session.group_id,
+                deadline=request.deadline,
+                session_statements=session.session_statements,
+            )
+            if isinstance(acquired, Err):
+                return acquired
+            primary = acquired.ok_value
+            begun = await run_before_deadline(
+                primary.connection, 'BEGIN', deadline=request.deadline
+            )
+            if begun.is_ok():
+                break
             primary.release()
-            return Err(TransactionLostError(reason='BEGIN was not answered'))
+            if begun.unwrap_err().outcome is not Outcome.unknown:
+                return Err(begun.unwrap_err())
+            # A transaction that only began has changed nothing, so it is
+            # begun again on another connection. The pool may still hold
+            # connections that ended with the old primary.
         session.transaction = OpenTransaction(
             group_id=session.group_id,
             term=primary.term,
