Divide the connections of members into leased shares

Cause: proxies need connections without ever passing a member's limit, and the share of a dead proxy has to come back.

ShareDemand gained granted_connections: the grant that the proxy obeys when it reports. Without it a share is only taken back after the end of the lease.

--- a/lavendergate/controllers/membership.py
+++ b/lavendergate/controllers/membership.py
@@ -186,12 +186,23 @@
         if verified:
             version = self._version()
             errors += self.observer.announced(tuple(verified), now)
+            self._announce_limits(verified, now)
             if self._version() != version:
                 self._notify()
         for error in errors:
             self._problems[error] = now
         return errors
 
+    def _announce_limits(
+        self, announcements: list[Announcement], now: float
+    ) -> None:
+        """Pass accepted announcements on to the division of connections."""
+        members = self.observer.directory.members
+        for announcement in announcements:
+            entry = members.get(announcement.upstream_id)
+            if entry is not None and entry.announcement == announcement:
+                self._shares.announced(announcement, now)
+
     async def _forward_announcements(
         self, request: AnnounceRequest, hosts: tuple[str, ...]
     ) -> AnnounceReply:
--- a/lavendergate/controllers/share_source.py
+++ b/lavendergate/controllers/share_source.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from lavendergate.core.reports import Announcement
 from lavendergate.core.types import HostId
 from lavendergate.rpc.messages import HeartbeatRequest, ShareGrant
 
@@ -14,6 +15,10 @@
     def version(self) -> int:
         """Number that increases when grants change."""
 
+    @abstractmethod
+    def announced(self, announcement: Announcement, now: float) -> None:
+        """Learn the limits and the address of a member."""
+
     @abstractmethod
     def heard(self, request: HeartbeatRequest, now: float) -> None:
         """Enter the demands of a proxy and renew its leases."""
@@ -35,6 +40,9 @@
         """No grant ever changes."""
         return 0
 
+    def announced(self, announcement: Announcement, now: float) -> None:
+        """Ignore the limits."""
+
     def heard(self, request: HeartbeatRequest, now: float) -> None:
         """Ignore the demands."""
 
--- /dev/null
+++ b/lavendergate/controllers/shares.py
@@ -0,0 +1,215 @@
+"""Grants connections to proxies and takes back those of proxies that ended."""
+
+from collections.abc import Mapping
+
+import anyio
+
+from lavendergate.backends.admin import MemberAddress, MemberAdmin
+from lavendergate.controllers.log_port import LogPort
+from lavendergate.controllers.share_source import ShareSource
+from lavendergate.core.reports import Announcement
+from lavendergate.core.share_division import DivisionRule, divide_by_demand
+from lavendergate.core.shares import (
+    LEASE_S,
+    MemberShares,
+    Report,
+    assign,
+    checked,
+    hear,
+    is_freed,
+    lapsed_hosts,
+    needs_check,
+    register,
+    remove,
+)
+from lavendergate.core.types import HostId, UpstreamId
+from lavendergate.rpc.messages import (
+    HeartbeatRequest,
+    ShareDemand,
+    ShareGrant,
+)
+
+TICK_S = 0.25
+
+
+class ShareController(ShareSource):
+    """Divides the connections of all members on the leader.
+
+    Parameters
+    ----------
+    log
+        The replicated log, whose registered hosts have reservations.
+    admin
+        Lists and closes connections of proxies whose lease has ended.
+    rule
+        Rule of division.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: LogPort,
+        admin: MemberAdmin,
+        rule: DivisionRule = divide_by_demand,
+        tick_s: float = TICK_S,
+    ) -> None:
+        self._log = log
+        self._admin = admin
+        self._rule = rule
+        self._tick_s = tick_s
+        self._epoch = -1
+        self._version = 0
+        self._members: dict[UpstreamId, MemberShares] = {}
+        self._addresses: dict[UpstreamId, MemberAddress] = {}
+
+    @property
+    def version(self) -> int:
+        """Number that increases when grants change."""
+        return self._version
+
+    def announced(self, announcement: Announcement, now: float) -> None:
+        """Learn the limits and the address of a member."""
+        self._follow_epoch()
+        upstream_id = announcement.upstream_id
+        self._addresses[upstream_id] = MemberAddress(
+            host=announcement.host, port=announcement.port
+        )
+        known = self._members.get(upstream_id)
+        self._members[upstream_id] = MemberShares(
+            limit=announcement.connection_limit,
+            slots=announcement.slots,
+            started_at=now if known is None else known.started_at,
+            is_checked=known is not None and known.is_checked,
+            holders={} if known is None else known.holders,
+        )
+
+    def heard(self, request: HeartbeatRequest, now: float) -> None:
+        """Enter the demands of a proxy and renew its leases."""
+        self._follow_epoch()
+        demands = {demand.upstream_id: demand for demand in request.demands}
+        for upstream_id, shares in list(self._members.items()):
+            report = _report(demands.get(upstream_id), request.draining)
+            heard = hear(shares, request.host_id, report, now)
+            self._assign(upstream_id, heard, now)
+
+    def grants(self, host_id: HostId, now: float) -> tuple[ShareGrant, ...]:
+        """Return the present grants of a proxy."""
+        granted = []
+        for upstream_id, shares in self._members.items():
+            holder = shares.holders.get(host_id)
+            if holder is not None:
+                granted.append(
+                    ShareGrant(
+                        upstream_id=upstream_id,
+                        connections=holder.granted,
+                        reserved=min(shares.reserved, holder.granted),
+                        lease_s=LEASE_S,
+                    )
+                )
+        return tuple(granted)
+
+    def is_freed(self, host_id: HostId) -> bool:
+        """Whether a proxy holds no connection and no reservation."""
+        return all(
+            is_freed(shares, host_id) for shares in self._members.values()
+        )
+
+    async def run(self) -> None:
+        """Divide and take back on the leader, until cancelled."""
+        while True:
+            if self._log.is_leader and self._log.has_quorum:
+                self._follow_epoch()
+                self._follow_registry(anyio.current_time())
+                await self._check_members()
+            await anyio.sleep(self._tick_s)
+
+    def _follow_epoch(self) -> None:
+        """Forget everything when another leadership began."""
+        if self._log.epoch != self._epoch:
+            self._epoch = self._log.epoch
+            self._members = {}
+            self._version += 1
+
+    def _follow_registry(self, now: float) -> None:
+        hosts = self._log.state.hosts
+        for upstream_id, shares in list(self._members.items()):
+            for host_id in hosts:
+                shares = register(shares, host_id, now)
+            freed = [
+                known
+                for known in shares.holders
+                if known not in hosts and is_freed(shares, known)
+            ]
+            self._assign(upstream_id, remove(shares, freed), now)
+
+    def _assign(
+        self, upstream_id: UpstreamId, shares: MemberShares, now: float
+    ) -> None:
+        before = self._members.get(upstream_id)
+        after = assign(shares, self._rule, now)
+        self._members[upstream_id] = after
+        if before is None or _granted(before) != _granted(after):
+            self._version += 1
+
+    async def _check_members(self) -> None:
+        now = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            for upstream_id, shares in self._members.items():
+                if needs_check(shares, now):
+                    tasks.start_soon(self._check, upstream_id)
+
+    async def _check(self, upstream_id: UpstreamId) -> None:
+        """Close the connections of ended proxies.
+
+        The list is entered before and after: the first one tells whether a
+        proxy reopened its reserved connection since the last check.
+        """
+        address = self._addresses[upstream_id]
+        found = await self._list(upstream_id)
+        shares = self._members[upstream_id]
+        ended = lapsed_hosts(shares, anyio.current_time())
+        unknown = found - shares.holders.keys()
+        if not found & (ended | unknown):
+            return
+        for host_id in found & (ended | unknown):
+            await self._admin.kill_connections(address, host_id)
+        await self._list(upstream_id)
+
+    async def _list(self, upstream_id: UpstreamId) -> frozenset[HostId]:
+        """Enter a member's connection list; return the proxies on it."""
+        epoch = self._epoch
+        checked_at = anyio.current_time()
+        listed = await self._admin.connections_by_host(
+            self._addresses[upstream_id]
+        )
+        if listed.is_err() or epoch != self._log.epoch:
+            return frozenset()
+        counts = {
+            holder: len(connections)
+            for holder, connections in listed.unwrap().items()
+        }
+        now = anyio.current_time()
+        self._assign(
+            upstream_id,
+            checked(self._members[upstream_id], counts, checked_at, now),
+            now,
+        )
+        return frozenset(counts)
+
+
+def _granted(shares: MemberShares) -> Mapping[HostId, int]:
+    return {
+        host_id: holder.granted for host_id, holder in shares.holders.items()
+    }
+
+
+def _report(demand: ShareDemand | None, draining: bool) -> Report:
+    """Read a demand; a member that is not named is not used."""
+    if demand is None:
+        return Report(opened=0, wanted=0, granted=None, draining=draining)
+    return Report(
+        opened=demand.open_connections,
+        wanted=demand.wanted_connections,
+        granted=demand.granted_connections,
+        draining=draining,
+    )
--- a/lavendergate/rpc/messages.py
+++ b/lavendergate/rpc/messages.py
@@ -32,11 +32,20 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ShareDemand:
-    """Connections that a proxy has open to a member, and would use."""
+    """Connections that a proxy has open to a member, and would use.
+
+    Parameters
+    ----------
+    granted_connections
+        Connections of the grant that the proxy obeys at the time of the
+        report; after the end of its lease, the reserved ones. None if the
+        proxy has received no grant.
+    """
 
     upstream_id: UpstreamId
     open_connections: int
     wanted_connections: int
+    granted_connections: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lavendergate/tests/control_fixture.py
+++ b/lavendergate/tests/control_fixture.py
@@ -14,9 +14,11 @@
 from lavendergate.controllers.log_memory import MemoryLog
 from lavendergate.controllers.membership import MembershipController
 from lavendergate.controllers.share_source import NoShares
+from lavendergate.controllers.shares import ShareController
 from lavendergate.controllers.status import StatusController
 from lavendergate.core.failover_types import Report
 from lavendergate.core.reports import Announcement
+from lavendergate.core.share_division import DivisionRule
 from lavendergate.core.types import (
     FailureDomain,
     GroupId,
@@ -42,7 +44,7 @@
 class ControlFixture:
     """One control host, three members that announce themselves."""
 
-    def __init__(self) -> None:
+    def __init__(self, share_rule: DivisionRule | None = None) -> None:
         self.log = MemoryLog()
         self.members = {name: MemoryMember(name=name) for name in NAMES}
         self.addresses = {
@@ -59,11 +61,16 @@
         self.forwarded: list[str] = []
         self.reports: list[Report] = []
         self.leaving: set[str] = set()
+        self.shares: ShareController | NoShares = NoShares()
+        if share_rule is not None:
+            self.shares = ShareController(
+                log=self.log, admin=self.admin, rule=share_rule
+            )
         self.membership = MembershipController(
             log=self.log,
             announce_key=KEY,
             forward=self._forward,
-            shares=NoShares(),
+            shares=self.shares,
             merge_clock=lambda clock: clock + 1,
         )
         self.failover = FailoverController(
@@ -76,7 +83,7 @@
             log=self.log,
             membership=self.membership,
             failover=self.failover,
-            shares=NoShares(),
+            shares=self.shares,
         )
 
     @property
@@ -96,6 +103,8 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.membership.run)
                 tasks.start_soon(self.failover.run)
+                if isinstance(self.shares, ShareController):
+                    tasks.start_soon(self.shares.run)
                 tasks.start_soon(self._run_members)
                 with anyio.fail_after(300):
                     await scenario(self)
