Lease connection shares from the control leader

Cause: the equal split gave unused connections to idle proxies and never took back the share of a dead one. Change: the control role runs the share controller; proxies report the grant that they obey, give up an unused reservation after 1 s without control, and open connections within 0.5 s; the stand-in answers the table of connection attributes that the leader checks.

--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -22,7 +22,9 @@
 from lavendergate.core import pool as pool_core
 from lavendergate.core.types import GroupId, UpstreamId
 
-CONNECT_TIMEOUT_S = 2.0
+# An opening that began under a lease must have ended when control checks the
+# member's connection list, 0.5 s after the end of the lease.
+CONNECT_TIMEOUT_S = 0.5
 
 
 class NoConnectionError(MemberError):
@@ -34,6 +36,7 @@
     """Use of a pool at one moment."""
 
     open_connections: int
+    connected: int
     busy: int
     waiting: int
     wanted: int
@@ -109,6 +112,7 @@
         """Use of the pool."""
         return PoolLoad(
             open_connections=self._core.open_connections,
+            connected=len(self._connections),
             busy=len(self._loans),
             waiting=len(self._waiters),
             wanted=self._core.wanted_connections,
--- a/lavendergate/controllers/heartbeat.py
+++ b/lavendergate/controllers/heartbeat.py
@@ -136,7 +136,7 @@
             address=identity.address,
             settings_version=self._settings.version,
             directory_version=self._directory.version,
-            demands=self._shares.demands(),
+            demands=self._shares.demands(anyio.current_time()),
             probes=self._prober.results(),
             suspected=self._directory.take_suspected(),
             announcements=self._take_announcements(),
--- a/lavendergate/controllers/proxy_shares.py
+++ b/lavendergate/controllers/proxy_shares.py
@@ -6,19 +6,24 @@
 from lavendergate.core.types import UpstreamId
 from lavendergate.rpc.messages import ShareDemand, ShareGrant
 
+REOPEN_LIMIT_S = 1.0
+
 
 class ProxyShares:
     """Applies grants to the pools and reports demand.
 
     Beyond its reservation a proxy opens connections only while its lease
     lasts. Afterwards it keeps those that it has, because control takes a
-    share away from it only when the member shows that they are closed.
+    share away from it only when the member shows that they are closed. A
+    reserved connection that was lost is reopened within a second or given
+    up, because control checks the member's list twice at a longer distance.
     """
 
     def __init__(self, *, pools: ConnectionPools) -> None:
         self._pools = pools
         self._grants: dict[UpstreamId, ShareGrant] = {}
         self._expires_at: float = 0
+        self._lost_at: dict[UpstreamId, float] = {}
 
     @property
     def grants(self) -> tuple[ShareGrant, ...]:
@@ -47,23 +52,44 @@
             pool.set_limit(self._limit(pool, now))
             pool.tick(now)
 
-    def demands(self) -> tuple[ShareDemand, ...]:
+    def demands(self, now: float) -> tuple[ShareDemand, ...]:
         """Return connections in use and wanted, by member."""
-        return tuple(self._demand(pool) for pool in self._pools.pools)
+        return tuple(self._demand(pool, now) for pool in self._pools.pools)
 
     def _limit(self, pool: MemberPool, now: float) -> int:
         grant = self._grants.get(pool.upstream_id)
         if grant is None:
             return 0
         if now < self._expires_at:
+            self._lost_at.pop(pool.upstream_id, None)
             return grant.connections
-        kept = min(pool.load.open_connections, grant.connections)
-        return max(grant.reserved, kept)
+        opened = pool.load.open_connections
+        kept = min(opened, grant.connections)
+        return max(self._kept_reservation(pool, grant, now), kept)
+
+    def _kept_reservation(
+        self, pool: MemberPool, grant: ShareGrant, now: float
+    ) -> int:
+        """Return the reservation unless it was unused for too long."""
+        if pool.load.connected:
+            self._lost_at.pop(pool.upstream_id, None)
+            return grant.reserved
+        lost_at = self._lost_at.setdefault(pool.upstream_id, now)
+        return grant.reserved if now - lost_at < REOPEN_LIMIT_S else 0
 
-    def _demand(self, pool: MemberPool) -> ShareDemand:
+    def _demand(self, pool: MemberPool, now: float) -> ShareDemand:
         load = pool.load
         return ShareDemand(
             upstream_id=pool.upstream_id,
             open_connections=load.open_connections,
             wanted_connections=load.wanted,
+            granted_connections=self._obeyed(pool.upstream_id, now),
         )
+
+    def _obeyed(self, upstream_id: UpstreamId, now: float) -> int | None:
+        grant = self._grants.get(upstream_id)
+        if grant is None:
+            return None
+        if now < self._expires_at:
+            return grant.connections
+        return grant.reserved
--- a/lavendergate/daemon/control.py
+++ b/lavendergate/daemon/control.py
@@ -8,7 +8,6 @@
 
 from lavendergate.backends.admin_mysql import MySqlMemberAdmin
 from lavendergate.controllers.control_node import ControlNode
-from lavendergate.controllers.equal_shares import EqualShares
 from lavendergate.controllers.failover import FailoverController
 from lavendergate.controllers.failover_reports import (
     FailoverReports,
@@ -16,8 +15,9 @@
 )
 from lavendergate.controllers.membership import MembershipController
 from lavendergate.controllers.settings import SettingsController
+from lavendergate.controllers.shares import ShareController
 from lavendergate.controllers.status import StatusController
-from lavendergate.core.types import HostId, UpstreamId
+from lavendergate.core.types import HostId
 from lavendergate.daemon.context import ProcessContext
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import AnnounceReply, AnnounceRequest
@@ -63,27 +63,28 @@
         self._settings = SettingsController(
             node=self._node, events=context.events
         )
-        shares = EqualShares(connection_limits=self._connection_limits)
+        admin = MySqlMemberAdmin(
+            user=options.admin_user, password=options.admin_password
+        )
+        self._shares = ShareController(log=self._log, admin=admin)
         self._membership = MembershipController(
             log=self._log,
             announce_key=options.announce_key.encode(),
             forward=self._forward,
-            shares=shares,
+            shares=self._shares,
             merge_clock=self._merge_clock,
         )
         self._failover = FailoverController(
             log=self._log,
             membership=self._membership,
-            admin=MySqlMemberAdmin(
-                user=options.admin_user, password=options.admin_password
-            ),
+            admin=admin,
             report=self._reports.report,
         )
         self._status = StatusController(
             log=self._log,
             membership=self._membership,
             failover=self._failover,
-            shares=shares,
+            shares=self._shares,
         )
 
     @property
@@ -106,15 +107,9 @@
         await self._tasks.start(self._node.run)
         self._tasks.start_soon(self._membership.run)
         self._tasks.start_soon(self._failover.run)
+        self._tasks.start_soon(self._shares.run)
         self._tasks.start_soon(self._reports.watch_leadership)
 
-    def _connection_limits(self) -> dict[UpstreamId, int]:
-        members = self._membership.observer.directory.members
-        return {
-            upstream_id: entry.announcement.connection_limit
-            for upstream_id, entry in members.items()
-        }
-
     async def _forward(
         self, address: str, request: AnnounceRequest
     ) -> AnnounceReply:
--- a/standin/connection.py
+++ b/standin/connection.py
@@ -117,6 +117,11 @@
             self.client_connect_attrs.get(_HOST_ATTRIBUTE, ''),
         )
 
+    @property
+    def program_name(self) -> str:
+        """Connection attribute ``program_name``."""
+        return str(self.client_connect_attrs.get('program_name', ''))
+
     def go_silent(self) -> None:
         """Answer nothing any more, and keep the connection open."""
         self.stream.is_silent = True
--- a/standin/session.py
+++ b/standin/session.py
@@ -9,6 +9,10 @@
 from mysql_mimic.session import BaseSession
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
+from standin.connect_attributes import (
+    connect_attributes,
+    reads_connect_attributes,
+)
 from standin.errors import MemberError, read_only_error
 from standin.log import Statement
 from standin.replies import Reply, table_reply
@@ -142,6 +146,12 @@
         return handlers
 
     async def _select(self, tokens: Sequence[Token]) -> Reply:
+        if reads_connect_attributes(tokens):
+            return connect_attributes(
+                tokens,
+                services=self._services,
+                user=None if self.is_administrator else self.username,
+            )
         reads_tables = any(token.upper == 'FROM' for token in tokens)
         if not reads_tables and is_call(tokens, 'SLEEP'):
             await asyncio.sleep(float(tokens[3].text))
