Split the driver and test it on a faulty network

Change: `exchange` and `AppliedState` are modules of their own. A test resends 30 changes over a network that delays, reorders, drops and duplicates messages and cuts the leader off in one direction; another one fails a sync.

--- /dev/null
+++ b/lavendergate/controllers/applied_state.py
@@ -0,0 +1,49 @@
+"""The state machine beside a node of the replicated log."""
+
+from collections.abc import Sequence
+
+from lavendergate.controllers.pending import PendingProposals
+from lavendergate.core.consensus.payload import decode_command
+from lavendergate.core.consensus.types import Entry, Snapshot
+from lavendergate.core.control_records import ValidateChange
+from lavendergate.core.control_state import ControlState, apply, decode_state
+
+
+class AppliedState:
+    """State after the entries that were applied so far.
+
+    Parameters
+    ----------
+    validate_change
+        Validates changes of the settings.
+    proposals
+        Proposals that wait for the answers.
+    """
+
+    def __init__(
+        self, *, validate_change: ValidateChange, proposals: PendingProposals
+    ) -> None:
+        self._validate_change = validate_change
+        self._proposals = proposals
+        self._state = ControlState()
+
+    @property
+    def state(self) -> ControlState:
+        """Current state."""
+        return self._state
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace the state by that of a snapshot."""
+        self._state = decode_state(snapshot.state)
+
+    def apply(self, entries: Sequence[Entry]) -> None:
+        """Apply committed entries and answer their proposals."""
+        for entry in entries:
+            applied, answer = apply(
+                self._state,
+                entry.index,
+                decode_command(entry.payload),
+                self._validate_change,
+            )
+            self._state = applied
+            self._proposals.answer(entry.index, entry.term, answer)
--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -9,7 +9,9 @@
 from anyio.to_thread import run_sync as run_in_thread
 from result import Err, Ok
 
+from lavendergate.controllers.applied_state import AppliedState
 from lavendergate.controllers.driver_options import DriverOptions
+from lavendergate.controllers.exchange import exchange
 from lavendergate.controllers.inbox import Inbox, InboxItem
 from lavendergate.controllers.pending import (
     PendingProposals,
@@ -30,31 +32,24 @@
 from lavendergate.core.consensus.messages import (
     AppendReply,
     Envelope,
-    SnapshotRequest,
     VoteReply,
 )
 from lavendergate.core.consensus.payload import (
     cluster_id_of,
-    decode_command,
     encode_command,
 )
 from lavendergate.core.consensus.state import Leader, NodeState
-from lavendergate.core.consensus.types import Entry
 from lavendergate.core.control_records import ValidateChange
 from lavendergate.core.control_state import (
     ControlState,
-    apply,
-    decode_state,
     encode_state,
 )
-from lavendergate.rpc.transport import Transport, TransportError
+from lavendergate.rpc.transport import Transport
 from lavendergate.storage.base import LogStorage
 from lavendergate.storage.effects import persist
 
 ResultT = TypeVar('ResultT')
 
-_MESSAGE_TIMEOUT_S = 1.0
-_SNAPSHOT_TIMEOUT_S = 30.0
 _PROPOSAL_TIMEOUT_S = 5.0
 
 
@@ -91,12 +86,13 @@
         self._storage = storage
         self._transport = transport
         self._random = random
-        self._validate_change = validate_change
         self._options = options
         self._inbox = Inbox()
         self._proposals = PendingProposals()
         self._reads = PendingReads()
-        self._state = ControlState()
+        self._applied = AppliedState(
+            validate_change=validate_change, proposals=self._proposals
+        )
         self._node: NodeState | None = None
         self._is_encoding = False
         self.publisher = ViewPublisher()
@@ -124,7 +120,7 @@
         """
         stored = await self._call_blocking(self._storage.load)
         if stored.snapshot is not None:
-            self._state = decode_state(stored.snapshot.state)
+            self._applied.restore(stored.snapshot)
         now = anyio.current_time()
         self._node = initial_state(
             identity=stored.identity,
@@ -135,7 +131,7 @@
             jitter=self._random(),
             now=now,
         )
-        self.publisher.publish(self.node, self._state, now)
+        self.publisher.publish(self.node, self._applied.state, now)
 
     async def run(self) -> None:
         """Handle events until cancelled; call `start` before.
@@ -237,7 +233,9 @@
             for effect in effects:
                 self._perform(effect, item, tasks)
         self._fail_if_deposed(before)
-        self.publisher.publish(self.node, self._state, anyio.current_time())
+        self.publisher.publish(
+            self.node, self._applied.state, anyio.current_time()
+        )
         self._start_snapshot(tasks)
 
     def _step(self, event: events.Event, now: float) -> events.Effects:
@@ -252,54 +250,30 @@
             case events.Send(envelope=envelope):
                 self._send(envelope, item, tasks)
             case events.ApplyEntries(entries=entries):
-                self._apply(entries)
+                self._applied.apply(entries)
             case events.ApplySnapshot(snapshot=snapshot):
-                self._state = decode_state(snapshot.state)
+                self._applied.restore(snapshot)
             case events.ProposalAppended():
                 self._proposals.record(effect)
             case events.ProposalRefused():
                 self._proposals.refuse(effect, leader_address(self.node))
             case events.ReadConfirmed(read_id=read_id):
-                self._reads.finish_round(read_id, Ok(self._state))
+                self._reads.finish_round(read_id, Ok(self._applied.state))
             case events.ReadRefused(read_id=read_id):
                 failure = NotLeader(leader=leader_address(self.node))
                 self._reads.finish_round(read_id, Err(failure))
 
-    def _apply(self, entries: tuple[Entry, ...]) -> None:
-        for entry in entries:
-            applied, answer = apply(
-                self._state,
-                entry.index,
-                decode_command(entry.payload),
-                self._validate_change,
-            )
-            self._state = applied
-            self._proposals.answer(entry.index, entry.term, answer)
-
     def _send(
         self, envelope: Envelope, item: InboxItem, tasks: TaskGroup
     ) -> None:
         if isinstance(envelope.message, (VoteReply, AppendReply)):
             item.finish(envelope)
         else:
-            tasks.start_soon(self._exchange, envelope)
-
-    async def _exchange(self, envelope: Envelope) -> None:
-        is_snapshot = isinstance(envelope.message, SnapshotRequest)
-        timeout_s = _SNAPSHOT_TIMEOUT_S if is_snapshot else _MESSAGE_TIMEOUT_S
-        recipient = envelope.recipient
-        current = self.node.configuration
-        address = current.address(recipient) if current else ''
-        try:
-            reply = await self._transport.exchange(
-                address, envelope, timeout_s=timeout_s
+            current = self.node.configuration
+            address = current.address(envelope.recipient) if current else ''
+            tasks.start_soon(
+                exchange, self._transport, self._inbox, address, envelope
             )
-        except TransportError:
-            reply = None
-        if reply is None:
-            self._inbox.post(events.DeliveryFailed(recipient=recipient))
-        else:
-            self._inbox.post(events.Receive(envelope=reply))
 
     def _fail_if_deposed(self, before: NodeState) -> None:
         was_leader = isinstance(before.role, Leader)
@@ -311,11 +285,11 @@
     def _start_snapshot(self, tasks: TaskGroup) -> None:
         snapshot = self.node.snapshot
         included = snapshot.last.index if snapshot else 0
-        added = self._state.applied_index - included
+        added = self._applied.state.applied_index - included
         if added >= self._options.entries_per_snapshot:
             if not self._is_encoding:
                 self._is_encoding = True
-                tasks.start_soon(self._take_snapshot, self._state)
+                tasks.start_soon(self._take_snapshot, self._applied.state)
 
     async def _take_snapshot(self, state: ControlState) -> None:
         encoded = await self._call_blocking(partial(encode_state, state))
--- a/lavendergate/tests/test_control_node.py
+++ b/lavendergate/tests/test_control_node.py
@@ -12,18 +12,34 @@
 
 from lavendergate.controllers.control_node import ControlNode
 from lavendergate.controllers.driver_options import DriverOptions
-from lavendergate.core.commands import BeginTerm, RegisterMember
+from lavendergate.core.commands import (
+    BeginTerm,
+    ChangeSettings,
+    RegisterMember,
+    SettingChange,
+)
 from lavendergate.core.consensus.errors import NoQuorum, NotLeader
 from lavendergate.core.consensus.messages import Envelope
 from lavendergate.core.consensus.types import NodeId
-from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
+from lavendergate.core.types import (
+    GroupId,
+    HostId,
+    SettingsVersion,
+    Term,
+    UpstreamId,
+)
 from lavendergate.rpc.consensus_service import (
     ClusterInitRequest,
     ClusterReplaceRequest,
     ControlHost,
     ExchangeRequest,
 )
-from lavendergate.rpc.memory_transport import MemoryNetwork, MemoryTransport
+from lavendergate.rpc.memory_transport import (
+    LinkFaults,
+    MemoryNetwork,
+    MemoryTransport,
+)
+from lavendergate.storage.base import StorageError
 from lavendergate.storage.memory import MemoryStorage
 
 _GROUP = GroupId('dispatch-db-1')
@@ -78,6 +94,15 @@
         for other in self.nodes:
             self.network.cuts |= {(host_id, other), (other, host_id)}
 
+    async def cut_outgoing(self, node: ControlNode) -> None:
+        """Cut what a node sends until it has stepped down."""
+        host_id = node.view.identity.host_id
+        cut = {(str(host_id), other) for other in self.nodes}
+        self.network.cuts |= cut
+        while node.view.is_leader:
+            await anyio.sleep(0.05)
+        self.network.cuts -= cut
+
     async def initialise(self, *host_ids: str) -> None:
         voters = tuple(host(host_id) for host_id in host_ids)
         for host_id in host_ids:
@@ -105,6 +130,17 @@
     return RegisterMember(group_id=_GROUP, upstream_id=UpstreamId(upstream_id))
 
 
+def change(number: int) -> ChangeSettings:
+    """Return the change that makes version ``number + 1``."""
+    limit = SettingChange(path='/', key='queue.limit', value=number)
+    return ChangeSettings(
+        operation_id=f'operation-{number}',
+        base_version=SettingsVersion(number),
+        author='anna',
+        changes=(limit,),
+    )
+
+
 class ControlNodeTest(unittest.TestCase):
     """Nodes that run with their drivers."""
 
@@ -207,6 +243,54 @@
 
         self.run_cluster(scenario)
 
+    def test_resent_changes_take_effect_once(self) -> None:
+        """Guards against a change that is lost or doubled when resent.
+
+        Messages are delayed, reordered, dropped and duplicated, and the
+        leader is cut off in one direction on the way.
+        """
+
+        async def scenario(cluster: Cluster) -> None:
+            cluster.network.faults = LinkFaults(
+                delay_s=(0, 0.05), drop=0.05, duplicate=0.05
+            )
+            for number in range(30):
+                if number == 15:
+                    leader = await cluster.leader()
+                    await cluster.cut_outgoing(leader)
+                accepted = False
+                while not accepted:
+                    leader = await cluster.leader()
+                    proposed = await leader.propose(change(number))
+                    accepted = proposed.is_ok() and proposed.unwrap().accepted
+            read = await (await cluster.leader()).read_state()
+            self.assertEqual(read.unwrap().document.version, 30)
+
+        self.run_cluster(scenario)
+
+    def test_node_stops_after_a_failed_write(self) -> None:
+        """Guards against a node that answers without knowing its disk."""
+
+        async def main() -> None:
+            identity = NodeId(host_id=HostId('c1'), incarnation='1')
+            storage = MemoryStorage(identity=identity)
+            network = MemoryNetwork(random=Random(1))
+            node = ControlNode(
+                host_id=HostId('c1'),
+                address='c1',
+                transport=MemoryTransport(network=network, address='c1'),
+                storage=storage,
+            )
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(node.run)
+                storage.fail_after(1)
+                await node.initialise(ClusterInitRequest(voters=(host('c1'),)))
+
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            with self.assertRaises(ExceptionGroup) as caught:
+                runner.run(main())
+        self.assertIsNotNone(caught.exception.subgroup(StorageError))
+
     def test_host_with_an_empty_disk_does_not_count(self) -> None:
         """Guards against a wiped host that votes as the voter it was.
 
