Refuse commands that raise before they are in the log

Cause: a command on which the state machine raises, for example by a fault in a validator of settings, would have ended every control host at each start once it was in the log.

Change: `propose` applies the command to a copy of the state first, so that the exception reaches the caller only.

--- a/lavendergate/controllers/applied_state.py
+++ b/lavendergate/controllers/applied_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from lavendergate.controllers.pending import PendingProposals
+from lavendergate.core.commands import Command
 from lavendergate.core.consensus.payload import decode_command
 from lavendergate.core.consensus.types import Entry, Snapshot
 from lavendergate.core.control_records import ValidateChange
@@ -36,6 +37,15 @@
         """Replace the state by that of a snapshot."""
         self._state = decode_state(snapshot.state)
 
+    def check(self, command: Command) -> None:
+        """Apply a command to a copy and drop the result.
+
+        An exception ends here, before the command is in the log. There it
+        would end every host at each start.
+        """
+        next_index = self._state.applied_index + 1
+        apply(self._state, next_index, command, self._validate_change)
+
     def apply(self, entries: Sequence[Entry]) -> None:
         """Apply committed entries and answer their proposals."""
         for entry in entries:
--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -164,8 +164,10 @@
 
         Returns
         -------
-        The answer of the state machine, or why there is none.
+        The answer of the state machine, or why there is none. An exception
+        of the state machine is raised here, and the command does not run.
         """
+        self._applied.check(command)
         waiter: Waiter[Proposed] = Waiter()
         proposal_id = self._proposals.add(waiter)
         self._inbox.post(_proposal(proposal_id, command))
--- a/lavendergate/tests/test_control_node.py
+++ b/lavendergate/tests/test_control_node.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from random import Random
+from typing import Any
 
 import anyio
 import looptime
@@ -268,6 +269,24 @@
 
         self.run_cluster(scenario)
 
+    def test_command_that_raises_is_not_appended(self) -> None:
+        """Guards against an entry that ends every host at each start."""
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            untyped: Any = []
+            broken = ChangeSettings(
+                operation_id='broken',
+                base_version=SettingsVersion(0),
+                author='anna',
+                changes=(SettingChange(path='/', key=untyped, value=1),),
+            )
+            with self.assertRaises(TypeError):
+                await leader.propose(broken)
+            self.assertTrue((await leader.propose(change(0))).is_ok())
+
+        self.run_cluster(scenario)
+
     def test_node_stops_after_a_failed_write(self) -> None:
         """Guards against a node that answers without knowing its disk."""
 
