Hand back shares only after the last caller left

Cause: a draining proxy reported that it obeys no grant at once, so that a COMMIT in an open transaction found no connection for its confirmation and was cut at the drain limit (seen by test_open_transaction_is_finished). Change: the proxy drains first, then closes its connections and reports it in its own heartbeat loop, one exchange at a time.

--- a/lavendergate/controllers/heartbeat.py
+++ b/lavendergate/controllers/heartbeat.py
@@ -87,17 +87,25 @@
         self._target = 0
         self._channels: dict[str, Channel] = {}
         self._is_draining = False
+        self._exchanged = anyio.Event()
         self._last_problem: str | None = None
 
     def begin_drain(self) -> None:
         """Tell control that this proxy hands its shares back."""
         self._is_draining = True
 
+    async def wait_for_exchange(self) -> None:
+        """Return after the exchange that is running or comes next."""
+        await self._exchanged.wait()
+
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
         try:
             while True:
                 await self.exchange()
+                exchanged = self._exchanged
+                self._exchanged = anyio.Event()
+                exchanged.set()
         finally:
             for channel in self._channels.values():
                 channel.close()
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -114,6 +114,7 @@
             break
         await anyio.sleep(POLL_INTERVAL_S)
     cut = proxy.listener.close_all()
+    await proxy.hand_back_shares()
     duration_ms = int((anyio.current_time() - started_at) * _MS_PER_S)
     if cut:
         context.events.emit(
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -53,6 +53,7 @@
 from lavendergate.frontend.session import CallerSession
 
 MAINTENANCE_INTERVAL_S = 0.25
+HAND_BACK_LIMIT_S = 3.0
 
 
 class ProxyRole:
@@ -123,7 +124,22 @@
     def begin_drain(self) -> None:
         """Take no new statements, finish those in flight."""
         self._is_closing = True
+
+    async def hand_back_shares(self) -> None:
+        """Close all connections and tell control that they are free.
+
+        Called after the last caller left: a transaction that is being
+        finished still needs connections for its confirmation.
+        """
         self._heartbeats.begin_drain()
+        for pool in self._pools.pools:
+            pool.set_limit(0)
+        with anyio.move_on_after(HAND_BACK_LIMIT_S):
+            # The first exchange may have been sent before the connections
+            # were closed. There is never a second one at the same time,
+            # because control takes their order for granted.
+            await self._heartbeats.wait_for_exchange()
+            await self._heartbeats.wait_for_exchange()
 
     async def _maintain(self) -> None:
         while True:
