--- a/benchmarks/statement_model.py
+++ b/benchmarks/statement_model.py
@@ -109,7 +109,7 @@
         ]
         self._queued: dict[AdmissionRequest, Statement] = {}
         self._round_ends = [0.0] * PROXIES
-        self._view = self._observe()
+        self.view = self._observe()
 
     def run(self) -> Result:
         """Run until the last statement has ended."""
@@ -147,7 +147,7 @@
         heapq.heappush(self._events, (time, self._count, action))
 
     def _refresh(self) -> None:
-        self._view = self._observe()
+        self.view = self._observe()
 
     # Proxy
 
@@ -203,7 +203,7 @@
     def _route(self, one: Statement, request: Request) -> None:
         decision = self._policy(
             request,
-            self._view,
+            self.view,
             self._loads[one.proxy],
             self._now,
             self._known[one.proxy],
