Pass the inputs of routing as one value in the models

Cause: each policy and fault repeated six parameters. Change: RoutingInput in properties/cores.py and benchmarks/statement_policies.py.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -10,7 +10,7 @@
 from statistics import median
 
 from benchmarks.statement_model import GroupRun
-from benchmarks.statement_policies import Policy
+from benchmarks.statement_policies import Policy, RoutingInput
 from benchmarks.statement_setup import GLASREINIGUNG, GROUP, Setup
 from lavendergate.core import classification
 from lavendergate.core.admission import (
@@ -51,6 +51,7 @@
     setup = Setup(deployment=GLASREINIGUNG, load=1, lags=(0, 0), duration_s=0)
     view = GroupRun(setup, Policy(), 0).view
     policy = Policy()
+    given = RoutingInput(view=view, loads={}, known={}, now=0, tie=0.3)
     position = LogPosition(term=Term(1), position=10)
     keys = TokenKeys(signing=TokenKey(key_id='k', secret=b's' * 32))
     token = EMPTY_TOKEN.advance(GROUP, position).unwrap()
@@ -67,12 +68,12 @@
         'verify_token': lambda: verify_token(text, keys),
         'sign_token': lambda: sign_token(token, keys),
         'admission, start and finish': lambda: _admit(queue),
-        'route a write': lambda: policy(WriteRequest(), view, {}, 0, {}, 0.3),
+        'route a write': lambda: policy(WriteRequest(), given),
         'route a session read': lambda: policy(
-            SessionRead(position=position), view, {}, 0, {}, 0.3
+            SessionRead(position=position), given
         ),
         'route a bounded read': lambda: policy(
-            BoundedRead(max_age_ms=2000), view, {}, 0, {}, 0.3
+            BoundedRead(max_age_ms=2000), given
         ),
     }
 
--- a/benchmarks/statement_model.py
+++ b/benchmarks/statement_model.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from benchmarks.statement_policies import Policy
+from benchmarks.statement_policies import Policy, RoutingInput
 from benchmarks.statement_setup import (
     DEADLINE_S,
     GROUP,
@@ -201,14 +201,14 @@
         return SessionRead(position=_at(position) if position else None)
 
     def _route(self, one: Statement, request: Request) -> None:
-        decision = self._policy(
-            request,
-            self.view,
-            self._loads[one.proxy],
-            self._now,
-            self._known[one.proxy],
-            self._random.random(),
+        given = RoutingInput(
+            view=self.view,
+            loads=self._loads[one.proxy],
+            known=self._known[one.proxy],
+            now=self._now,
+            tie=self._random.random(),
         )
+        decision = self._policy(request, given)
         match decision:
             case UseMember(upstream_id=name) | UsePrimary(upstream_id=name):
                 self._send(one, name, request)
--- a/benchmarks/statement_policies.py
+++ b/benchmarks/statement_policies.py
@@ -1,6 +1,7 @@
 """Routing policies that the measurements compare."""
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from lavendergate.core.decisions import (
     BoundedRead,
@@ -20,11 +21,20 @@
     UpstreamId,
 )
 
-Known = Mapping[UpstreamId, LogPosition]
 _SETTINGS = RoutingPolicy(region=Region('region'))
 _LONG_WAIT_MS = 2000
 
 
+class RoutingInput(NamedTuple):
+    """What routing decides on, apart from the request."""
+
+    view: GroupView
+    loads: Loads
+    known: Mapping[UpstreamId, LogPosition]
+    now: float
+    tie: float
+
+
 class Policy:
     """The routing of the real cores.
 
@@ -42,15 +52,17 @@
     def __call__(
         self,
         request: Request,
-        view: GroupView,
-        loads: Loads,
-        now: float,
-        known: Known,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         """Route a statement."""
         return route(
-            request, view, loads, now, policy=_SETTINGS, known=known, tie=tie
+            request,
+            given.view,
+            given.loads,
+            given.now,
+            policy=_SETTINGS,
+            known=given.known,
+            tie=given.tie,
         )
 
 
@@ -63,14 +75,10 @@
     def __call__(
         self,
         request: Request,
-        view: GroupView,
-        loads: Loads,
-        now: float,
-        known: Known,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         """Send everything to the primary."""
-        return _primary(view)
+        return _primary(given.view)
 
 
 class SessionPrimaryPolicy(Policy):
@@ -81,16 +89,12 @@
     def __call__(
         self,
         request: Request,
-        view: GroupView,
-        loads: Loads,
-        now: float,
-        known: Known,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         """Send session reads with a token to the primary."""
         if isinstance(request, SessionRead) and request.position is not None:
-            return _primary(view)
-        return super().__call__(request, view, loads, now, known, tie)
+            return _primary(given.view)
+        return super().__call__(request, given)
 
 
 class RoundRobinPolicy(Policy):
@@ -105,18 +109,14 @@
     def __call__(
         self,
         request: Request,
-        view: GroupView,
-        loads: Loads,
-        now: float,
-        known: Known,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         """Send a read to the next replica."""
         self._turn += 1
         replicas = [
             member.upstream_id
-            for member in view.members
-            if member.upstream_id != view.primary
+            for member in given.view.members
+            if member.upstream_id != given.view.primary
         ]
         name = replicas[self._turn % len(replicas)]
         match request:
@@ -129,7 +129,7 @@
                     timeout_ms=_LONG_WAIT_MS,
                 )
             case _:
-                return super().__call__(request, view, loads, now, known, tie)
+                return super().__call__(request, given)
 
 
 def _primary(view: GroupView) -> Decision:
--- a/properties/cores.py
+++ b/properties/cores.py
@@ -3,6 +3,8 @@
 Faults and the naive version override single methods.
 """
 
+from typing import NamedTuple
+
 from lavendergate.core import pool, retries, routing
 from lavendergate.core.admission import (
     AdmissionQueue,
@@ -28,6 +30,15 @@
 _POLICY = RoutingPolicy(region=REGION)
 
 
+class RoutingInput(NamedTuple):
+    """What routing decides on, apart from the request."""
+
+    view: GroupView
+    known: dict[UpstreamId, LogPosition]
+    now: float
+    tie: float
+
+
 class Cores:
     """Decisions of the real cores."""
 
@@ -40,14 +51,17 @@
     def route(
         self,
         request: Request,
-        view: GroupView,
-        known: dict[UpstreamId, LogPosition],
-        now: float,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         """Route a statement."""
         return routing.route(
-            request, view, {}, now, policy=_POLICY, known=known, tie=tie
+            request,
+            given.view,
+            {},
+            given.now,
+            policy=_POLICY,
+            known=given.known,
+            tie=given.tie,
         )
 
     def advance(self, text: str, position: LogPosition) -> str:
--- a/properties/history_model.py
+++ b/properties/history_model.py
@@ -26,7 +26,7 @@
     UpstreamId,
 )
 from properties.connection_model import PooledMember
-from properties.cores import Cores
+from properties.cores import Cores, RoutingInput
 from properties.group_model import MEMBERS, Group
 
 
@@ -115,10 +115,10 @@
                 if self._group.members[one.upstream_id].side == proxy.side
             )
             view = replace(view, members=reachable)
-        return self._cores.route(
-            request,
-            view,
-            proxy.known,
-            self._now,
-            self._random.random(),
+        given = RoutingInput(
+            view=view,
+            known=proxy.known,
+            now=self._now,
+            tie=self._random.random(),
         )
+        return self._cores.route(request, given)
--- a/properties/naive.py
+++ b/properties/naive.py
@@ -12,8 +12,8 @@
 )
 from lavendergate.core.errors import Outcome
 from lavendergate.core.retries import Failure
-from lavendergate.core.types import GroupView, LogPosition, UpstreamId
-from properties.cores import Cores
+from lavendergate.core.types import LogPosition
+from properties.cores import Cores, RoutingInput
 
 
 class NaiveCores(Cores):
@@ -27,12 +27,10 @@
     def route(
         self,
         request: Request,
-        view: GroupView,
-        known: dict[UpstreamId, LogPosition],
-        now: float,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         """Send everything to the primary."""
+        view = given.view
         if view.primary is None:
             return WaitForPrimary()
         return UsePrimary(upstream_id=view.primary, term=view.term)
--- a/properties/statement_faults.py
+++ b/properties/statement_faults.py
@@ -19,11 +19,8 @@
     LogPosition,
     MemberView,
     Term,
-    UpstreamId,
 )
-from properties.cores import Cores
-
-_Known = dict[UpstreamId, LogPosition]
+from properties.cores import Cores, RoutingInput
 
 
 class _ViewFault(Cores):
@@ -32,14 +29,14 @@
     def route(
         self,
         request: Request,
-        view: GroupView,
-        known: _Known,
-        now: float,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
-        members = tuple(self.change(one, view, now) for one in view.members)
-        view = replace(view, members=members)
-        return super().route(request, view, known, now, tie)
+        view = given.view
+        members = tuple(
+            self.change(one, view, given.now) for one in view.members
+        )
+        given = given._replace(view=replace(view, members=members))
+        return super().route(request, given)
 
     def change(
         self,
@@ -81,13 +78,10 @@
     def route(
         self,
         request: Request,
-        view: GroupView,
-        known: _Known,
-        now: float,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         if not isinstance(request, SessionRead) or request.position is None:
-            return super().route(request, view, known, now, tie)
+            return super().route(request, given)
         one = Term(1)
         members = tuple(
             replace(
@@ -97,14 +91,15 @@
                     last_entry=replace(member.status.last_entry, term=one),
                 ),
             )
-            for member in view.members
+            for member in given.view.members
         )
+        view = replace(given.view, members=members, term=one, term_history=())
+        known = {
+            name: replace(last, term=one) for name, last in given.known.items()
+        }
         return super().route(
             replace(request, position=replace(request.position, term=one)),
-            replace(view, members=members, term=one, term_history=()),
-            {name: replace(last, term=one) for name, last in known.items()},
-            now,
-            tie,
+            given._replace(view=view, known=known),
         )
 
 
@@ -114,14 +109,11 @@
     def route(
         self,
         request: Request,
-        view: GroupView,
-        known: _Known,
-        now: float,
-        tie: float,
+        given: RoutingInput,
     ) -> Decision:
         if request == SessionRead(position=None):
             request = SessionRead(position=LOG_START)
-        return super().route(request, view, known, now, tie)
+        return super().route(request, given)
 
 
 class IgnoreTokens(SkipReadIndex):
