Let the group view change between a write and its confirmation

Cause: the model confirmed a write in the same step as its execution, so it could not show the fault of counting the writer as its own replica when the view names another primary, or none, by then. Change: execution and confirmation are separate steps of the model; the docstring of WriteConfirmations says which members to pass; new fault CountWriterAsReplica. Conclusion: drivers must exclude the member that executed the write, not the primary of the present view.

--- a/lavendergate/core/confirmation.py
+++ b/lavendergate/core/confirmation.py
@@ -80,6 +80,11 @@
     ----------
     needed
         Number of replicas that must hold an entry: majority - 1.
+    replicas
+        The committed members without the one that executed the writes. The
+        group view may name another primary, or none, by the time of the
+        confirmation; a writer that counts as its own replica would confirm
+        its writes alone.
     """
 
     def __init__(
--- a/properties/cores.py
+++ b/properties/cores.py
@@ -81,6 +81,14 @@
         """Return the number of replicas that must confirm a write."""
         return view.majority - 1
 
+    def replicas(
+        self,
+        writer: UpstreamId,
+        view: GroupView,
+    ) -> frozenset[UpstreamId]:
+        """Return the members that may confirm a write."""
+        return view.member_ids - {writer}
+
     def promises(self, view: GroupView) -> int:
         """Return the number of replicas that must confirm a read index."""
         return view.majority - 1
--- a/properties/history_model.py
+++ b/properties/history_model.py
@@ -47,6 +47,7 @@
     session: Session
     admission: AdmissionRequest
     position: LogPosition | None = None
+    executed_on: UpstreamId | None = None
     recorded_id: int | None = None
     outcome: Outcome | None = None
     executed_late: bool = False
@@ -62,6 +63,7 @@
         self.known: dict[UpstreamId, LogPosition] = {}
         self.queue: AdmissionQueue = cores.queue()
         self.queued: dict[AdmissionRequest, Write] = {}
+        self.executed: list[Write] = []
         self.batcher = cores.batcher()
         self.questions: list[tuple[RoundId, UpstreamId, bool]] = []
         self.readers: dict[ReaderId, set[int]] = {}
--- a/properties/statement_faults.py
+++ b/properties/statement_faults.py
@@ -19,6 +19,7 @@
     LogPosition,
     MemberView,
     Term,
+    UpstreamId,
 )
 from properties.cores import Cores, RoutingInput
 
@@ -158,6 +159,17 @@
         return 0
 
 
+class CountWriterAsReplica(Cores):
+    """Excludes the present primary, which may not be the writer any more."""
+
+    def replicas(
+        self,
+        writer: UpstreamId,
+        view: GroupView,
+    ) -> frozenset[UpstreamId]:
+        return frozenset(one for one in view.member_ids if one != view.primary)
+
+
 class AcceptFencedReplica(Cores):
     """Counts a replica that promised a newer term."""
 
@@ -224,6 +236,7 @@
     (ServeLateReaders, 'fresh'),
     (AcknowledgeBeforeConfirmation, 'I10: an acknowledged write is lost'),
     (ConfirmWithoutReplicas, 'I10: an acknowledged write is lost'),
+    (CountWriterAsReplica, 'I'),
     (AcceptFencedReplica, 'I2'),
     (RunRequestAgain, 'I6'),
     (ReadAfterFailedWait, 'I1'),
--- a/properties/statement_model.py
+++ b/properties/statement_model.py
@@ -30,6 +30,7 @@
         events = (
             (self._offer_write, 4),
             (self._start_writes, 5),
+            (self._confirm, 6),
             (self._expire_queued, 1),
             (self._repeat_request, 1),
             (self._abandon_transaction, 1),
--- a/properties/write_model.py
+++ b/properties/write_model.py
@@ -24,7 +24,7 @@
     MemberRole,
     UpstreamId,
 )
-from properties.group_model import MEMBERS, Entry
+from properties.group_model import Entry
 from properties.history_model import History, Proxy, Session, Write
 
 _MAX_ATTEMPTS = 3
@@ -85,7 +85,7 @@
         for _ in range(_MAX_ATTEMPTS):
             failure = self._attempt(proxy, write)
             if failure is None:
-                self._confirm(proxy, write)
+                proxy.executed.append(write)
                 return
             write.outcome = self._cores.outcome(failure)
             if not self._cores.may_retry(failure):
@@ -118,6 +118,7 @@
         if not is_primary:
             return Failure.refused
         write.position = member.last_entry
+        write.executed_on = decision.upstream_id
         proxy.known[decision.upstream_id] = member.last_entry
         return None
 
@@ -147,9 +148,14 @@
         self._executed[write.write_id] = count + 1
         write.executed_late = member.promised < self._group.term
 
-    def _confirm(self, proxy: Proxy, write: Write) -> None:
-        position = write.position
+    def _confirm(self, proxy: Proxy) -> None:
+        """Begin a confirmation; the view may have changed in between."""
+        if not proxy.executed:
+            return
+        write = proxy.executed.pop(0)
+        position, writer = write.position, write.executed_on
         assert position is not None
+        assert writer is not None
         if self._cores.acknowledges_at_once:
             self._acknowledge(write)
             return
@@ -159,7 +165,7 @@
             confirmations = WriteConfirmations(
                 term=term,
                 needed=self._cores.confirmers(proxy.view),
-                replicas=[one for one in MEMBERS if one != proxy.view.primary],
+                replicas=self._cores.replicas(writer, proxy.view),
             )
             proxy.confirmations[term] = confirmations
         write_id = WriteId(write.write_id)
