--- a/properties/history_model.py
+++ b/properties/history_model.py
@@ -26,7 +26,7 @@
     UpstreamId,
 )
 from properties.connection_model import PooledMember
-from properties.cores import Cores
+from properties.cores import Cores, RoutingInput
 from properties.group_model import MEMBERS, Group
 
 
@@ -47,6 +47,7 @@
     session: Session
     admission: AdmissionRequest
     position: LogPosition | None = None
+    executed_on: UpstreamId | None = None
     recorded_id: int | None = None
     outcome: Outcome | None = None
     executed_late: bool = False
@@ -62,6 +63,7 @@
         self.known: dict[UpstreamId, LogPosition] = {}
         self.queue: AdmissionQueue = cores.queue()
         self.queued: dict[AdmissionRequest, Write] = {}
+        self.executed: list[Write] = []
         self.batcher = cores.batcher()
         self.questions: list[tuple[RoundId, UpstreamId, bool]] = []
         self.readers: dict[ReaderId, set[int]] = {}
@@ -115,10 +117,10 @@
                 if self._group.members[one.upstream_id].side == proxy.side
             )
             view = replace(view, members=reachable)
-        return self._cores.route(
-            request,
-            view,
-            proxy.known,
-            self._now,
-            self._random.random(),
+        given = RoutingInput(
+            view=view,
+            known=proxy.known,
+            now=self._now,
+            tie=self._random.random(),
         )
+        return self._cores.route(request, given)
