--- a/demo/processes.py
+++ b/demo/processes.py
@@ -63,14 +63,18 @@
     def start(self) -> None:
         """Start daemons and members."""
         for daemon in self.daemons:
-            self._start(
-                daemon.host_id,
-                _daemon_command(daemon, self),
-                _daemon_environment(),
-            )
+            self.start_daemon(daemon)
         for member in self.members:
             self.start_member(member)
 
+    def start_daemon(self, daemon: Daemon) -> None:
+        """Start one daemon, also after it was killed."""
+        self._start(
+            daemon.host_id,
+            _daemon_command(daemon, self),
+            _daemon_environment(),
+        )
+
     def start_member(self, member: Member) -> None:
         """Start one member, also after it was killed."""
         self._start(member.upstream_id, _member_command(member, self), {})
