--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -59,7 +60,7 @@
         fleet.start()
         await until(lambda: _initialized(fleet), 'control hosts')
         for group in sorted(groups):
-            await until(lambda group=group: _has_table(fleet, group), group)
+            await until(partial(_has_table, fleet, group), group)
         yield fleet
     finally:
         await asyncio.to_thread(fleet.stop)
