--- a/benchmarks/failover_naive.py
+++ b/benchmarks/failover_naive.py
@@ -110,8 +110,8 @@
     await writer.stop()
     if ended_at - last_at > _AFTER_S:
         gap = (
-            f'no write acknowledged from {max(last_at - begun_at, 0):.2f} s after the '
-            f'fault until the end of the observation at {_OBSERVED_S:g} s; '
+            'no write acknowledged from '
+            f'{max(last_at - begun_at, 0):.2f} s after the fault until the end of the observation at {_OBSERVED_S:g} s; '
             'the gap does not end, as there is no promotion'
         )
     else:
