--- a/benchmarks/failover_naive.py
+++ b/benchmarks/failover_naive.py
@@ -111,7 +111,8 @@
     if ended_at - last_at > _AFTER_S:
         gap = (
             'no write acknowledged from '
-            f'{max(last_at - begun_at, 0):.2f} s after the fault until the end of the observation at {_OBSERVED_S:g} s; '
+            f'{max(last_at - begun_at, 0):.2f} s after the fault '
+            f'until the end of the observation at {_OBSERVED_S:g} s; '
             'the gap does not end, as there is no promotion'
         )
     else:
