--- a/properties/group_model.py
+++ b/properties/group_model.py
@@ -171,7 +171,7 @@
             self.fenced.add(name)
             if len(self.fenced) >= MAJORITY:
                 best = max(
-                    self.fenced,
+                    sorted(self.fenced),
                     key=lambda one: self.members[one].last_entry,
                 )
                 self._promote(best)
