--- a/lavendergate/controllers/observer.py
+++ b/lavendergate/controllers/observer.py
@@ -1,5 +1,6 @@
 """What the control leader observes: directory, probes and suspicion."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from result import Result
@@ -16,13 +17,19 @@
     empty_directory,
     expire,
     group_report,
-    member_views,
     receive_announcements,
     receive_heartbeat,
+    views_by_group,
 )
 from lavendergate.core.records import GroupRecord, HostRecord
 from lavendergate.core.reports import Announcement, GroupReport
-from lavendergate.core.types import GroupId, HostId, Region, UpstreamId
+from lavendergate.core.types import (
+    GroupId,
+    HostId,
+    MemberView,
+    Region,
+    UpstreamId,
+)
 from lavendergate.core.watchers import (
     NO_SUSPICION,
     ProbeTrack,
@@ -65,6 +72,8 @@
         self._periodic_at: dict[HostId, float] = {}
         self._watchers: dict[UpstreamId, tuple[HostId, ...]] = {}
         self._proxies: dict[HostId, ProxyEntry] = {}
+        self._viewed: object = None
+        self._by_group: dict[GroupId, dict[UpstreamId, MemberView]] = {}
 
     @property
     def directory(self) -> Directory:
@@ -137,7 +146,7 @@
 
     def observe(self, state: LogState, record: GroupRecord) -> Observed:
         """Return what failover needs to know about a group."""
-        members = member_views(self._directory, record.group_id)
+        members = self._views().get(record.group_id, {})
         region = self.region_of(record.group_id)
         return Observed(
             record=record,
@@ -160,10 +169,8 @@
 
     def region_of(self, group_id: GroupId) -> Region | None:
         """Return the region that a group's members announce."""
-        for entry in self._directory.members.values():
-            if entry.announcement.group_id == group_id:
-                return entry.announcement.region
-        return None
+        views = self._views().get(group_id, {}).values()
+        return next((view.region for view in views), None)
 
     def probes_for(
         self, host_id: HostId, state: LogState, now: float
@@ -193,6 +200,13 @@
         if periodic_at is None or now - periodic_at >= PERIODIC_PROBE_S:
             self._periodic_at[host_id] = now
 
+    def _views(self) -> Mapping[GroupId, Mapping[UpstreamId, MemberView]]:
+        """Return the views, built anew only after a change of members."""
+        if self._viewed is not self._directory.members:
+            self._viewed = self._directory.members
+            self._by_group = views_by_group(self._directory)
+        return self._by_group
+
     def _suspects(
         self, primary: UpstreamId, state: LogState, now: float
     ) -> bool:
--- a/lavendergate/core/membership.py
+++ b/lavendergate/core/membership.py
@@ -156,15 +156,15 @@
     )
 
 
-def member_views(
-    directory: Directory, group_id: GroupId
-) -> dict[UpstreamId, MemberView]:
-    """Return the announced upstreams of a group, spares included."""
-    return {
-        upstream_id: _view(entry)
-        for upstream_id, entry in directory.members.items()
-        if entry.announcement.group_id == group_id
-    }
+def views_by_group(
+    directory: Directory,
+) -> dict[GroupId, dict[UpstreamId, MemberView]]:
+    """Return the announced upstreams of each group, spares included."""
+    views: dict[GroupId, dict[UpstreamId, MemberView]] = {}
+    for upstream_id, entry in directory.members.items():
+        group = views.setdefault(entry.announcement.group_id, {})
+        group[upstream_id] = _view(entry)
+    return views
 
 
 def spares(
