Confirm writes against the member that committed them

Cause: a review of the drivers against the models found that (1) the confirmer took the present primary out of the replicas, so that after a change of view a writer could count as its own replica; (2) the repeat of an at-most-once request was confirmed by an entry of an older term, which a later promotion may drop; (3) a bounded read that needed a read index was routed as bounded again and did not end; (4) the error of a stale bound and the held flag of group_wait were ignored. Change: the writer travels with the position; a repeated record is written again in the present term; a read that has its index is a session read.

--- a/lavendergate/controllers/confirmation.py
+++ b/lavendergate/controllers/confirmation.py
@@ -11,7 +11,6 @@
 
 from lavendergate.backends.base import (
     MemberError,
-    QueryResult,
     UpstreamConnection,
 )
 from lavendergate.controllers.connections import ConnectionPools
@@ -44,6 +43,14 @@
 CONNECTION_TIMEOUT_S = 0.5
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Writer:
+    """A primary in one of its terms."""
+
+    term: Term
+    upstream_id: UpstreamId
+
+
 @dataclass(kw_only=True, slots=True)
 class _PendingWrite:
     done: anyio.Event = field(default_factory=anyio.Event)
@@ -75,14 +82,24 @@
         self._directory = directory
         self._pools = pools
         self._tasks = tasks
-        self._cores: dict[Term, WriteConfirmations] = {}
+        self._cores: dict[_Writer, WriteConfirmations] = {}
         self._pending: dict[WriteId, _PendingWrite] = {}
         self._last_id = 0
 
     async def confirm(
-        self, *, term: Term, position: LogPosition, deadline: float
+        self,
+        *,
+        writer: UpstreamId,
+        position: LogPosition,
+        deadline: float,
     ) -> bool:
-        """Wait until a majority holds a position in an unchanged term.
+        """Wait until a majority holds an entry in the term of the entry.
+
+        Parameters
+        ----------
+        writer
+            Member that committed the entry as primary of its term. It never
+            counts as a replica, whatever the group's view says by now.
 
         Returns
         -------
@@ -93,7 +110,7 @@
         view = self._directory.group(self._group_id)
         if view is None:
             return False
-        core = self._core(term, view)
+        core = self._core(_Writer(term=position.term, upstream_id=writer), view)
         self._last_id += 1
         write_id = WriteId(self._last_id)
         pending = _PendingWrite()
@@ -107,21 +124,25 @@
             core.expire(write_id)
         return pending.is_confirmed
 
-    def _core(self, term: Term, view: GroupView) -> WriteConfirmations:
-        core = self._cores.get(term)
+    def _core(self, writer: _Writer, view: GroupView) -> WriteConfirmations:
+        core = self._cores.get(writer)
         if core is None:
-            older = tuple(one for one in self._cores if one < term)
-            for old_term in older:
-                if not self._cores[old_term].pending:
-                    self._cores.pop(old_term)
+            self._forget_older(writer.term)
             core = WriteConfirmations(
-                term=term,
+                term=writer.term,
                 needed=view.majority - 1,
-                replicas=view.member_ids - {view.primary},
+                replicas=view.member_ids - {writer.upstream_id},
             )
-            self._cores[term] = core
+            self._cores[writer] = core
         return core
 
+    def _forget_older(self, term: Term) -> None:
+        self._cores = {
+            writer: core
+            for writer, core in self._cores.items()
+            if writer.term >= term or core.pending
+        }
+
     def _perform(self, core: WriteConfirmations, effects: Effects) -> None:
         for effect in effects:
             match effect:
@@ -160,23 +181,41 @@
         try:
             async with pool.connection(deadline=deadline) as connection:
                 with anyio.fail_after(ANSWER_TIMEOUT_S):
-                    end = await group_wait(
+                    answer = await wait_on_member(
                         connection, position, WAIT_TIMEOUT_MS
                     )
         except (MemberError, TimeoutError):
             return None
-        self._directory.note_position(upstream_id, end.last_entry)
-        return end
+        self._directory.note_position(upstream_id, answer.last_entry)
+        return WaitEnd(
+            promised_term=answer.promised_term, last_entry=answer.last_entry
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitAnswer:
+    """Answer of a member to ``group_wait``."""
+
+    is_held: bool
+    promised_term: Term
+    last_entry: LogPosition
 
 
-async def group_wait(
+async def wait_on_member(
     connection: UpstreamConnection, position: LogPosition, timeout_ms: int
-) -> WaitEnd:
+) -> WaitAnswer:
     """Ask a member to wait until it holds a position."""
     query_result = await connection.execute(
         f'CALL group_wait({position.term}, {position.position}, {timeout_ms})'
     )
-    return _wait_answer(query_result)
+    held, promised, log_term, last_position = (
+        int(part or 0) for part in query_result.rows[0]
+    )
+    return WaitAnswer(
+        is_held=bool(held),
+        promised_term=Term(promised),
+        last_entry=LogPosition(term=Term(log_term), position=last_position),
+    )
 
 
 async def last_commit(connection: UpstreamConnection) -> LogPosition:
@@ -210,13 +249,3 @@
             position=int(row['log_position'] or 0),
         ),
     )
-
-
-def _wait_answer(query_result: QueryResult) -> WaitEnd:
-    _held, promised, log_term, position = (
-        int(part or 0) for part in query_result.rows[0]
-    )
-    return WaitEnd(
-        promised_term=Term(promised),
-        last_entry=LogPosition(term=Term(log_term), position=position),
-    )
--- a/lavendergate/filters/at_most_once.py
+++ b/lavendergate/filters/at_most_once.py
@@ -26,11 +26,7 @@
     answered,
     failed,
 )
-from lavendergate.filters.execute import (
-    note_commit,
-    note_position,
-    run_before_deadline,
-)
+from lavendergate.filters.execute import note_commit, run_before_deadline
 
 TABLE = 'lavendergate_requests'
 _CREATE_TABLE = (
@@ -103,14 +99,19 @@
     async def is_recorded(
         self, request: StatementRequest, connection: UpstreamConnection
     ) -> Result[bool, StatementFailure]:
-        """Tell whether the request's id has a record on this primary."""
+        """Tell whether the request's id has a record on this primary.
+
+        A record that was found is written again, for its confirmation.
+        """
         found = await self._find(request, connection)
-        noted = await note_position(request, connection)
-        if isinstance(noted, Err):
-            return noted
         if _is_error(found, _NO_SUCH_TABLE):
             return Ok(False)
-        return found.map(lambda query_result: bool(query_result.rows))
+        if isinstance(found, Err):
+            return found
+        if not found.ok_value.rows:
+            return Ok(False)
+        touched = await self._touch(request, connection, found)
+        return touched.map(lambda _query_result: True)
 
     async def recorded_outcome(
         self, request: StatementRequest, connection: UpstreamConnection
@@ -119,23 +120,42 @@
         found = await self._find(request, connection)
         if isinstance(found, Err) or not found.ok_value.rows:
             return found
-        # The first attempt may have ended as unknown: what it wrote is
-        # acknowledged only after a majority holds it.
-        noted = await note_position(request, connection)
-        if noted is not None:
-            return noted
         statement_hash, affected_rows, last_insert_id = found.ok_value.rows[0]
         if (statement_hash or b'').decode() != _hash(request.sql):
             return failed(
                 RequestMismatchError(request_id=request.hints.request_id or '')
             )
-        return answered(
+        recorded = answered(
             QueryResult(
                 rows=[],
                 affected_rows=int(affected_rows or 0),
                 last_insert_id=int(last_insert_id or 0),
             )
         )
+        return await self._touch(request, connection, recorded)
+
+    async def _touch(
+        self,
+        request: StatementRequest,
+        connection: UpstreamConnection,
+        recorded: StatementResult,
+    ) -> StatementResult:
+        """Write the record again, so that its confirmation proves it.
+
+        The first attempt may have ended as unknown, in an older term. An
+        entry of an older term can be lost to a later promotion even if a
+        majority holds it; an entry of this term that is confirmed keeps all
+        before it.
+        """
+        touched = await self._run(
+            request,
+            connection,
+            f'UPDATE {TABLE} SET created_ms = created_ms + 1 '
+            f'WHERE request_id = {_quote(request)}',
+        )
+        if touched.is_err():
+            return touched
+        return await note_commit(request, connection, recorded)
 
     async def _find(
         self, request: StatementRequest, connection: UpstreamConnection
--- a/lavendergate/filters/base.py
+++ b/lavendergate/filters/base.py
@@ -17,7 +17,12 @@
     effective,
 )
 from lavendergate.core.tokens import EMPTY_TOKEN, SessionToken
-from lavendergate.core.types import CallerId, GroupId, LogPosition, Term
+from lavendergate.core.types import (
+    CallerId,
+    GroupId,
+    LogPosition,
+    UpstreamId,
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,15 +47,12 @@
 
     Parameters
     ----------
-    term
-        Term of the group in which the transaction began.
     is_pinned
         Whether a statement left state on the connection, which is closed
         for that reason when the transaction ends.
     """
 
     group_id: GroupId
-    term: Term
     pool: MemberPool
     connection: UpstreamConnection
     is_pinned: bool = False
@@ -82,10 +84,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WrittenPosition:
-    """Position of a committed write that waits for its confirmation."""
+    """Position of a committed write that waits for its confirmation.
+
+    Parameters
+    ----------
+    writer
+        Member that committed the write.
+    """
 
     group_id: GroupId
-    term: Term
+    writer: UpstreamId
     position: LogPosition
 
 
@@ -100,8 +108,8 @@
     token
         Positions that the answer must include: the session's own and those
         of the hint. None if the caller named no token.
-    connection
-        Upstream connection for the statement, set by the routing filter.
+    member, connection
+        Member and connection for the statement, set by the routing filter.
     written
         Position of the write, set once it was committed on the primary.
     """
@@ -115,7 +123,7 @@
     settings: EffectiveSettings = DEFAULT_SETTINGS
     kind: StatementKind = StatementKind.write
     token: SessionToken | None = None
-    term: Term = Term(0)
+    member: UpstreamId | None = None
     connection: UpstreamConnection | None = None
     written: WrittenPosition | None = None
 
--- a/lavendergate/filters/confirm.py
+++ b/lavendergate/filters/confirm.py
@@ -12,7 +12,6 @@
     Forward,
     StatementRequest,
     StatementResult,
-    WrittenPosition,
     failed,
 )
 
@@ -39,16 +38,8 @@
         written = request.written
         if written is None or outcome.is_err():
             return outcome
-        if written.position.term != written.term:
-            # The member was promoted again between the routing decision and
-            # the commit; the confirmed term is that of the entry.
-            written = WrittenPosition(
-                group_id=written.group_id,
-                term=written.position.term,
-                position=written.position,
-            )
         is_confirmed = await self._confirmer(written.group_id).confirm(
-            term=written.term,
+            writer=written.writer,
             position=written.position,
             deadline=request.deadline,
         )
@@ -58,7 +49,7 @@
                     reason=(
                         'no majority confirmed the write at position '
                         f'{written.position.position} of term '
-                        f'{written.term} before the deadline'
+                        f'{written.position.term} before the deadline'
                     )
                 )
             )
--- a/lavendergate/filters/execute.py
+++ b/lavendergate/filters/execute.py
@@ -11,7 +11,6 @@
     UpstreamError,
 )
 from lavendergate.controllers.confirmation import (
-    ask_status,
     last_commit,
 )
 from lavendergate.core.classification import StatementKind
@@ -87,30 +86,6 @@
     return executed
 
 
-async def note_position(
-    request: StatementRequest, connection: UpstreamConnection
-) -> StatementResult | None:
-    """Have the primary's present position confirmed before the answer.
-
-    Returns
-    -------
-    StatementResult or None
-        An error if the position could not be read, otherwise None.
-    """
-    position = await _position_before_deadline(
-        _last_entry(connection), deadline=request.deadline
-    )
-    if position is None:
-        return failed(_POSITION_LOST)
-    _note(request, position)
-    return None
-
-
-async def _last_entry(connection: UpstreamConnection) -> LogPosition:
-    status = await ask_status(connection)
-    return status.last_entry
-
-
 async def _position_before_deadline(
     reading: Coroutine[None, None, LogPosition], *, deadline: float
 ) -> LogPosition | None:
@@ -124,10 +99,10 @@
 
 def _note(request: StatementRequest, position: LogPosition) -> None:
     group_id = request.session.group_id
-    if group_id is None:
-        raise RuntimeError('the classification requires a group')
+    if group_id is None or request.member is None:
+        raise RuntimeError('a write has no group or member')
     request.written = WrittenPosition(
-        group_id=group_id, term=request.term, position=position
+        group_id=group_id, writer=request.member, position=position
     )
 
 
--- a/lavendergate/filters/outcome.py
+++ b/lavendergate/filters/outcome.py
@@ -59,7 +59,7 @@
         if isinstance(acquired, Err):
             return acquired
         primary = acquired.ok_value
-        request.term = primary.term
+        request.member = primary.pool.upstream_id
         try:
             found = await self._at_most_once.is_recorded(
                 request, primary.connection
@@ -68,10 +68,12 @@
             primary.release()
         if isinstance(found, Err):
             return found
+        if not found.ok_value:
+            return Ok(NOT_RECORDED)
         if not await self._is_confirmed(request, group_id):
             reason = 'no majority confirmed the primary before the deadline'
             return Err(UnknownOutcomeError(reason=reason))
-        return Ok(Outcome.done.value if found.ok_value else NOT_RECORDED)
+        return Ok(Outcome.done.value)
 
     async def _is_confirmed(
         self, request: StatementRequest, group_id: GroupId
@@ -80,7 +82,7 @@
         if written is None:
             return False
         return await self._confirmer(group_id).confirm(
-            term=written.term,
+            writer=written.writer,
             position=written.position,
             deadline=request.deadline,
         )
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from lavendergate.backends.base import MemberError, Row, UpstreamConnection
-from lavendergate.controllers.confirmation import group_wait
+from lavendergate.controllers.confirmation import wait_on_member
 from lavendergate.controllers.connections import (
     ConnectionPools,
     MemberPool,
@@ -33,6 +33,7 @@
     NoPrimaryError,
     NotRunError,
     Outcome,
+    StatementError,
     TokenLimitError,
     UnknownGroupError,
 )
@@ -137,7 +138,6 @@
             if isinstance(acquired, Err):
                 return failed(acquired.err_value)
             primary = acquired.ok_value
-            request.term = primary.term
             outcome = await self._run_on(
                 primary.pool, primary.connection, request, forward
             )
@@ -184,8 +184,8 @@
                 return failed(error)
             case ConfirmFirst():
                 return await self._confirm(request, view, attempt)
-            case WaitForPrimary():
-                return await self._wait_for_primary(request, view)
+            case WaitForPrimary(error=error):
+                return await self._wait_for_primary(request, view, error)
             case WaitOnMember(upstream_id=upstream_id):
                 pool = self._pools.get(upstream_id)
             case UseMember(upstream_id=upstream_id):
@@ -207,7 +207,8 @@
         if max_age_ms is None:
             max_age_ms = request.settings.read_max_age_ms
         wanted: BoundedRead | SessionRead
-        if max_age_ms and request.token is None:
+        is_bounded = max_age_ms and request.token is None
+        if is_bounded and not attempt.is_read_index:
             wanted = BoundedRead(max_age_ms=max_age_ms)
         else:
             wanted = SessionRead(
@@ -249,18 +250,20 @@
         return None
 
     async def _wait_for_primary(
-        self, request: StatementRequest, view: GroupView
+        self,
+        request: StatementRequest,
+        view: GroupView,
+        error: StatementError | None,
     ) -> StatementResult | None:
         has_changed = await self._directory.wait_for_change(
             deadline=request.deadline
         )
         if has_changed:
             return None
-        return failed(
-            NoPrimaryError(
-                group_id=view.group_id, waited_ms=_elapsed_ms(request)
-            )
+        no_primary = NoPrimaryError(
+            group_id=view.group_id, waited_ms=_elapsed_ms(request)
         )
+        return failed(error or no_primary)
 
     async def _read_from(
         self,
@@ -305,11 +308,11 @@
         timeout_s = decision.timeout_ms / _MS_PER_S + _WAIT_ANSWER_MARGIN_S
         try:
             with anyio.fail_after(timeout_s):
-                answer = await group_wait(
+                answer = await wait_on_member(
                     connection, decision.position, decision.timeout_ms
                 )
             self._directory.note_position(pool.upstream_id, answer.last_entry)
-            is_held = answer.last_entry >= decision.position
+            is_held = answer.is_held
         except (MemberError, TimeoutError):
             self._loads.note_failure(pool.upstream_id)
         finally:
@@ -324,6 +327,7 @@
         request: StatementRequest,
         forward: Forward,
     ) -> StatementResult:
+        request.member = pool.upstream_id
         request.connection = connection
         started_at = self._loads.begin(pool.upstream_id)
         try:
--- a/lavendergate/filters/transaction.py
+++ b/lavendergate/filters/transaction.py
@@ -140,7 +140,6 @@
             # connections that ended with the old primary.
         session.transaction = OpenTransaction(
             group_id=session.group_id,
-            term=primary.term,
             pool=primary.pool,
             connection=primary.connection,
         )
@@ -181,13 +180,13 @@
     async def _commit_open(
         self, request: StatementRequest, transaction: OpenTransaction
     ) -> StatementResult:
+        request.member = transaction.pool.upstream_id
         if self._at_most_once.applies_to(request):
             repeated = await self._at_most_once.record_in_transaction(
                 request, transaction.connection
             )
             if repeated is not None:
                 return repeated
-        request.term = transaction.term
         committed = await run_before_deadline(
             transaction.connection, 'COMMIT', deadline=request.deadline
         )
