Check that a group recovers once faults end

Cause: the failover schedules checked that nothing is lost, not that a group has a primary and followers again afterwards.

Change: each schedule ends with 8 s of virtual time without new faults, after which a primary must be confirmed and the others must follow it; a missing repair is the sixth deliberate fault.

--- a/properties/failover_simulation.py
+++ b/properties/failover_simulation.py
@@ -53,7 +53,8 @@
 GROUP = GroupId('dispatch-db-1')
 NAMES = tuple(UpstreamId(name) for name in 'abc')
 TICK_S = 0.05
-TICKS = 400
+TICKS = 560
+QUIET_AFTER_S = 20.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,9 +125,12 @@
             self.check()
             if self.problem is not None:
                 return
+        self.check_recovery()
 
     def disturb(self) -> None:
         """Start faults, change the leader, order a switchover."""
+        if self.now > QUIET_AFTER_S:
+            return
         for ends in self.until.values():
             for name in NAMES:
                 if self.source.random() < 0.002:
@@ -137,8 +141,6 @@
             self.state = GroupFailover(group_id=GROUP)
         elif chance < 0.01:
             self.handle(SwitchoverRequested(target=None), self.epoch)
-        if self.source.random() < 0.2:
-            self.known = self.record
 
     def reaches(self, kind: str, name: UpstreamId) -> bool:
         """Whether a member is up and not cut off in one way."""
@@ -185,7 +187,8 @@
         primary = record.primary
         is_lost = primary is not None and not self.reaches('proxies', primary)
         self.unreachable_s = self.unreachable_s + TICK_S if is_lost else 0
-        is_agreed = self.unreachable_s > 0.75 or self.source.random() < 0.002
+        is_wrong = self.now < QUIET_AFTER_S and self.source.random() < 0.002
+        is_agreed = self.unreachable_s > 0.75 or is_wrong
         return Observed(
             record=record,
             members={
@@ -208,7 +211,7 @@
     def later(self, action: Callable[[], None]) -> None:
         """Schedule an action after a random delay, in random order."""
         delay_s = self.source.uniform(0, 0.1)
-        if self.source.random() < 0.05:
+        if self.now < QUIET_AFTER_S and self.source.random() < 0.05:
             delay_s += self.source.uniform(0, 3)
         self.count += 1
         heapq.heappush(self.queue, (self.now + delay_s, self.count, action))
@@ -322,6 +325,8 @@
 
     def write(self) -> None:
         """Write through a proxy whose view may be old."""
+        if self.source.random() < 0.2:
+            self.known = self.record
         view = self.known
         if view.primary is None or self.source.random() > 0.4:
             return
@@ -366,6 +371,18 @@
         if write.was_replaced:
             self.problem = f'{write.content}: by a replaced primary'
 
+    def check_recovery(self) -> None:
+        """Check that without further faults the group is whole again."""
+        record = self.record
+        if record.is_promoting or record.primary is None:
+            self.problem = 'no primary after the end of all faults'
+            return
+        for name, member in self.members.items():
+            is_following = member.primary is self.members[record.primary]
+            has_term = member.promised_term == record.term
+            if name != record.primary and not (is_following and has_term):
+                self.problem = f'{name} does not follow'
+
     def check(self) -> None:
         """Check that the confirmed primary holds what was acknowledged."""
         record = self.record
--- a/properties/test_failover.py
+++ b/properties/test_failover.py
@@ -7,7 +7,7 @@
 from typing import Any
 from unittest import mock
 
-from lavendergate.core import failover_steps
+from lavendergate.core import failover_repair, failover_steps
 from lavendergate.core.failover_types import (
     Attempt,
     GroupFailover,
@@ -52,7 +52,7 @@
     """Acknowledged writes in random schedules."""
 
     def test_no_acknowledged_write_is_lost(self) -> None:
-        """Guards against a promotion that loses an acknowledged write."""
+        """Guards against lost acknowledged writes and lasting outages."""
         acknowledged = promotions = 0
         for seed in range(SCHEDULES):
             simulation = FailoverSimulation(seed=seed)
@@ -75,6 +75,16 @@
         """Guards against schedules that never lose a promotion's answer."""
         self._find(_patched('promotion_uncertain', retry_in_same_term))
 
+    def test_missing_repair_is_found(self) -> None:
+        """Guards against schedules after which no member needs repair."""
+        self._find(
+            lambda: mock.patch.object(
+                failover_repair,
+                'repair',
+                lambda state, event, now: (state, ()),
+            )
+        )
+
     def test_early_acknowledgement_is_found(self) -> None:
         """Guards against schedules whose primaries always replicate."""
         self._find(nullcontext, acknowledges_early=True)
