--- /dev/null
+++ b/benchmarks/control_cost.py
@@ -0,0 +1,301 @@
+"""Slopes of the control traffic for docs/CAPACITY.md.
+
+Builds directories of several sizes in this process and measures bytes,
+processor time and memory of the messages between hosts; no network but for
+the cost of one unary call.
+"""
+
+import argparse
+import asyncio
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+from grpclib.client import Channel
+from grpclib.server import Server
+
+from lavendergate.controllers.directory import Directory
+from lavendergate.core.reports import Announcement, GroupReport, MemberReport
+from lavendergate.core.settings.document import SettingsDocument, SettingValue
+from lavendergate.core.types import (
+    FailureDomain,
+    GroupId,
+    HostId,
+    LogPosition,
+    MemberRole,
+    MemberStatus,
+    Region,
+    SettingsVersion,
+    Term,
+    TermStart,
+    UpstreamId,
+)
+from lavendergate.rpc.codec import (
+    MessagePackCodec,
+    sign_announcement,
+    verify_announcement,
+)
+from lavendergate.rpc.messages import (
+    HeartbeatReply,
+    HeartbeatRequest,
+    ShareDemand,
+    ShareGrant,
+)
+from lavendergate.rpc.service import HEARTBEAT, UnaryService, call
+
+_KEY = b'capacity'
+_US = 1_000_000
+_KIB = 1024
+_MEMBERS = 3
+_PORT = 47_311
+_CALLS = 400
+
+
+def announcement(group: int, member: int) -> Announcement:
+    """Return the announcement of one member."""
+    return Announcement(
+        upstream_id=UpstreamId(f'glasdaten-{group}-{member}'),
+        group_id=GroupId(f'glasdaten-{group}'),
+        region=Region('franken'),
+        failure_domain=FailureDomain(f'domain-{member}'),
+        host='10.20.30.40',
+        port=3306,
+        connection_limit=16,
+        slots=2,
+        leaving=False,
+        incarnation='0123456789abcdef',
+        status=MemberStatus(
+            promised_term=Term(12),
+            last_entry=LogPosition(term=Term(12), position=123_456_789),
+            role=MemberRole.replica,
+            primary_contact_ms=3,
+            applied_age_ms=17,
+            connections=14,
+        ),
+    )
+
+
+def reports(groups: int) -> tuple[GroupReport, ...]:
+    """Return the reports of some groups of three members."""
+    return tuple(
+        GroupReport(
+            group_id=GroupId(f'glasdaten-{group}'),
+            term=Term(12),
+            primary=UpstreamId(f'glasdaten-{group}-0'),
+            member_ids=frozenset(
+                UpstreamId(f'glasdaten-{group}-{member}')
+                for member in range(_MEMBERS)
+            ),
+            members=tuple(
+                MemberReport(
+                    announcement=announcement(group, member), age_ms=40
+                )
+                for member in range(_MEMBERS)
+            ),
+            term_history=tuple(
+                TermStart(term=Term(term), first_position=term * 1000)
+                for term in range(1, 13)
+            ),
+        )
+        for group in range(groups)
+    )
+
+
+def reply(
+    groups: tuple[GroupReport, ...] | None, shares: int
+) -> HeartbeatReply:
+    """Return an answer to a heartbeat."""
+    return HeartbeatReply(
+        problem=None,
+        leader='10.20.30.40:7033',
+        has_quorum=True,
+        settings=None,
+        directory_version=1 << 33,
+        groups=groups,
+        shares=tuple(
+            ShareGrant(
+                upstream_id=UpstreamId(f'glasdaten-{index}-0'),
+                connections=2,
+                reserved=1,
+                lease_s=3,
+            )
+            for index in range(shares)
+        ),
+        probe=(),
+        clock=1 << 56,
+    )
+
+
+def request(members: int) -> HeartbeatRequest:
+    """Return a heartbeat of a proxy with pools of some members."""
+    return HeartbeatRequest(
+        host_id=HostId('entry-1'),
+        incarnation='0123456789abcdef',
+        region=Region('franken'),
+        failure_domain=FailureDomain('nue-sued'),
+        address='10.20.30.40:6033',
+        settings_version=SettingsVersion(720),
+        directory_version=1 << 33,
+        demands=tuple(
+            ShareDemand(
+                upstream_id=UpstreamId(f'glasdaten-{index}-0'),
+                open_connections=2,
+                wanted_connections=1,
+                granted_connections=2,
+            )
+            for index in range(members)
+        ),
+        probes=(),
+        suspected=(),
+        announcements=(),
+        draining=False,
+        clock=1 << 56,
+    )
+
+
+def _encode_request(members: int) -> bytes:
+    return msgspec.msgpack.encode(request(members))
+
+
+def microseconds(work: Callable[[], object], runs: int) -> tuple[float, ...]:
+    """Return lowest, median and highest time of one call."""
+    samples = []
+    for _ in range(runs):
+        count = 0
+        begun = time.process_time()
+        while time.process_time() - begun < 0.05:
+            work()
+            count += 1
+        samples.append((time.process_time() - begun) / count * _US)
+    return min(samples), statistics.median(samples), max(samples)
+
+
+def show(name: str, times: tuple[float, ...], note: str = '') -> None:
+    """Print one measurement."""
+    low, middle, high = times
+    print(f'{name:46} {middle:10.1f} us ({low:.1f} to {high:.1f}) {note}')
+
+
+def measure_messages(runs: int) -> None:
+    """Measure heartbeats by number of groups."""
+    encode = msgspec.msgpack.encode
+    decoder = msgspec.msgpack.Decoder(HeartbeatReply)
+    for groups in (3, 16, 100, 800):
+        full = reply(reports(groups), groups * _MEMBERS)
+        data = encode(full)
+        size = f'{len(data)} bytes'
+        show(
+            f'reply, {groups} groups: encode',
+            microseconds(partial(encode, full), runs),
+            size,
+        )
+        show(
+            f'reply, {groups} groups: decode',
+            microseconds(partial(decoder.decode, data), runs),
+        )
+        directory = Directory()
+        show(
+            f'reply, {groups} groups: apply',
+            microseconds(
+                partial(directory.update, full.groups or (), version=1, now=1),
+                runs,
+            ),
+        )
+    for members in (9, 48, 2400):
+        data = encode(request(members))
+        show(
+            f'request, {members} pools: encode',
+            microseconds(partial(_encode_request, members), runs),
+            f'{len(data)} bytes',
+        )
+
+
+def measure_announcements(runs: int) -> None:
+    """Measure signing and verifying."""
+    one = announcement(1, 1)
+    signed = sign_announcement(one, _KEY)
+    show(
+        'announcement: sign',
+        microseconds(lambda: sign_announcement(one, _KEY), runs),
+        f'{len(signed)} bytes',
+    )
+    show(
+        'announcement: verify and decode',
+        microseconds(lambda: verify_announcement(signed, _KEY), runs),
+    )
+
+
+def measure_memory() -> None:
+    """Measure the directory and the settings in memory."""
+    for groups in (3, 16, 100, 800):
+        data = msgspec.msgpack.encode(reports(groups))
+        tracemalloc.start()
+        directory = Directory()
+        directory.update(
+            msgspec.msgpack.decode(data, type=tuple[GroupReport, ...]),
+            version=1,
+            now=1,
+        )
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        print(
+            f'directory, {groups} groups: {size / _KIB:.0f} KiB, '
+            f'{size / groups:.0f} bytes a group'
+        )
+    for groups in (3, 100, 800):
+        nodes: dict[str, dict[str, SettingValue]] = {
+            f'/franken/glasdaten-{group}/caller-{caller}': {
+                'statement.deadline_ms': 2000,
+                'queue.class': 'billing',
+            }
+            for group in range(groups)
+            for caller in range(5)
+        }
+        document = SettingsDocument(version=SettingsVersion(1), nodes=nodes)
+        size = len(msgspec.msgpack.encode(document))
+        print(f'settings, {groups} groups of 5 callers: {size} bytes')
+
+
+async def measure_calls(runs: int) -> None:
+    """Measure processor time of unary calls, both ends in this process."""
+    answer = reply(None, 48)
+
+    async def heartbeat(_request: HeartbeatRequest) -> HeartbeatReply:
+        return answer
+
+    server = Server(
+        [UnaryService(implementations={HEARTBEAT: heartbeat})],
+        codec=MessagePackCodec(),
+    )
+    await server.start('127.0.0.1', _PORT)
+    channel = Channel('127.0.0.1', _PORT, codec=MessagePackCodec())
+    question = request(48)
+    samples = []
+    for _ in range(runs):
+        begun = time.process_time()
+        for _call in range(_CALLS):
+            await call(channel, HEARTBEAT, question, timeout_s=1)
+        samples.append((time.process_time() - begun) / _CALLS * _US)
+    times = (min(samples), statistics.median(samples), max(samples))
+    show('heartbeat call, 48 pools: both ends', times)
+    channel.close()
+    server.close()
+
+
+def main() -> None:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--runs', type=int, default=7)
+    runs = parser.parse_args().runs
+    print(f'processor time, median of {runs} runs (lowest to highest)')
+    measure_messages(runs)
+    measure_announcements(runs)
+    measure_memory()
+    asyncio.run(measure_calls(runs))
+
+
+if __name__ == '__main__':
+    main()
