--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -18,8 +18,22 @@
 from grpclib.server import Server
 
 from lavendergate.controllers.directory import Directory
+from lavendergate.core.membership import (
+    empty_directory,
+    expire,
+    receive_announcements,
+)
+from lavendergate.core.records import HostRecord
 from lavendergate.core.reports import Announcement, GroupReport, MemberReport
 from lavendergate.core.settings.document import SettingsDocument, SettingValue
+from lavendergate.core.share_division import divide_by_demand
+from lavendergate.core.shares import (
+    MemberShares,
+    Report,
+    assign,
+    hear,
+    register,
+)
 from lavendergate.core.types import (
     FailureDomain,
     GroupId,
@@ -33,6 +47,7 @@
     TermStart,
     UpstreamId,
 )
+from lavendergate.core.watchers import watchers_of
 from lavendergate.rpc.codec import (
     MessagePackCodec,
     sign_announcement,
@@ -228,6 +243,58 @@
     )
 
 
+def measure_leader(runs: int) -> None:
+    """Measure the leader's decisions by size of the system."""
+    for members in (9, 240, 2400):
+        announced = [
+            announcement(index // _MEMBERS, index % _MEMBERS)
+            for index in range(members)
+        ]
+        directory, _errors = receive_announcements(
+            empty_directory(epoch=1, now=0), announced, 1
+        )
+        show(
+            f'directory, {members} members: 10 announcements',
+            microseconds(
+                partial(receive_announcements, directory, announced[:10], 1.1),
+                runs,
+            ),
+        )
+        show(
+            f'directory, {members} members: expiry',
+            microseconds(partial(expire, directory, 1.2), runs),
+        )
+    for hosts in (9, 100, 610):
+        records = [
+            HostRecord(
+                host_id=HostId(f'entry-{index}'),
+                incarnation='0123456789abcdef',
+                region=Region('franken'),
+                failure_domain=FailureDomain(f'domain-{index % 6}'),
+                address=f'10.0.0.1:{index}',
+            )
+            for index in range(hosts)
+        ]
+        show(
+            f'watchers of one member among {hosts} hosts',
+            microseconds(
+                partial(watchers_of, UpstreamId('glasdaten-1-0'), records),
+                runs,
+            ),
+        )
+    for holders in (3, 9, 13):
+        shares = MemberShares(limit=40, slots=3, started_at=0, is_checked=True)
+        for index in range(holders):
+            host_id = HostId(f'entry-{index}')
+            shares = register(shares, host_id, 5)
+            report = Report(opened=1, wanted=3, granted=1)
+            shares = hear(shares, host_id, report, 5)
+        show(
+            f'shares of one member, {holders} proxies: assign',
+            microseconds(partial(assign, shares, divide_by_demand, 6), runs),
+        )
+
+
 def measure_memory() -> None:
     """Measure the directory and the settings in memory."""
     for groups in (3, 16, 100, 800):
@@ -293,6 +360,7 @@
     print(f'processor time, median of {runs} runs (lowest to highest)')
     measure_messages(runs)
     measure_announcements(runs)
+    measure_leader(runs)
     measure_memory()
     asyncio.run(measure_calls(runs))
 
