Add TLS to callers and between hosts

Cause: connections were plain text. Change: certificates towards callers and mutual TLS between hosts, loaded again within a second after a renewal; a test logs in before and after one. Conclusion: agents of upstreams need a certificate too; the stand-in has none, so that the test of members over TLS is open.

--- a/lavendergate/controllers/heartbeat.py
+++ b/lavendergate/controllers/heartbeat.py
@@ -4,6 +4,7 @@
 control, and settings, group reports and shares back.
 """
 
+import ssl
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -56,6 +57,8 @@
     take_announcements
         Returns the announcements that reached this host since the last
         call.
+    tls
+        Context for connections to the control hosts.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         take_announcements: Callable[[], tuple[bytes, ...]],
         clock: ProcessClock,
         events: EventLog,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self._identity = identity
         self._control = list(control)
@@ -84,6 +88,7 @@
         self._take_announcements = take_announcements
         self._clock = clock
         self._events = events
+        self._tls = tls
         self._target = 0
         self._channels: dict[str, Channel] = {}
         self._is_draining = False
@@ -156,7 +161,9 @@
         channel = self._channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(':')
-            channel = Channel(host, int(port), codec=MessagePackCodec())
+            channel = Channel(
+                host, int(port), codec=MessagePackCodec(), ssl=self._tls
+            )
             self._channels[address] = channel
         return channel
 
--- a/lavendergate/daemon/context.py
+++ b/lavendergate/daemon/context.py
@@ -1,10 +1,12 @@
 """What both roles of one process share."""
 
+import ssl
 from dataclasses import dataclass
 
 from lavendergate.daemon.options import DaemonOptions
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_clock import ProcessClock
+from lavendergate.rpc.tls import TlsContexts
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -15,9 +17,29 @@
     ----------
     incarnation
         Random identity of this start of the process.
+    caller_tls, peer_tls
+        TLS towards callers and between hosts; None for plain connections.
     """
 
     options: DaemonOptions
     incarnation: str
     clock: ProcessClock
     events: EventLog
+    caller_tls: TlsContexts | None = None
+    peer_tls: TlsContexts | None = None
+
+    @property
+    def peer_client(self) -> ssl.SSLContext | None:
+        """Context for connections to other hosts."""
+        return None if self.peer_tls is None else self.peer_tls.client
+
+    @property
+    def peer_server(self) -> ssl.SSLContext | None:
+        """Context for connections from other hosts."""
+        return None if self.peer_tls is None else self.peer_tls.server
+
+    def reload_certificates(self) -> None:
+        """Load certificate files that were renewed."""
+        for contexts in (self.caller_tls, self.peer_tls):
+            if contexts is not None:
+                contexts.reload_if_changed()
--- a/lavendergate/daemon/control.py
+++ b/lavendergate/daemon/control.py
@@ -56,7 +56,7 @@
             host_id=HostId(options.host_id),
             address=options.rpc_listen,
             data_directory=Path(options.data_directory) / 'control',
-            transport=GrpcTransport(tls=None),
+            transport=GrpcTransport(tls=context.peer_client),
         )
         self._log = ReportingControlLog(node=self._node, events=context.events)
         self._reports = FailoverReports(node=self._node, events=context.events)
@@ -116,7 +116,12 @@
         channel = self._channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(':')
-            channel = Channel(host, int(port), codec=MessagePackCodec())
+            channel = Channel(
+                host,
+                int(port),
+                codec=MessagePackCodec(),
+                ssl=self._context.peer_client,
+            )
             self._channels[address] = channel
         try:
             return await call(
--- a/lavendergate/daemon/main.py
+++ b/lavendergate/daemon/main.py
@@ -20,7 +20,7 @@
 
 
 @app.default
-def serve(
+def serve(  # noqa: WPS211 - each option is a flag
     *,
     host_id: Annotated[str, Parameter(help='Identity of this host.')] = '',
     roles: Annotated[str, Parameter(help='proxy, control or both.')] = '',
@@ -44,6 +44,17 @@
         float | None, Parameter(help='Limit of the graceful shutdown.')
     ] = None,
     statsd: Annotated[str, Parameter(help='ip:port of statsd.')] = '',
+    tls_certificate: Annotated[
+        str, Parameter(help='Certificate shown to callers, PEM.')
+    ] = '',
+    tls_key: Annotated[str, Parameter(help='Key of that certificate.')] = '',
+    peer_certificate: Annotated[
+        str, Parameter(help='Certificate shown to other hosts, PEM.')
+    ] = '',
+    peer_key: Annotated[str, Parameter(help='Key of that certificate.')] = '',
+    peer_authority: Annotated[
+        str, Parameter(help='Authority that signs the hosts, PEM.')
+    ] = '',
 ) -> None:
     """Run the daemon until it is stopped by SIGTERM or SIGINT."""
     flags = {
@@ -58,6 +69,11 @@
         'drain_delay_s': drain_delay_s,
         'drain_limit_s': drain_limit_s,
         'statsd': statsd,
+        'tls_certificate': tls_certificate,
+        'tls_key': tls_key,
+        'peer_certificate': peer_certificate,
+        'peer_key': peer_key,
+        'peer_authority': peer_authority,
     }
     options = read_options(flags, os.environ)
     if isinstance(options, Err):
--- a/lavendergate/daemon/options.py
+++ b/lavendergate/daemon/options.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -58,6 +59,11 @@
     drain_delay_s: float = Field(default=2, ge=0, le=300)
     drain_limit_s: float = Field(default=30, ge=1, le=3600)
     statsd: Address | None = None
+    tls_certificate: Path | None = None
+    tls_key: Path | None = None
+    peer_certificate: Path | None = None
+    peer_key: Path | None = None
+    peer_authority: Path | None = None
     callers: Mapping[str, str] = Field(default_factory=dict, repr=False)
     upstream_user: str = ''
     upstream_password: str = Field(default='', repr=False)
@@ -148,6 +154,7 @@
         )
     if 'proxy' in options.roles:
         faults.extend(_proxy_faults(options))
+    faults.extend(_tls_faults(options))
     if not options.announce_key:
         faults.append(
             'LAVENDERGATE_ANNOUNCE_KEY is missing; set the key that the '
@@ -161,6 +168,27 @@
     return faults
 
 
+def _tls_faults(options: DaemonOptions) -> list[str]:
+    callers = (options.tls_certificate, options.tls_key)
+    peers = (
+        options.peer_certificate,
+        options.peer_key,
+        options.peer_authority,
+    )
+    faults = [
+        f'{path} does not exist; check the TLS options'
+        for path in (*callers, *peers)
+        if path is not None and not path.is_file()
+    ]
+    if any(callers) and not all(callers):
+        faults.append('give both --tls-certificate and --tls-key, or neither')
+    if any(peers) and not all(peers):
+        faults.append(
+            'give --peer-certificate, --peer-key and --peer-authority, or none'
+        )
+    return faults
+
+
 def _proxy_faults(options: DaemonOptions) -> list[str]:
     faults = []
     if options.listen is None:
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -18,9 +18,11 @@
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.service import ANNOUNCE, UnaryService
+from lavendergate.rpc.tls import Certificate, TlsContexts
 
 INCARNATION_BYTES = 8
 POLL_INTERVAL_S = 0.05
+CERTIFICATE_INTERVAL_S = 1.0
 SOFTWARE_VERSION = '0.1.0'
 
 _MS_PER_S = 1000
@@ -39,6 +41,10 @@
             clock=clock,
             data_directory=Path(options.data_directory),
         ),
+        caller_tls=_contexts(options.tls_certificate, options.tls_key),
+        peer_tls=_contexts(
+            options.peer_certificate, options.peer_key, options.peer_authority
+        ),
     )
     context.events.emit(
         ProcessEvent.process_started,
@@ -68,7 +74,8 @@
             )
     server = Server(services, codec=MessagePackCodec())
     host, _, port = options.rpc_listen.rpartition(':')
-    await server.start(host, int(port))
+    await server.start(host, int(port), ssl=context.peer_server)
+    tasks.start_soon(_reload_certificates, context)
     if proxy is not None:
         await proxy.start()
     try:
@@ -77,6 +84,22 @@
         server.close()
 
 
+def _contexts(
+    chain: Path | None, key: Path | None, authority: Path | None = None
+) -> TlsContexts | None:
+    if chain is None or key is None:
+        return None
+    return TlsContexts(
+        certificate=Certificate(chain=chain, key=key, authority=authority)
+    )
+
+
+async def _reload_certificates(context: ProcessContext) -> None:
+    while True:
+        await anyio.sleep(CERTIFICATE_INTERVAL_S)
+        context.reload_certificates()
+
+
 async def _wait_for_stop(
     context: ProcessContext, proxy: ProxyRole | None
 ) -> None:
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -94,6 +94,7 @@
         self._listener = CallerListener(
             session_factory=self._make_session,
             accounts=CallerAccounts(auth_strings=options.callers),
+            tls=context.caller_tls.server if context.caller_tls else None,
         )
 
     @property
@@ -188,6 +189,7 @@
             take_announcements=self._relay.take,
             clock=context.clock,
             events=context.events,
+            tls=context.peer_client,
         )
 
     def _make_chain(self) -> Forward:
--- a/lavendergate/frontend/server.py
+++ b/lavendergate/frontend/server.py
@@ -78,6 +78,13 @@
         """Number of open connections of callers."""
         return len(self._connections)
 
+    @property
+    def port(self) -> int:
+        """Port of the listening socket; 0 before the start."""
+        if self._server is None:
+            return 0
+        return int(self._server.sockets[0].getsockname()[1])
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a statement or transaction open."""
--- /dev/null
+++ b/lavendergate/tests/test_tls.py
@@ -0,0 +1,93 @@
+"""TLS towards callers, and renewal of certificates without a restart."""
+
+import asyncio
+import os
+import ssl
+import tempfile
+import unittest
+from pathlib import Path
+
+import pymysql
+import trustme
+from result import Ok
+
+from lavendergate.backends.base import QueryResult
+from lavendergate.filters.base import StatementRequest, StatementResult
+from lavendergate.frontend.server import CallerAccounts, CallerListener
+from lavendergate.frontend.session import CallerSession
+from lavendergate.rpc.tls import Certificate, TlsContexts
+
+PASSWORD = 'pw'
+# SHA1(SHA1('pw')), the hash of mysql_native_password.
+AUTH_STRING = '*D821809F681A40A6E379B50D0463EFAE20BDD122'
+
+
+async def answer(request: StatementRequest) -> StatementResult:
+    """Answer each statement with one affected row."""
+    return Ok(QueryResult(rows=[], affected_rows=1))
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """One listener with a certificate that is renewed."""
+
+    def setUp(self) -> None:
+        self.directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.authority = trustme.CA()
+        self.authority_file = self.directory / 'authority.pem'
+        self.authority.cert_pem.write_to_path(str(self.authority_file))
+        self.renew(1)
+        self.contexts = TlsContexts(
+            certificate=Certificate(
+                chain=self.directory / 'chain.pem',
+                key=self.directory / 'key.pem',
+            )
+        )
+
+    def renew(self, number: int) -> None:
+        """Write a new certificate with a newer modification time."""
+        issued = self.authority.issue_cert(
+            '127.0.0.1', common_name=f'entry-{number}'
+        )
+        chain = self.directory / 'chain.pem'
+        chain.write_bytes(issued.cert_chain_pems[0].bytes())
+        key = self.directory / 'key.pem'
+        key.write_bytes(issued.private_key_pem.bytes())
+        for path in (chain, key):
+            os.utime(path, ns=(number, number))
+
+    async def test_callers_use_the_renewed_certificate(self) -> None:
+        """Guards against a restart for each renewal, and plain logins."""
+        listener = CallerListener(
+            session_factory=lambda: CallerSession(
+                chain=answer, is_closing=lambda: False
+            ),
+            accounts=CallerAccounts(auth_strings={'tablet': AUTH_STRING}),
+            tls=self.contexts.server,
+        )
+        await listener.start('127.0.0.1', 0)
+        port = listener.port
+        before = await asyncio.to_thread(self.serial_of, port)
+        self.renew(2)
+        self.assertTrue(self.contexts.reload_if_changed())
+        self.assertFalse(self.contexts.reload_if_changed())
+        after = await asyncio.to_thread(self.serial_of, port)
+        self.assertNotEqual(before, after)
+        listener.stop_accepting()
+
+    def serial_of(self, port: int) -> str:
+        """Log in over TLS and return the serial number of the server."""
+        context = ssl.create_default_context(cafile=str(self.authority_file))
+        connection = pymysql.connect(
+            host='127.0.0.1',
+            port=port,
+            user='tablet',
+            password=PASSWORD,
+            ssl=context,
+            autocommit=True,
+        )
+        with connection, connection.cursor() as cursor:
+            self.assertEqual(cursor.execute('UPDATE panes SET id = 1'), 1)
+            socket = connection._sock
+            assert isinstance(socket, ssl.SSLSocket)
+            certificate = socket.getpeercert() or {}
+        return str(certificate['serialNumber'])
