Report ends of statements and send metrics

Cause: unknown outcomes and adopted primaries were missing from the timeline, and no metric was sent. Change: an observing filter, gauges, statsd; proxies report each primary that they adopt.

--- a/lavendergate/controllers/heartbeat.py
+++ b/lavendergate/controllers/heartbeat.py
@@ -5,7 +5,7 @@
 """
 
 import ssl
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -19,7 +19,14 @@
 from lavendergate.controllers.probes import Prober
 from lavendergate.controllers.proxy_shares import ProxyShares
 from lavendergate.core.settings.in_force import InForceSettings
-from lavendergate.core.types import FailureDomain, HostId, Region
+from lavendergate.core.types import (
+    FailureDomain,
+    GroupId,
+    HostId,
+    Region,
+    Term,
+)
+from lavendergate.observability.failover_events import FailoverEvent
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.settings_events import SettingsEvent
@@ -181,10 +188,12 @@
         if reply.settings is not None:
             self._take_settings(reply, now)
         if reply.groups is not None:
+            terms = self._terms()
             self._directory.update(
                 reply.groups, version=reply.directory_version, now=now
             )
             self._add_pools()
+            self._report_primaries(terms)
         self._shares.grant(reply.shares, sent_at=sent_at, now=now)
         self._prober.order(reply.probe)
 
@@ -200,6 +209,21 @@
                 previous_version=int(previous),
             )
 
+    def _terms(self) -> dict[GroupId, Term]:
+        groups = self._directory.groups
+        return {group_id: view.term for group_id, view in groups.items()}
+
+    def _report_primaries(self, terms: Mapping[GroupId, Term]) -> None:
+        for group_id, view in self._directory.groups.items():
+            if view.primary is None or terms.get(group_id) == view.term:
+                continue
+            self._events.emit(
+                FailoverEvent.primary_adopted,
+                upstream=view.primary,
+                group=group_id,
+                term=int(view.term),
+            )
+
     def _add_pools(self) -> None:
         for view in self._directory.groups.values():
             for member in view.members:
--- a/lavendergate/daemon/context.py
+++ b/lavendergate/daemon/context.py
@@ -5,6 +5,7 @@
 
 from lavendergate.daemon.options import DaemonOptions
 from lavendergate.observability.log import EventLog
+from lavendergate.observability.metrics import Metrics
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.rpc.tls import TlsContexts
 
@@ -25,6 +26,7 @@
     incarnation: str
     clock: ProcessClock
     events: EventLog
+    metrics: Metrics
     caller_tls: TlsContexts | None = None
     peer_tls: TlsContexts | None = None
 
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -14,6 +14,11 @@
 from lavendergate.daemon.options import DaemonOptions
 from lavendergate.daemon.proxy import ProxyRole
 from lavendergate.observability.file_log import open_event_log
+from lavendergate.observability.metrics import (
+    Metrics,
+    NoMetrics,
+    StatsdMetrics,
+)
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.rpc.codec import MessagePackCodec
@@ -41,6 +46,7 @@
             clock=clock,
             data_directory=Path(options.data_directory),
         ),
+        metrics=_metrics(options),
         caller_tls=_contexts(options.tls_certificate, options.tls_key),
         peer_tls=_contexts(
             options.peer_certificate, options.peer_key, options.peer_authority
@@ -84,6 +90,13 @@
         server.close()
 
 
+def _metrics(options: DaemonOptions) -> Metrics:
+    if options.statsd is None:
+        return NoMetrics()
+    ip, _, port = options.statsd.rpartition(':')
+    return StatsdMetrics(ip=ip, port=int(port), host=options.host_id)
+
+
 def _contexts(
     chain: Path | None, key: Path | None, authority: Path | None = None
 ) -> TlsContexts | None:
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -46,11 +46,13 @@
 from lavendergate.filters.execute import ExecuteFilter
 from lavendergate.filters.hints import HintsFilter
 from lavendergate.filters.local import LocalFilter
+from lavendergate.filters.observe import ObserveFilter
 from lavendergate.filters.outcome import OutcomeReader
 from lavendergate.filters.route import RouteFilter
 from lavendergate.filters.transaction import TransactionFilter
 from lavendergate.frontend.server import CallerAccounts, CallerListener
 from lavendergate.frontend.session import CallerSession
+from lavendergate.observability.metrics import Metric
 
 MAINTENANCE_INTERVAL_S = 0.25
 HAND_BACK_LIMIT_S = 3.0
@@ -149,6 +151,18 @@
             for admission in self._admissions.values():
                 admission.start_queued()
             self._evaluate_ejection()
+            self._send_gauges()
+
+    def _send_gauges(self) -> None:
+        metrics = self._context.metrics
+        metrics.send(Metric.callers_connected, self._listener.connection_count)
+        metrics.send(Metric.settings_version, self._settings.version)
+        for pool in self._pools.pools:
+            label = pool.upstream_id
+            metrics.send(
+                Metric.connections_open, pool.load.open_connections, label
+            )
+            metrics.send(Metric.connections_share, pool.limit, label)
 
     def _evaluate_ejection(self) -> None:
         tree = self._settings.tree
@@ -203,6 +217,11 @@
             confirmer=self._confirmer,
         )
         filters: list[Filter] = [
+            ObserveFilter(
+                events=self._context.events,
+                metrics=self._context.metrics,
+                directory=self._directory,
+            ),
             HintsFilter(verify=self._verify, settings=self._effective),
             ClassifyFilter(),
             LocalFilter(sign=self._sign, outcomes=outcomes),
