Write to the rebuilt data of the stand-in after a truncation

Cause: a connection that was open before the member's tail was truncated kept the replaced data file for its first write, because the file was checked only while the connection did not hold the writer lock. When the member became primary again, the entry was in the log and on the replicas, but not in its own data. Change: the file is checked once the lock is held.

--- a/standin/transaction.py
+++ b/standin/transaction.py
@@ -62,10 +62,8 @@
 
     def data(self) -> DataConnection:
         """Return the connection to the current data."""
-        if self._data is not None and not self._holds_lock:
-            if not self._member.database.is_current(self._data):
-                self._data.close()
-                self._data = None
+        if not self._holds_lock:
+            self._close_replaced_data()
         if self._data is None:
             self._data = self._member.database.connect()
         return self._data
@@ -86,6 +84,8 @@
             return
         self._member.check_writable()
         await self._member.writer.acquire(self._abort, _LOCK_WAIT_LIMIT_S)
+        # The data may have been rebuilt since this connection last used it.
+        self._close_replaced_data()
         self._holds_lock = True
         try:
             self._member.check_writable()
@@ -170,6 +170,13 @@
             self._data.close()
             self._data = None
 
+    def _close_replaced_data(self) -> None:
+        if self._data is None:
+            return
+        if not self._member.database.is_current(self._data):
+            self._data.close()
+            self._data = None
+
     def _abort(self) -> None:
         self._is_aborted = self.has_many_statements
         self.roll_back()
