Exclude the writer from the replicas that confirm its writes

Cause: the driver excluded the primary of the present view. A write that ran on a replaced primary, and whose confirmations had been dropped with its term, was confirmed by that primary alone. Change: the driver remembers the primary of each term and excludes it; a write of a term whose primary it never saw ends as unknown. Before: the new test fails, the replaced primary's write is acknowledged.

--- a/lavendergate/controllers/confirmation.py
+++ b/lavendergate/controllers/confirmation.py
@@ -42,6 +42,8 @@
 ANSWER_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.02
 CONNECTION_TIMEOUT_S = 0.5
+# Writes of older terms have passed their deadlines.
+REMEMBERED_TERMS = 16
 
 
 @dataclass(kw_only=True, slots=True)
@@ -76,6 +78,7 @@
         self._pools = pools
         self._tasks = tasks
         self._cores: dict[Term, WriteConfirmations] = {}
+        self._primaries: dict[Term, UpstreamId] = {}
         self._pending: dict[WriteId, _PendingWrite] = {}
         self._last_id = 0
 
@@ -90,10 +93,11 @@
             False if the term ended or the deadline passed first; the write
             may be lost or kept.
         """
+        writer = await self._primary_of(term, deadline)
         view = self._directory.group(self._group_id)
-        if view is None:
+        if view is None or writer is None:
             return False
-        core = self._core(term, view)
+        core = self._core(term, view, writer)
         self._last_id += 1
         write_id = WriteId(self._last_id)
         pending = _PendingWrite()
@@ -107,7 +111,35 @@
             core.expire(write_id)
         return pending.is_confirmed
 
-    def _core(self, term: Term, view: GroupView) -> WriteConfirmations:
+    async def _primary_of(
+        self, term: Term, deadline: float
+    ) -> UpstreamId | None:
+        """Return the primary of a term, or None if it was never seen."""
+        while True:
+            view = self._directory.group(self._group_id)
+            if view is None:
+                return None
+            if view.primary is not None:
+                self._remember(view.term, view.primary)
+            if view.term >= term:
+                return self._primaries.get(term)
+            # The member was promoted again before the view showed it.
+            if not await self._directory.wait_for_change(deadline=deadline):
+                return None
+
+    def _remember(self, term: Term, primary: UpstreamId) -> None:
+        self._primaries[term] = primary
+        if len(self._primaries) > REMEMBERED_TERMS:
+            self._primaries.pop(min(self._primaries))
+
+    def _core(
+        self, term: Term, view: GroupView, writer: UpstreamId
+    ) -> WriteConfirmations:
+        """Return the confirmations of a term.
+
+        The member that executed the writes is no replica of them. The view
+        may name its successor by now, and it would confirm its own writes.
+        """
         core = self._cores.get(term)
         if core is None:
             older = tuple(one for one in self._cores if one < term)
@@ -117,7 +149,7 @@
             core = WriteConfirmations(
                 term=term,
                 needed=view.majority - 1,
-                replicas=view.member_ids - {view.primary},
+                replicas=view.member_ids - {writer},
             )
             self._cores[term] = core
         return core
--- /dev/null
+++ b/lavendergate/tests/test_confirmation.py
@@ -0,0 +1,93 @@
+"""Tests of the driver that has writes confirmed by replicas."""
+
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, cast
+
+import anyio
+import trio
+import trio.testing
+
+from lavendergate.backends.base import QueryResult
+from lavendergate.controllers.confirmation import GroupConfirmer
+from lavendergate.controllers.connections import ConnectionPools
+from lavendergate.controllers.directory import Directory
+from lavendergate.core.reports import GroupReport
+from lavendergate.core.types import GroupId, LogPosition, Term, UpstreamId
+
+GROUP = GroupId('glasdaten-1')
+MEMBERS = frozenset(map(UpstreamId, 'abc'))
+
+
+class _Member:
+    """Pool and connection of a member that answers ``group_wait``."""
+
+    def __init__(self) -> None:
+        self.promised, self.term, self.position = 1, 1, 0
+
+    @asynccontextmanager
+    async def connection(self, *, deadline: float) -> AsyncIterator['_Member']:
+        yield self
+
+    async def execute(self, sql: str) -> QueryResult:
+        await anyio.sleep(0.01)
+        row = (1, self.promised, self.term, self.position)
+        return QueryResult(rows=[tuple(str(one).encode() for one in row)])
+
+
+class GroupConfirmerTest(unittest.TestCase):
+    """Confirmation across a change of the primary."""
+
+    def test_replaced_primary_does_not_confirm_its_own_write(self) -> None:
+        """Guards against losing writes that only a replaced primary holds."""
+        members = {name: _Member() for name in MEMBERS}
+        directory = Directory()
+
+        def show(term: int, primary: str) -> None:
+            report = GroupReport(
+                group_id=GROUP,
+                term=Term(term),
+                primary=UpstreamId(primary),
+                member_ids=MEMBERS,
+                members=(),
+                term_history=(),
+            )
+            directory.update([report], version=term, now=0)
+
+        def hold(names: str, term: int, position: int) -> None:
+            for name in map(UpstreamId, names):
+                member = members[name]
+                member.promised, member.term = term, term
+                member.position = position
+
+        async def scenario() -> None:
+            async with anyio.create_task_group() as tasks:
+                confirmer = GroupConfirmer(
+                    group_id=GROUP,
+                    directory=directory,
+                    pools=cast(ConnectionPools, cast(Any, members)),
+                    tasks=tasks,
+                )
+
+                async def confirm(term: int, position: int) -> bool:
+                    return await confirmer.confirm(
+                        term=Term(term),
+                        position=LogPosition(
+                            term=Term(term), position=position
+                        ),
+                        deadline=anyio.current_time() + 2,
+                    )
+
+                show(1, 'a')
+                hold('abc', 1, 1)
+                self.assertTrue(await confirm(1, 1))
+                hold('bc', 2, 2)
+                hold('a', 1, 2)
+                show(2, 'b')
+                self.assertTrue(await confirm(2, 2))
+                # Executed on `a` before the view of term 2 arrived.
+                self.assertFalse(await confirm(1, 2))
+                tasks.cancel_scope.cancel()
+
+        trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
