--- a/benchmarks/failover_gap.py
+++ b/benchmarks/failover_gap.py
@@ -68,7 +68,8 @@
         f'lost, {trial.doubled} doubled, {trial.ran_though_refused} ran '
         f'though refused, {trial.by_replaced} by a replaced primary, '
         f'{trial.false_promotions} false and {trial.missing_promotions} '
-        'missing promotions',
+        f'missing promotions'
+        f'{", member restarted: no free connection" * trial.is_full}',
         flush=True,
     )
     return trial
@@ -77,9 +78,8 @@
 _HEADING = (
     '\n| fault | trials | gap median s | p99 s | max s | target s | over '
     'target | acknowledged | lost | doubled | ran though refused | by '
-    'replaced primary | false promotions | missing promotions |\n'
-    + '| --- ' * 14
-    + '|'
+    'replaced primary | false promotions | missing promotions | '
+    'left without free connections |\n' + '| --- ' * 15 + '|'
 )
 
 
@@ -103,6 +103,7 @@
         str(sum(trial.by_replaced for trial in done)),
         str(sum(trial.false_promotions for trial in done)),
         str(sum(trial.missing_promotions for trial in done)),
+        str(sum(trial.is_full for trial in done)),
     ]
     return f'| {" | ".join(cells)} |'
 
--- a/benchmarks/failover_naive.py
+++ b/benchmarks/failover_naive.py
@@ -109,10 +109,11 @@
     )
     await writer.stop()
     if ended_at - last_at > _AFTER_S:
+        last_s = max(last_at - begun_at, 0)
         gap = (
-            f'no write acknowledged from {max(last_at - begun_at, 0):.2f} s after the '
-            f'fault until the end of the observation at {_OBSERVED_S:g} s; '
-            'the gap does not end, as there is no promotion'
+            f'no write acknowledged from {last_s:.2f} s after the fault until '
+            f'the end of the observation at {_OBSERVED_S:g} s; the gap does '
+            'not end, as there is no promotion'
         )
     else:
         gap = f'gap {longest_gap_s(acknowledged, begun_at, ended_at):.2f} s'
--- a/benchmarks/failover_trial.py
+++ b/benchmarks/failover_trial.py
@@ -5,9 +5,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from benchmarks.failover_faults import Fault, find_target, term_changes
+from benchmarks.failover_faults import (
+    Fault,
+    Target,
+    find_target,
+    term_changes,
+)
 from benchmarks.fleet import (
+    CONNECTION_LIMIT,
     MeasurementError,
+    administer,
     group_of,
     healthy_status,
     primary_of,
@@ -39,6 +46,9 @@
         groups.
     missing_promotions
         Changes of primary that the fault calls for and that did not happen.
+    is_full
+        Whether the former primary's connections were used up after the
+        trial, by connections that went silent and that nobody closed.
     """
 
     gap_s: float
@@ -52,6 +62,7 @@
     by_replaced: int
     false_promotions: int
     missing_promotions: int
+    is_full: bool
 
     @property
     def violations(self) -> int:
@@ -96,6 +107,8 @@
     )
     own, others = term_changes(before, after, group)
     verdict = check(_history(writer, group), {group: rows})
+    _print_lost(writer.acknowledged(), frozenset(verdict.lost), begun_at)
+    is_full = await _restart_if_full(target)
     return Trial(
         gap_s=longest_gap_s(writer.acknowledged(), begun_at, ended_at),
         quiet_gap_s=_quiet_gap_s(writer.acknowledged(), begun_at),
@@ -108,9 +121,23 @@
         by_replaced=count_by_replaced(writer.acknowledged()),
         false_promotions=max(own - fault.promotions, 0) + others,
         missing_promotions=max(fault.promotions - own, 0),
+        is_full=is_full,
     )
 
 
+async def _restart_if_full(target: Target) -> bool:
+    """Restart a member without free connections for the next trials."""
+    row = await asyncio.to_thread(
+        administer, target.primary, 'CALL group_status()'
+    )
+    # The administrator's own connection is beyond the limit.
+    if int(row[0][-1]) <= CONNECTION_LIMIT:
+        return False
+    await asyncio.to_thread(target.fleet.kill, target.primary.upstream_id)
+    target.fleet.start_member(target.primary)
+    return True
+
+
 def longest_gap_s(
     acknowledged: Sequence[SteadyWrite], begun_at: float, ended_at: float
 ) -> float:
@@ -169,6 +196,19 @@
         await asyncio.sleep(_QUIET_S / 10)
 
 
+def _print_lost(
+    acknowledged: Sequence[SteadyWrite], lost: frozenset[str], fault_at: float
+) -> None:
+    for one in acknowledged:
+        if one.write_id in lost:
+            print(
+                f'lost: {one.write_id}, acknowledged in term {one.term}, '
+                f'begun {one.begun_at - fault_at:.3f} s and acknowledged '
+                f'{one.ended_at - fault_at:.3f} s after the fault',
+                flush=True,
+            )
+
+
 def _history(writer: SteadyWriter, group: str) -> History:
     return History(
         writes=[
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -29,6 +29,8 @@
 from lavendergate.rpc.messages import StatusReply
 
 START_LIMIT_S = 40.0
+# Of each member of the demo's fleet.
+CONNECTION_LIMIT = 16
 TABLE = (
     'CREATE TABLE IF NOT EXISTS rounds (id BIGINT NOT NULL AUTO_INCREMENT '
     'PRIMARY KEY, write_id VARCHAR(64) NOT NULL)'
--- a/benchmarks/steady_writer.py
+++ b/benchmarks/steady_writer.py
@@ -29,6 +29,7 @@
     begun_at: float
     ended_at: float
     term: int | None = None
+    problem: str = ''
 
 
 @dataclass(kw_only=True, slots=True)
@@ -108,7 +109,7 @@
                 connection.close()
             is_refusal = connection is None or _is_refusal(error)
             outcome = Outcome.not_run if is_refusal else Outcome.unknown
-            self._record(write_id, outcome, begun_at)
+            self._record(write_id, outcome, begun_at, problem=str(error))
             return
         ended_at = time.monotonic()
         term = await self._term(connection)
@@ -166,6 +167,7 @@
         *,
         ended_at: float | None = None,
         term: int | None = None,
+        problem: str = '',
     ) -> None:
         self.writes.append(
             SteadyWrite(
@@ -174,6 +176,7 @@
                 begun_at=begun_at,
                 ended_at=ended_at or time.monotonic(),
                 term=term,
+                problem=problem,
             )
         )
 
