--- /dev/null
+++ b/lavendergate/filters/member_runner.py
@@ -0,0 +1,103 @@
+"""Runs a statement on a connection of a member and gives it back."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Any
+
+from lavendergate.backends.base import Row, UpstreamConnection
+from lavendergate.controllers.connections import MemberPool
+from lavendergate.controllers.loads import MemberLoads
+from lavendergate.filters.base import (
+    Forward,
+    StatementRequest,
+    StatementResult,
+)
+
+
+class MemberRunner:
+    """Counts statements in flight and releases their connections."""
+
+    def __init__(self, *, loads: MemberLoads) -> None:
+        self._loads = loads
+
+    async def run(
+        self,
+        pool: MemberPool,
+        connection: UpstreamConnection,
+        request: StatementRequest,
+        forward: Forward,
+    ) -> StatementResult:
+        """Forward the request on a connection of the pool.
+
+        The connection is released when the statement ended, or at the end
+        of a result that is still being read.
+        """
+        request.member = pool.upstream_id
+        request.connection = connection
+        started_at = self._loads.begin(pool.upstream_id)
+        try:
+            outcome = await forward(request)
+        except BaseException:
+            connection.abort()
+            pool.release(connection)
+            raise
+        finally:
+            request.connection = None
+            self._loads.end(pool.upstream_id, started_at)
+        more_rows = None if outcome.is_err() else outcome.unwrap().more_rows
+        if more_rows is None:
+            pool.release(connection)
+        else:
+            outcome.unwrap().more_rows = _LentRows(
+                rows=more_rows, pool=pool, connection=connection
+            )
+        return outcome
+
+
+class _LentRows(AsyncGenerator[list[Row], None]):
+    """Rows that are still read from a connection, which they give back.
+
+    A generator function would not do: closing one that was never started
+    runs none of its code, and the connection would stay lent for ever.
+    """
+
+    def __init__(
+        self,
+        *,
+        rows: AsyncIterator[list[Row]],
+        pool: MemberPool,
+        connection: UpstreamConnection,
+    ) -> None:
+        self._rows = rows
+        self._pool = pool
+        self._connection = connection
+        self._is_released = False
+
+    async def asend(self, value: None) -> list[Row]:
+        """Return the next rows."""
+        try:
+            return await anext(self._rows)
+        except StopAsyncIteration:
+            self._release()
+            raise
+        except BaseException:
+            self._abort()
+            raise
+
+    async def athrow(self, *error: Any) -> list[Row]:
+        """Stop reading; the rest of the result is not wanted."""
+        self._abort()
+        raise StopAsyncIteration
+
+    async def aclose(self) -> None:
+        """Stop reading; the rest of the result is not wanted."""
+        self._abort()
+
+    def _abort(self) -> None:
+        if not self._is_released:
+            self._connection.abort()
+            self._release()
+
+    def _release(self) -> None:
+        if not self._is_released:
+            self._is_released = True
+            self._pool.release(self._connection)
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -1,12 +1,12 @@
 """Selects the member for a statement and lends it a connection."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
 from result import Err
 
-from lavendergate.backends.base import MemberError, Row, UpstreamConnection
+from lavendergate.backends.base import MemberError, UpstreamConnection
 from lavendergate.controllers.confirmation import wait_on_member
 from lavendergate.controllers.connections import (
     ConnectionPools,
@@ -55,6 +55,7 @@
     UpstreamAnswerError,
     failed,
 )
+from lavendergate.filters.member_runner import MemberRunner
 
 _MS_PER_S = 1000
 # A member needs some time for the answer after a wait ended.
@@ -102,6 +103,7 @@
         self._pools = pools
         self._primaries = primaries
         self._loads = loads
+        self._runner = MemberRunner(loads=loads)
         self._budgets = budgets
         self._read_index = read_index
         self._random_number = random_number
@@ -138,7 +140,7 @@
             if isinstance(acquired, Err):
                 return failed(acquired.err_value)
             primary = acquired.ok_value
-            outcome = await self._run_on(
+            outcome = await self._runner.run(
                 primary.pool, primary.connection, request, forward
             )
             if not _is_read_only(outcome):
@@ -285,7 +287,7 @@
             if not await self._wait(pool, connection, decision):
                 attempt.has_waited = True
                 return None
-        outcome = await self._run_on(pool, connection, request, forward)
+        outcome = await self._runner.run(pool, connection, request, forward)
         if _is_unknown(outcome) and self._may_retry(request):
             # A read may run twice without harm.
             self._loads.note_failure(pool.upstream_id)
@@ -320,28 +322,6 @@
                 pool.release(connection)
         return is_held
 
-    async def _run_on(
-        self,
-        pool: MemberPool,
-        connection: UpstreamConnection,
-        request: StatementRequest,
-        forward: Forward,
-    ) -> StatementResult:
-        request.member = pool.upstream_id
-        request.connection = connection
-        started_at = self._loads.begin(pool.upstream_id)
-        try:
-            outcome = await forward(request)
-        except BaseException:
-            connection.abort()
-            pool.release(connection)
-            raise
-        finally:
-            request.connection = None
-            self._loads.end(pool.upstream_id, started_at)
-        _release_after(outcome, pool, connection)
-        return outcome
-
     async def _pause_before_retry(
         self, request: StatementRequest, error: Exception
     ) -> StatementResult | None:
@@ -354,33 +334,6 @@
         return None
 
 
-def _release_after(
-    outcome: StatementResult, pool: MemberPool, connection: UpstreamConnection
-) -> None:
-    """Release now, or at the end of a result that is still being read."""
-    more_rows = None if outcome.is_err() else outcome.unwrap().more_rows
-    if more_rows is None:
-        pool.release(connection)
-        return
-    outcome.unwrap().more_rows = _release_at_end(more_rows, pool, connection)
-
-
-async def _release_at_end(
-    more_rows: AsyncIterator[list[Row]],
-    pool: MemberPool,
-    connection: UpstreamConnection,
-) -> AsyncIterator[list[Row]]:
-    is_complete = False
-    try:
-        async for rows in more_rows:
-            yield rows
-        is_complete = True
-    finally:
-        if not is_complete:
-            connection.abort()
-        pool.release(connection)
-
-
 def _is_read_only(outcome: StatementResult) -> bool:
     if not isinstance(outcome, Err):
         return False
