--- a/benchmarks/proxy_cost.py
+++ b/benchmarks/proxy_cost.py
@@ -211,9 +211,7 @@
     parser.add_argument('--seconds', type=float, default=3)
     parser.add_argument('--callers', type=int, default=2200)
     arguments = parser.parse_args()
-    asyncio.run(
-        measure(arguments.runs, arguments.seconds, arguments.callers)
-    )
+    asyncio.run(measure(arguments.runs, arguments.seconds, arguments.callers))
 
 
 if __name__ == '__main__':
