--- a/demo/processes.py
+++ b/demo/processes.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from hashlib import sha1
 from pathlib import Path
@@ -141,26 +142,36 @@
             )
 
 
-def make_fleet(directory: Path) -> Fleet:
-    """Choose ports and identities; nothing is started."""
-    ports = iter(_free_ports(2 * len(_PLACES) + len(SCHEMAS) * len(_PLACES)))
+def make_fleet(directory: Path, ports: Sequence[int] | None = None) -> Fleet:
+    """Choose identities; nothing is started.
+
+    Parameters
+    ----------
+    ports
+        Ports in their order: callers, gRPC, members; free ones if missing.
+    """
+    hosts = len(_PLACES)
+    ports = ports or _free_ports(hosts * (2 + len(SCHEMAS)))
     daemons = tuple(
         Daemon(
             host_id=f'entry-{domain}',
             region=region,
             failure_domain=domain,
-            port=next(ports),
-            rpc_port=next(ports),
+            port=port,
+            rpc_port=rpc_port,
+        )
+        for (region, domain), port, rpc_port in zip(
+            _PLACES, ports, ports[hosts:], strict=False
         )
-        for region, domain in _PLACES
     )
+    member_ports = iter(ports[2 * hosts :])
     members = tuple(
         Member(
             upstream_id=f'{group}-{domain}',
             group=group,
             region=region,
             failure_domain=domain,
-            port=next(ports),
+            port=next(member_ports),
         )
         for group in SCHEMAS
         for region, domain in _PLACES
