Keep a primary known that only control does not hear

Cause: the leader dropped a primary 2 s after its last announcement, so the proxies lost its address and their shares of its connections, although they reached it. Change: the leader's observer keeps the entry of a primary that a watcher has reached in the last 1.5 s; status goes on reporting that it does not announce itself. A leader that is elected meanwhile still does not know the address.

--- a/lavendergate/controllers/observer.py
+++ b/lavendergate/controllers/observer.py
@@ -9,7 +9,7 @@
     failover_settings,
 )
 from lavendergate.controllers.log_port import LogState
-from lavendergate.core.directory import Directory
+from lavendergate.core.directory import ANNOUNCEMENT_EXPIRY_S, Directory
 from lavendergate.core.failover_types import Observed
 from lavendergate.core.membership import (
     bump,
@@ -42,6 +42,10 @@
 # A heartbeat repeats a suspicion while it lasts; two missed ones end it.
 _SUSPICION_LIFETIME_S = 1.0
 
+# A round (250 ms), its timeout (500 ms) and a heartbeat (500 ms) pass before
+# the next result arrives.
+_REACHED_LIFETIME_S = 1.5
+
 _MS_PER_S = 1000
 
 
@@ -113,7 +117,7 @@
         if self._groups is not state.groups:
             self._groups = state.groups
             self._directory = bump(self._directory, now)
-        self._directory = expire(self._directory, now)
+        self._directory = self._expire(state, now)
         if len(hosts) != len(self._directory.hosts):
             self._watchers.clear()
         for host_id in self._proxies.keys() - self._directory.hosts.keys():
@@ -193,6 +197,41 @@
         if periodic_at is None or now - periodic_at >= PERIODIC_PROBE_S:
             self._periodic_at[host_id] = now
 
+    def _expire(self, state: LogState, now: float) -> Directory:
+        """Remove expired entries, but not of primaries that watchers reach.
+
+        Such a primary is cut off from control only and goes on working.
+        Without its entry the proxies would have no address and no share.
+        """
+        members = self._directory.members
+        primaries = (record.primary for record in state.groups.values())
+        kept = {
+            primary: members[primary]
+            for primary in primaries
+            if primary is not None
+            and primary in members
+            and self._is_silent_but_reached(primary, now)
+        }
+        if not kept:
+            return expire(self._directory, now)
+        others = {
+            upstream_id: entry
+            for upstream_id, entry in members.items()
+            if upstream_id not in kept
+        }
+        directory = expire(replace(self._directory, members=others), now)
+        return replace(directory, members={**directory.members, **kept})
+
+    def _is_silent_but_reached(self, primary: UpstreamId, now: float) -> bool:
+        seen_at = self._directory.members[primary].seen_at
+        if now - seen_at < ANNOUNCEMENT_EXPIRY_S:
+            return False
+        return any(
+            not track.failed_rounds
+            and now - track.measured_at < _REACHED_LIFETIME_S
+            for track in self._tracks.get(primary, {}).values()
+        )
+
     def _suspects(
         self, primary: UpstreamId, state: LogState, now: float
     ) -> bool:
--- a/lavendergate/controllers/status.py
+++ b/lavendergate/controllers/status.py
@@ -7,6 +7,7 @@
 from lavendergate.controllers.membership import MembershipController
 from lavendergate.controllers.observer import ProxyEntry
 from lavendergate.controllers.share_source import ShareSource
+from lavendergate.core.directory import ANNOUNCEMENT_EXPIRY_S
 from lavendergate.core.membership import spares
 from lavendergate.rpc.messages import (
     ProxyStatus,
@@ -101,6 +102,12 @@
                 'this host receives no announcement or heartbeat and removes '
                 'no one; check its network'
             )
+        # The directory keeps a silent primary that proxies still reach.
+        announcing = {
+            upstream_id
+            for upstream_id, entry in directory.members.items()
+            if now - entry.seen_at < ANNOUNCEMENT_EXPIRY_S
+        }
         for record in state.groups.values():
             if record.is_promoting or record.primary is None:
                 problems.append(
@@ -108,7 +115,7 @@
                     f'term {record.begun_term}; check that a majority of its '
                     f'members is reachable'
                 )
-            for missing in sorted(record.member_ids - directory.members.keys()):
+            for missing in sorted(record.member_ids - announcing):
                 problems.append(
                     f'group {record.group_id}: member {missing} does not '
                     f'announce itself; start it or remove it'
--- a/lavendergate/tests/control_fixture.py
+++ b/lavendergate/tests/control_fixture.py
@@ -59,6 +59,7 @@
         self.forwarded: list[str] = []
         self.reports: list[Report] = []
         self.leaving: set[str] = set()
+        self.silent: set[str] = set()
         self.membership = MembershipController(
             log=self.log,
             announce_key=KEY,
@@ -181,7 +182,7 @@
             reachable = [
                 self.announcement(name)
                 for name, member in self.members.items()
-                if member.is_reachable
+                if member.is_reachable and name not in self.silent
             ]
             if reachable:
                 await self.announce(*reachable)
--- a/lavendergate/tests/test_controllers.py
+++ b/lavendergate/tests/test_controllers.py
@@ -64,6 +64,35 @@
 
         self.control.run(scenario)
 
+    def test_primary_cut_off_from_control_stays_known(self) -> None:
+        """Guards against writes that stop though proxies reach the primary."""
+
+        async def scenario(control: ControlFixture) -> None:
+            async with anyio.create_task_group() as tasks:
+                for name in ('proxy-1', 'proxy-2', 'proxy-3'):
+                    tasks.start_soon(control.run_proxy, name)
+                await anyio.sleep(4)
+                (old,) = control.primaries
+                control.silent.add(old)
+                for _ in range(20):
+                    await anyio.sleep(0.5)
+                    status = await control.status.status(StatusRequest())
+                    (group,) = status.groups
+                    self.assertEqual(group.primary, old)
+                    known = {
+                        one.announcement.upstream_id for one in group.members
+                    }
+                    self.assertIn(old, known)
+                self.assertIn('does not announce', str(status.problems))
+                control.members[old].is_reachable = False
+                await anyio.sleep(4)
+                self.assertNotEqual(
+                    control.log.state.groups[GROUP].primary, old
+                )
+                tasks.cancel_scope.cancel()
+
+        self.control.run(scenario)
+
     def test_switchover_moves_the_primary_and_loses_nothing(self) -> None:
         """Guards against a switchover that promotes before the catch-up."""
 
