--- a/lavendergate/tests/control_fixture.py
+++ b/lavendergate/tests/control_fixture.py
@@ -66,6 +66,7 @@
             self.shares = ShareController(
                 log=self.log, admin=self.admin, rule=share_rule
             )
+        self.silent: set[str] = set()
         self.membership = MembershipController(
             log=self.log,
             announce_key=KEY,
@@ -190,7 +191,7 @@
             reachable = [
                 self.announcement(name)
                 for name, member in self.members.items()
-                if member.is_reachable
+                if member.is_reachable and name not in self.silent
             ]
             if reachable:
                 await self.announce(*reachable)
