--- a/lavendergate/controllers/proxy_shares.py
+++ b/lavendergate/controllers/proxy_shares.py
@@ -22,7 +22,7 @@
     def __init__(self, *, pools: ConnectionPools) -> None:
         self._pools = pools
         self._grants: dict[UpstreamId, ShareGrant] = {}
-        self._expires_at: float = 0
+        self._expires_at: dict[UpstreamId, float] = {}
         self._lost_at: dict[UpstreamId, float] = {}
 
     @property
@@ -35,15 +35,19 @@
     ) -> None:
         """Take over the grants of a heartbeat.
 
+        A member that the answer does not name keeps its last grant until
+        the lease ends: a new leader does not know all members at once, and
+        a host that is not the leader names none.
+
         Parameters
         ----------
         sent_at
             Time at which the heartbeat was sent; leases count from it,
             because control counts from a later moment.
         """
-        self._grants = {grant.upstream_id: grant for grant in grants}
-        leases = [grant.lease_s for grant in grants]
-        self._expires_at = sent_at + min(leases, default=0)
+        for grant in grants:
+            self._grants[grant.upstream_id] = grant
+            self._expires_at[grant.upstream_id] = sent_at + grant.lease_s
         self.enforce(now)
 
     def enforce(self, now: float) -> None:
@@ -60,7 +64,7 @@
         grant = self._grants.get(pool.upstream_id)
         if grant is None:
             return 0
-        if now < self._expires_at:
+        if self._is_leased(pool.upstream_id, now):
             self._lost_at.pop(pool.upstream_id, None)
             return grant.connections
         opened = pool.load.open_connections
@@ -90,6 +94,9 @@
         grant = self._grants.get(upstream_id)
         if grant is None:
             return None
-        if now < self._expires_at:
+        if self._is_leased(upstream_id, now):
             return grant.connections
         return grant.reserved
+
+    def _is_leased(self, upstream_id: UpstreamId, now: float) -> bool:
+        return now < self._expires_at.get(upstream_id, 0)
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -2,6 +2,7 @@
 
 import secrets
 import signal
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import anyio
@@ -11,6 +12,7 @@
 from lavendergate.core.types import HostId
 from lavendergate.daemon.context import ProcessContext
 from lavendergate.daemon.control import ControlRole
+from lavendergate.daemon.drain import Drain
 from lavendergate.daemon.options import DaemonOptions
 from lavendergate.daemon.proxy import ProxyRole
 from lavendergate.observability.file_log import open_event_log
@@ -26,12 +28,9 @@
 from lavendergate.rpc.tls import Certificate, TlsContexts
 
 INCARNATION_BYTES = 8
-POLL_INTERVAL_S = 0.05
 CERTIFICATE_INTERVAL_S = 1.0
 SOFTWARE_VERSION = '0.1.0'
 
-_MS_PER_S = 1000
-
 
 async def run_daemon(options: DaemonOptions) -> None:
     """Run the roles of a host until it is told to stop."""
@@ -116,45 +115,20 @@
 async def _wait_for_stop(
     context: ProcessContext, proxy: ProxyRole | None
 ) -> None:
+    """Wait for a signal, then drain; a second signal ends the drain."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        stop = anyio.Event()
+        await anext(received)
+        if proxy is None:
+            return
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_note_signals, received, stop)
-            await stop.wait()
-            if proxy is not None:
-                await _drain(context, proxy)
+            drain = Drain(context=context, proxy=proxy)
+            tasks.start_soon(_end_at_next_signal, received, drain)
+            await drain.run()
             tasks.cancel_scope.cancel()
 
 
-async def _note_signals(received: object, stop: anyio.Event) -> None:
-    async for number in received:  # type: ignore[attr-defined]
-        del number
-        stop.set()
-
-
-async def _drain(context: ProcessContext, proxy: ProxyRole) -> None:
-    """Finish what is in flight, then close the callers' connections."""
-    options = context.options
-    started_at = anyio.current_time()
-    context.events.emit(
-        ProcessEvent.drain_begun, connections=proxy.listener.connection_count
-    )
-    # The balancer sees the failed health check during the delay; callers
-    # that it still sends are served.
-    await anyio.sleep(options.drain_delay_s)
-    proxy.begin_drain()
-    proxy.listener.stop_accepting()
-    deadline = started_at + options.drain_limit_s
-    while proxy.listener.close_idle():
-        if anyio.current_time() >= deadline:
-            break
-        await anyio.sleep(POLL_INTERVAL_S)
-    cut = proxy.listener.close_all()
-    await proxy.hand_back_shares()
-    duration_ms = int((anyio.current_time() - started_at) * _MS_PER_S)
-    if cut:
-        context.events.emit(
-            ProcessEvent.drain_cut, duration_ms=duration_ms, cut=cut
-        )
-    else:
-        context.events.emit(ProcessEvent.drain_done, duration_ms=duration_ms)
+async def _end_at_next_signal(
+    received: AsyncIterator[signal.Signals], drain: Drain
+) -> None:
+    await anext(received)
+    drain.end_now()
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -73,6 +73,7 @@
         options = context.options
         self._context = context
         self._tasks = tasks
+        self._is_stopping = False
         self._is_closing = False
         self._backend = MySqlBackend(
             user=options.upstream_user,
@@ -112,7 +113,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers can be served: groups are known, no drain runs."""
-        return bool(self._directory.groups) and not self._is_closing
+        return bool(self._directory.groups) and not self._is_stopping
 
     async def start(self) -> None:
         """Begin to serve callers and to exchange heartbeats."""
@@ -124,6 +125,10 @@
         host, _, port = listen.rpartition(':')
         await self._listener.start(host, int(port))
 
+    def fail_health_check(self) -> None:
+        """Tell the balancer to send no more callers; serve those who come."""
+        self._is_stopping = True
+
     def begin_drain(self) -> None:
         """Take no new statements, finish those in flight."""
         self._is_closing = True
