Write a settings conflict only where it was decided

A control host that is not the leader answers a change without an index and with version 0, and event 6002 was written for it although the leader then accepted the change. The event now needs a committed index. The new test fails without the change.

--- a/lavendergate/controllers/settings.py
+++ b/lavendergate/controllers/settings.py
@@ -82,7 +82,8 @@
                 author=command.author,
                 operation_id=command.operation_id,
             )
-        elif command.base_version != reply.settings_version:
+        # A host that is not the leader commits nothing and knows no version.
+        elif reply.index and command.base_version != reply.settings_version:
             self._events.emit(
                 SettingsEvent.settings_conflict,
                 base_version=int(command.base_version),
