--- a/lavendergate/daemon/main.py
+++ b/lavendergate/daemon/main.py
@@ -30,6 +30,9 @@
     ] = '',
     listen: Annotated[str, Parameter(help='ip:port for callers.')] = '',
     rpc_listen: Annotated[str, Parameter(help='ip:port for gRPC.')] = '',
+    health_listen: Annotated[
+        str, Parameter(help="ip:port for the balancer's gRPC health checks.")
+    ] = '',
     control: Annotated[
         str, Parameter(help='ip:port of each control host, with commas.')
     ] = '',
@@ -64,6 +67,7 @@
         'failure_domain': failure_domain,
         'listen': listen,
         'rpc_listen': rpc_listen,
+        'health_listen': health_listen,
         'control': control,
         'data_directory': data_directory,
         'drain_delay_s': drain_delay_s,
--- a/lavendergate/daemon/options.py
+++ b/lavendergate/daemon/options.py
@@ -54,6 +54,7 @@
     failure_domain: Name
     listen: Address | None = None
     rpc_listen: Address
+    health_listen: Address | None = None
     control: tuple[Address, ...] = Field(min_length=1)
     data_directory: str
     drain_delay_s: float = Field(default=2, ge=0, le=300)
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -13,6 +13,7 @@
 from lavendergate.daemon.context import ProcessContext
 from lavendergate.daemon.control import ControlRole
 from lavendergate.daemon.drain import Drain
+from lavendergate.daemon.health import HealthServer
 from lavendergate.daemon.options import DaemonOptions
 from lavendergate.daemon.proxy import ProxyRole
 from lavendergate.observability.file_log import open_event_log
@@ -83,12 +84,25 @@
     tasks.start_soon(_reload_certificates, context)
     if proxy is not None:
         await proxy.start()
+    if options.health_listen is not None:
+        _start_health(options.health_listen, proxy, tasks)
     try:
         await _wait_for_stop(context, proxy)
     finally:
         server.close()
 
 
+def _start_health(
+    address: str, proxy: ProxyRole | None, tasks: TaskGroup
+) -> None:
+    def is_ready() -> bool:  # noqa: WPS430
+        return proxy is None or proxy.is_ready
+
+    host, _, port = address.rpartition(':')
+    health = HealthServer(is_ready=is_ready)
+    tasks.start_soon(health.run, host, int(port))
+
+
 def _metrics(options: DaemonOptions) -> Metrics:
     if options.statsd is None:
         return NoMetrics()
