--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -20,6 +20,7 @@
     'settings_propagation': 'time until a change is in force everywhere',
     'replicated_log': 'throughput, CPU time and restart of the log',
     'settings_tree': 'cost of changes and of effective settings',
+    'decisions': "cost of the statement path's decisions",
     'proxy_cost': 'statements per second, added latency, memory',
     'replica_share': 'reads served by replicas, by routing policy',
     'overload': 'goodput at several times the capacity',
--- a/benchmarks/failover_naive.py
+++ b/benchmarks/failover_naive.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import shutil
 import tempfile
 import time
 from dataclasses import replace
@@ -67,6 +68,7 @@
         return await _observe(fleet, fault, primary, replica)
     finally:
         await asyncio.to_thread(fleet.stop)
+        shutil.rmtree(directory)
 
 
 async def _observe(
