Close at the member what a proxy retired without an answer

Change: proxies report retired connections in their heartbeats until one is accepted, and the leader closes them through the administrator's own connection, if they still belong to that proxy.

--- a/lavendergate/backends/admin.py
+++ b/lavendergate/backends/admin.py
@@ -80,6 +80,16 @@
 
     @abstractmethod
     async def kill_connections(
-        self, address: MemberAddress, host_id: HostId
+        self,
+        address: MemberAddress,
+        host_id: HostId,
+        only: frozenset[int] | None = None,
     ) -> Result[int, AdminFailure]:
-        """Close a proxy's connections; return how many were found."""
+        """Close a proxy's connections; return how many were found.
+
+        Parameters
+        ----------
+        only
+            Connections to close; all of the proxy's if None. Numbers that
+            belong to someone else by now are left alone.
+        """
--- a/lavendergate/backends/admin_memory.py
+++ b/lavendergate/backends/admin_memory.py
@@ -101,16 +101,26 @@
         return self._deliver(Ok(found))
 
     async def kill_connections(
-        self, address: MemberAddress, host_id: HostId
+        self,
+        address: MemberAddress,
+        host_id: HostId,
+        only: frozenset[int] | None = None,
     ) -> Result[int, AdminFailure]:
-        """Close a proxy's connections; return how many were found."""
+        """Close a proxy's connections; return how many were found.
+
+        Parameters
+        ----------
+        only
+            Connections to close; all of the proxy's if None. Numbers that
+            belong to someone else by now are left alone.
+        """
         member = await self._reach(address)
         if member is None:
             return _unreachable()
         found = [
             connection_id
             for connection_id, name in member.connections.items()
-            if name == host_id
+            if name == host_id and (only is None or connection_id in only)
         ]
         for connection_id in found:
             member.connections.pop(connection_id)
--- a/lavendergate/backends/admin_mysql.py
+++ b/lavendergate/backends/admin_mysql.py
@@ -104,13 +104,27 @@
         return await self._query(address, _LIST_CONNECTIONS, _group_by_host)
 
     async def kill_connections(
-        self, address: MemberAddress, host_id: HostId
+        self,
+        address: MemberAddress,
+        host_id: HostId,
+        only: frozenset[int] | None = None,
     ) -> Result[int, AdminFailure]:
-        """Close a proxy's connections; return how many were found."""
+        """Close a proxy's connections; return how many were found.
+
+        Parameters
+        ----------
+        only
+            Connections to close; all of the proxy's if None. Numbers that
+            belong to someone else by now are left alone.
+        """
         listed = await self.connections_by_host(address)
         if listed.is_err():
             return Err(listed.unwrap_err())
-        connection_ids = listed.unwrap().get(host_id, ())
+        connection_ids = [
+            connection_id
+            for connection_id in listed.unwrap().get(host_id, ())
+            if only is None or connection_id in only
+        ]
         for connection_id in connection_ids:
             killed = await self._query(address, f'KILL {connection_id}', len)
             if killed.is_err():
--- a/lavendergate/backends/base.py
+++ b/lavendergate/backends/base.py
@@ -127,6 +127,11 @@
             If the connection failed; the statement may have run.
         """
 
+    @property
+    @abc.abstractmethod
+    def connection_id(self) -> int:
+        """Number by which the member lists the connection."""
+
     @abc.abstractmethod
     def abort(self) -> None:
         """Close the connection at once, without waiting for the member."""
--- a/lavendergate/backends/mysql.py
+++ b/lavendergate/backends/mysql.py
@@ -47,6 +47,11 @@
         """Whether the connection is open and no answer is outstanding."""
         return not self._awaiting_answer and not self._connection.closed
 
+    @property
+    def connection_id(self) -> int:
+        """Number by which the member lists the connection."""
+        return int(self._connection.thread_id())
+
     async def execute(self, sql: str) -> QueryResult:
         """Run a statement; see the base class."""
         self._awaiting_answer = True
--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -91,6 +91,7 @@
         self._loans: dict[UpstreamConnection, _Loan] = {}
         self._waiters: dict[pool_core.OwnerId, _Waiter] = {}
         self._last_owner = 0
+        self._retired: list[int] = []
 
     @property
     def upstream_id(self) -> UpstreamId:
@@ -179,6 +180,16 @@
             )
         )
 
+    def take_retired(self) -> tuple[int, ...]:
+        """Return the connections that were closed without an answer.
+
+        The member may hold them open for long, if something between the two
+        ends has lost track of them, and they use up its connection limit.
+        """
+        retired = tuple(self._retired)
+        self._retired.clear()
+        return retired
+
     async def _take(self, deadline: float) -> UpstreamConnection:
         self._last_owner += 1
         owner_id = pool_core.OwnerId(self._last_owner)
@@ -285,6 +296,8 @@
     def _close(self, connection_id: pool_core.ConnectionId) -> None:
         connection = self._connections.pop(connection_id, None)
         if connection is not None:
+            if not connection.is_usable:
+                self._retired.append(connection.connection_id)
             connection.abort()
         self._perform(self._core.closed(connection_id))
 
--- a/lavendergate/controllers/heartbeat.py
+++ b/lavendergate/controllers/heartbeat.py
@@ -162,6 +162,7 @@
             announcements=self._take_announcements(),
             draining=self._is_draining,
             clock=self._clock.stamp(),
+            retired=self._shares.retired(),
         )
 
     def _channel(self, address: str) -> Channel:
@@ -194,6 +195,8 @@
             )
             self._add_pools()
             self._report_primaries(terms)
+        if reply.has_quorum:
+            self._shares.note_accepted()
         self._shares.grant(reply.shares, sent_at=sent_at, now=now)
         self._prober.order(reply.probe)
 
--- a/lavendergate/controllers/proxy_shares.py
+++ b/lavendergate/controllers/proxy_shares.py
@@ -4,7 +4,11 @@
 
 from lavendergate.controllers.connections import ConnectionPools, MemberPool
 from lavendergate.core.types import UpstreamId
-from lavendergate.rpc.messages import ShareDemand, ShareGrant
+from lavendergate.rpc.messages import (
+    RetiredConnection,
+    ShareDemand,
+    ShareGrant,
+)
 
 REOPEN_LIMIT_S = 1.0
 
@@ -24,6 +28,8 @@
         self._grants: dict[UpstreamId, ShareGrant] = {}
         self._expires_at: dict[UpstreamId, float] = {}
         self._lost_at: dict[UpstreamId, float] = {}
+        self._retired: list[RetiredConnection] = []
+        self._reported = 0
 
     @property
     def grants(self) -> tuple[ShareGrant, ...]:
@@ -60,6 +66,26 @@
         """Return connections in use and wanted, by member."""
         return tuple(self._demand(pool, now) for pool in self._pools.pools)
 
+    def retired(self) -> tuple[RetiredConnection, ...]:
+        """Return the connections that were closed without an answer.
+
+        They are reported until a heartbeat with them was accepted.
+        """
+        self._retired.extend(
+            RetiredConnection(
+                upstream_id=pool.upstream_id, connection_id=connection_id
+            )
+            for pool in self._pools.pools
+            for connection_id in pool.take_retired()
+        )
+        self._reported = len(self._retired)
+        return tuple(self._retired)
+
+    def note_accepted(self) -> None:
+        """Note that the last heartbeat was accepted."""
+        self._retired = self._retired[self._reported :]
+        self._reported = 0
+
     def _limit(self, pool: MemberPool, now: float) -> int:
         grant = self._grants.get(pool.upstream_id)
         if grant is None:
--- a/lavendergate/controllers/shares.py
+++ b/lavendergate/controllers/shares.py
@@ -61,6 +61,7 @@
         self._version = 0
         self._members: dict[UpstreamId, MemberShares] = {}
         self._addresses: dict[UpstreamId, MemberAddress] = {}
+        self._retired: dict[tuple[UpstreamId, HostId], set[int]] = {}
 
     @property
     def version(self) -> int:
@@ -91,6 +92,9 @@
             report = _report(demands.get(upstream_id), request.draining)
             heard = hear(shares, request.host_id, report, now)
             self._assign(upstream_id, heard, now)
+        for retired in request.retired:
+            key = (retired.upstream_id, request.host_id)
+            self._retired.setdefault(key, set()).add(retired.connection_id)
 
     def grants(self, host_id: HostId, now: float) -> tuple[ShareGrant, ...]:
         """Return the present grants of a proxy."""
@@ -121,6 +125,7 @@
                 self._follow_epoch()
                 self._follow_registry(anyio.current_time())
                 await self._check_members()
+                await self._close_retired()
             await anyio.sleep(self._tick_s)
 
     def _follow_epoch(self) -> None:
@@ -151,6 +156,25 @@
         if before is None or _granted(before) != _granted(after):
             self._version += 1
 
+    async def _close_retired(self) -> None:
+        """Close connections at the members that proxies have retired.
+
+        The proxies cannot do it: all connections of a member may be silent
+        ones, and only the administrator has a further one.
+        """
+        retired = self._retired
+        self._retired = {}
+        async with anyio.create_task_group() as tasks:
+            for (upstream_id, host_id), connections in retired.items():
+                address = self._addresses.get(upstream_id)
+                if address is not None:
+                    tasks.start_soon(
+                        self._admin.kill_connections,
+                        address,
+                        host_id,
+                        frozenset(connections),
+                    )
+
     async def _check_members(self) -> None:
         now = anyio.current_time()
         async with anyio.create_task_group() as tasks:
--- a/lavendergate/rpc/messages.py
+++ b/lavendergate/rpc/messages.py
@@ -48,6 +48,20 @@
     granted_connections: int | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RetiredConnection:
+    """A connection that a proxy closed without an answer.
+
+    Parameters
+    ----------
+    connection_id
+        Number by which the member lists the connection.
+    """
+
+    upstream_id: UpstreamId
+    connection_id: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProbeResult:
     """Result of a probe on a new connection."""
@@ -73,6 +87,8 @@
         Whether the proxy is shutting down and hands its shares back.
     clock
         Hybrid logical clock of the sender.
+    retired
+        Connections that control is to close at the members.
     """
 
     host_id: HostId
@@ -88,6 +104,7 @@
     announcements: tuple[bytes, ...]
     draining: bool
     clock: int
+    retired: tuple[RetiredConnection, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lavendergate/tests/test_member_runner.py
+++ b/lavendergate/tests/test_member_runner.py
@@ -36,6 +36,10 @@
     def is_usable(self) -> bool:
         return self.is_open
 
+    @property
+    def connection_id(self) -> int:
+        return 1
+
     async def execute(self, sql: str) -> QueryResult:
         return QueryResult(rows=[])
 
