Report logins whose answer was lost

Cause: a member that is cut off after the login accepts connections that the proxy never gets; three watchers' probes alone took all 16 connections in about 4 s, and nobody closed them. aiomysql also left the socket of a cancelled login open. Ruled out: the pools, whose retired connections were already closed. Change: a failed login names the connection's number, pools and probes report it, and control closes it; a cancelled login closes its socket.

--- a/lavendergate/backends/base.py
+++ b/lavendergate/backends/base.py
@@ -89,11 +89,21 @@
     has_answered
         Whether the member itself refused the connection, for instance
         because of its connection limit; then it is up.
+    connection_id
+        Number by which the member may list the connection: it may have
+        accepted the login although its answer was lost.
     """
 
-    def __init__(self, reason: str, *, has_answered: bool = False) -> None:
+    def __init__(
+        self,
+        reason: str,
+        *,
+        has_answered: bool = False,
+        connection_id: int | None = None,
+    ) -> None:
         super().__init__(reason)
         self.has_answered = has_answered
+        self.connection_id = connection_id
 
 
 class ConnectionLostError(MemberError):
--- a/lavendergate/backends/mysql.py
+++ b/lavendergate/backends/mysql.py
@@ -148,29 +148,43 @@
         timeout_s: float,
     ) -> UpstreamConnection:
         """Open a connection; see the base class."""
+        connection = aiomysql.Connection(
+            host=address.host,
+            port=address.port,
+            user=self._user,
+            password=self._password,
+            db=database,
+            charset='utf8mb4',
+            autocommit=True,
+            use_unicode=False,
+            conv={},
+            program_name=self._program_name,
+        )
         try:
             with anyio.fail_after(timeout_s):
-                connection = await aiomysql.connect(
-                    host=address.host,
-                    port=address.port,
-                    user=self._user,
-                    password=self._password,
-                    db=database,
-                    charset='utf8mb4',
-                    autocommit=True,
-                    use_unicode=False,
-                    conv={},
-                    program_name=self._program_name,
-                )
+                # aiomysql.connect does the same, but keeps the object to
+                # itself: a login that is cancelled would leave its socket
+                # open, and the number of the connection would be lost.
+                await connection._connect()  # noqa: SLF001, WPS437
         except (aiomysql.MySQLError, OSError, EOFError) as error:
+            connection.close()
             raise UpstreamUnreachableError(
                 f'no connection to {address.host}:{address.port} '
                 f'within {timeout_s:.3f} s: {error}',
                 has_answered=_is_answer(error),
+                connection_id=_number(connection),
             ) from error
+        except BaseException:
+            connection.close()
+            raise
         return MySqlConnection(connection=connection)
 
 
+def _number(connection: aiomysql.Connection) -> int | None:
+    number = getattr(connection, 'server_thread_id', None)
+    return None if number is None else int(number[0])
+
+
 def _is_answer(error: Exception) -> bool:
     if not isinstance(error, aiomysql.MySQLError) or not error.args:
         return False
--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -18,6 +18,7 @@
     MemberError,
     UpstreamBackend,
     UpstreamConnection,
+    UpstreamUnreachableError,
 )
 from lavendergate.core import pool as pool_core
 from lavendergate.core.types import GroupId, UpstreamId
@@ -278,6 +279,7 @@
                 timeout_s=CONNECT_TIMEOUT_S,
             )
         except MemberError as error:
+            self._note_lost_login(error)
             self._perform(self._core.closed(connection_id))
             self._fail_first_waiter(error)
             return
@@ -285,6 +287,12 @@
         now = anyio.current_time()
         self._perform(self._core.opened(connection_id, now))
 
+    def _note_lost_login(self, error: MemberError) -> None:
+        if not isinstance(error, UpstreamUnreachableError):
+            return
+        if error.connection_id is not None and not error.has_answered:
+            self._retired.append(error.connection_id)
+
     def _fail_first_waiter(self, error: MemberError) -> None:
         """Report the error to one who waits; the next attempt is theirs."""
         for owner_id, waiter in self._waiters.items():
--- a/lavendergate/controllers/probes.py
+++ b/lavendergate/controllers/probes.py
@@ -1,6 +1,6 @@
 """Probes of members on new connections, as control orders them."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -34,6 +34,13 @@
 
     An open connection may be silent because something between the two ends
     has lost track of it, so only a new connection tells about the member.
+
+    Parameters
+    ----------
+    note_lost
+        Receives the connections that the member may keep open although the
+        probe had no answer. Probes of a member that is cut off would use
+        up its connection limit within seconds.
     """
 
     def __init__(
@@ -42,8 +49,10 @@
         backend: UpstreamBackend,
         directory: Directory,
         tasks: TaskGroup,
+        note_lost: Callable[[UpstreamId, int], None],
     ) -> None:
         self._backend = backend
+        self._note_lost = note_lost
         self._directory = directory
         self._tasks = tasks
         self._ordered: frozenset[UpstreamId] = frozenset()
@@ -75,7 +84,7 @@
             while upstream_id in self._ordered:
                 address = self._address(upstream_id)
                 if address is not None:
-                    is_reachable = await self._probe(address)
+                    is_reachable = await self._probe(upstream_id, address)
                     self._findings[upstream_id] = _Finding(
                         is_reachable=is_reachable,
                         found_at=anyio.current_time(),
@@ -84,17 +93,22 @@
         finally:
             self._running.discard(upstream_id)
 
-    async def _probe(self, address: MemberAddress) -> bool:
+    async def _probe(
+        self, upstream_id: UpstreamId, address: MemberAddress
+    ) -> bool:
         try:
             connection = await self._backend.connect(
                 address, database='', timeout_s=PROBE_TIMEOUT_S
             )
         except UpstreamUnreachableError as error:
+            if error.connection_id is not None and not error.has_answered:
+                self._note_lost(upstream_id, error.connection_id)
             return error.has_answered
         try:
             with anyio.fail_after(PROBE_TIMEOUT_S):
                 await connection.execute('CALL group_status()')
         except (ConnectionLostError, TimeoutError):
+            self._note_lost(upstream_id, connection.connection_id)
             return False
         except UpstreamError:
             # An error is an answer: the member is up.
--- a/lavendergate/controllers/proxy_shares.py
+++ b/lavendergate/controllers/proxy_shares.py
@@ -81,6 +81,14 @@
         self._reported = len(self._retired)
         return tuple(self._retired)
 
+    def note_lost(self, upstream_id: UpstreamId, connection_id: int) -> None:
+        """Report a connection that is not of a pool, such as a probe's."""
+        self._retired.append(
+            RetiredConnection(
+                upstream_id=upstream_id, connection_id=connection_id
+            )
+        )
+
     def note_accepted(self) -> None:
         """Note that the last heartbeat was accepted."""
         self._retired = self._retired[self._reported :]
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -204,6 +204,7 @@
                 backend=self._backend,
                 directory=self._directory,
                 tasks=self._tasks,
+                note_lost=self._shares.note_lost,
             ),
             take_announcements=self._relay.take,
             clock=context.clock,
