Repeat closing a retired connection until the member answered

Cause: the administrator has one connection at a member; when the failover used it, the call that closes retired connections was refused and their numbers were forgotten. Change: a failed call puts the numbers back.

--- a/lavendergate/controllers/shares.py
+++ b/lavendergate/controllers/shares.py
@@ -165,15 +165,23 @@
         retired = self._retired
         self._retired = {}
         async with anyio.create_task_group() as tasks:
-            for (upstream_id, host_id), connections in retired.items():
-                address = self._addresses.get(upstream_id)
-                if address is not None:
-                    tasks.start_soon(
-                        self._admin.kill_connections,
-                        address,
-                        host_id,
-                        frozenset(connections),
-                    )
+            for key, connections in retired.items():
+                tasks.start_soon(self._close, key, frozenset(connections))
+
+    async def _close(
+        self, key: tuple[UpstreamId, HostId], connections: frozenset[int]
+    ) -> None:
+        upstream_id, host_id = key
+        address = self._addresses.get(upstream_id)
+        if address is None:
+            return
+        closed = await self._admin.kill_connections(
+            address, host_id, connections
+        )
+        if closed.is_err():
+            # The administrator's one connection may be in use by a failover,
+            # or the member may not be reachable yet.
+            self._retired.setdefault(key, set()).update(connections)
 
     async def _check_members(self) -> None:
         now = anyio.current_time()
