--- a/benchmarks/proxy_cost.py
+++ b/benchmarks/proxy_cost.py
@@ -165,6 +165,8 @@
 async def measure(runs: int, seconds: float, callers: int) -> None:
     """Run all measurements."""
     fleet = make_fleet(Path(tempfile.mkdtemp()))
+    # The proxies use all of a smaller limit, and the direct load needs some.
+    fleet.connection_limit = 40
     fleet.start()
     try:
         await prepare(fleet)
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -59,6 +59,7 @@
     directory: Path
     daemons: tuple[Daemon, ...]
     members: tuple[Member, ...]
+    connection_limit: int = 16
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def start(self) -> None:
@@ -207,7 +208,7 @@
         'failure-domain': member.failure_domain,
         'listen': f'{_HOST}:{member.port}',
         'data': str(fleet.directory / member.upstream_id),
-        'connection-limit': '16',
+        'connection-limit': str(fleet.connection_limit),
         'slots': '2',
         'connect-delay-ms': '12',
         'replication-delay-ms': _REPLICATION_DELAYS_MS[member.failure_domain],
