Name every wrong option and report a start that failed

Cause: a wrong role hid behind other faults, and an address in use ended the daemon with a traceback. Change: roles are checked together with the rest; an OSError at the start names the options to look at and ends with exit code 1. After: two tests of the options pass; a bound port was tried by hand.

--- a/lavendergate/daemon/main.py
+++ b/lavendergate/daemon/main.py
@@ -12,6 +12,7 @@
 from lavendergate.daemon.process import run_daemon
 
 EXIT_USAGE = 2
+EXIT_START = 1
 
 app = App(
     name='lavendergated',
@@ -84,7 +85,15 @@
         for fault in options.err_value:
             sys.stderr.write(f'lavendergated: {fault}\n')
         sys.exit(EXIT_USAGE)
-    anyio.run(run_daemon, options.ok_value, backend='asyncio')
+    try:
+        anyio.run(run_daemon, options.ok_value, backend='asyncio')
+    except* OSError as group:
+        for error in group.exceptions:
+            sys.stderr.write(
+                f'lavendergated: {error}; check --listen, --rpc-listen, '
+                '--health-listen and --data-directory\n'
+            )
+        sys.exit(EXIT_START)
 
 
 def main() -> None:
--- a/lavendergate/daemon/options.py
+++ b/lavendergate/daemon/options.py
@@ -90,6 +90,7 @@
         options = DaemonOptions.model_validate(fields)
     except ValidationError as error:
         faults.extend(_fault(item) for item in error.errors())
+        faults.extend(_role_faults(fields.get('roles')))
         return Err(tuple(faults))
     faults.extend(_cross_faults(options))
     return Err(tuple(faults)) if faults else Ok(options)
@@ -147,12 +148,7 @@
 
 def _cross_faults(options: DaemonOptions) -> list[str]:
     faults = []
-    unknown = options.roles - _ROLES
-    if unknown or not options.roles:
-        faults.append(
-            f'--roles has the value {sorted(options.roles)!r}: expected '
-            'proxy, control or proxy,control'
-        )
+    faults.extend(_role_faults(options.roles))
     if 'proxy' in options.roles:
         faults.extend(_proxy_faults(options))
     faults.extend(_tls_faults(options))
@@ -169,6 +165,17 @@
     return faults
 
 
+def _role_faults(roles: object) -> list[str]:
+    if not isinstance(roles, list | frozenset):
+        return []
+    if roles and _ROLES.issuperset(roles):
+        return []
+    return [
+        f'--roles has the value {",".join(sorted(roles))!r}: expected proxy, '
+        'control or proxy,control'
+    ]
+
+
 def _tls_faults(options: DaemonOptions) -> list[str]:
     callers = (options.tls_certificate, options.tls_key)
     peers = (
