--- a/lavendergate/cli/cluster_calls.py
+++ b/lavendergate/cli/cluster_calls.py
@@ -1,17 +1,20 @@
-"""Calls for the first start and the repair of the control hosts.
+"""Calls for the first start and the repair of the control hosts."""
 
-The messages belong to `lavendergate.rpc.consensus_service`, which is loaded
-on use, so that the other commands work in a build without it.
-"""
-
-import importlib
 from collections.abc import Sequence
-from typing import Any
 
 from lavendergate.cli.control_client import ControlClient
 from lavendergate.cli.outcome import CommandError, refused
-
-_MODULE = 'lavendergate.rpc.consensus_service'
+from lavendergate.core.types import HostId
+from lavendergate.rpc.consensus_service import (
+    CLUSTER_INIT,
+    CLUSTER_REPLACE,
+    HOST_IDENTITY,
+    ClusterInitRequest,
+    ClusterReplaceRequest,
+    ControlHost,
+    HostIdentityReply,
+    HostIdentityRequest,
+)
 
 
 async def initialise(
@@ -30,22 +33,21 @@
     CommandError
         If a host does not answer, is initialised already or refuses.
     """
-    service = _service()
-    hosts = {}
+    hosts = []
     waiting = []
     for candidate in addresses:
-        identity = await _identify(client, service, candidate)
+        identity = await _identify(client, candidate)
         if not identity.initialised:
             waiting.append(candidate)
         elif not is_resumed:
             raise _initialised(candidate, identity.host_id)
-        hosts[candidate] = _control_host(service, identity, candidate)
-    request = service.ClusterInitRequest(voters=tuple(hosts.values()))
+        hosts.append(_control_host(identity, candidate))
+    request = ClusterInitRequest(voters=tuple(hosts))
     for address in waiting:
-        reply = await client.ask(service.CLUSTER_INIT, request, address=address)
+        reply = await client.ask(CLUSTER_INIT, request, address=address)
         if not reply.accepted:
             raise refused(f'{address} refused: {reply.problem}')
-    return tuple(host.host_id for host in hosts.values())
+    return tuple(host.host_id for host in hosts)
 
 
 async def replace(
@@ -58,30 +60,27 @@
     CommandError
         If the new host does not answer, or the leader refuses.
     """
-    service = _service()
-    identity = await _identify(client, service, new_address)
+    identity = await _identify(client, new_address)
     if identity.initialised:
         raise _initialised(new_address, identity.host_id)
-    new_host = _control_host(service, identity, new_address)
-    reply = await client.ask(
-        service.CLUSTER_REPLACE,
-        service.ClusterReplaceRequest(
-            old_host_id=old_host_id, new_host=new_host
-        ),
+    new_host = _control_host(identity, new_address)
+    request = ClusterReplaceRequest(
+        old_host_id=HostId(old_host_id), new_host=new_host
     )
+    reply = await client.ask(CLUSTER_REPLACE, request)
     if not reply.accepted:
         raise refused(reply.problem or 'refused')
-    return str(new_host.host_id)
+    return new_host.host_id
 
 
-async def _identify(client: ControlClient, service: Any, address: str) -> Any:
+async def _identify(client: ControlClient, address: str) -> HostIdentityReply:
     return await client.ask(
-        service.HOST_IDENTITY, service.HostIdentityRequest(), address=address
+        HOST_IDENTITY, HostIdentityRequest(), address=address
     )
 
 
-def _control_host(service: Any, identity: Any, address: str) -> Any:
-    return service.ControlHost(
+def _control_host(identity: HostIdentityReply, address: str) -> ControlHost:
+    return ControlHost(
         host_id=identity.host_id,
         incarnation=identity.incarnation,
         address=address,
@@ -94,12 +93,3 @@
         '"cluster init" repeat it with --resume, otherwise start the host '
         'with an empty data directory',
     )
-
-
-def _service() -> Any:
-    try:
-        return importlib.import_module(_MODULE)
-    except ImportError as error:
-        raise refused(
-            f'this build has no {_MODULE}; use a build with the control role'
-        ) from error
