Keep the TLS record that arrives with the request for TLS

Change: the record is handed on to the TLS protocol; a test sends both in one segment. Before: the new test fails, the connection is closed. After: it passes, and 25 repeats of the login test pass.

--- a/lavendergate/frontend/connection.py
+++ b/lavendergate/frontend/connection.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import ssl
 from collections.abc import (
     AsyncGenerator,
     AsyncIterator,
@@ -36,6 +37,7 @@
 from lavendergate.filters.base import StatementFailure
 from lavendergate.frontend import results
 from lavendergate.frontend.session import CallerSession
+from lavendergate.frontend.tls_upgrade import upgrade_to_tls
 
 MAX_PACKET_BYTES = 16 * 1024 * 1024
 LOGIN_TIMEOUT_S = 10.0
@@ -66,7 +68,10 @@
         self.write_many = self._stream.write_many
         self.drain = self._stream.drain
         self.reset_seq = self._stream.reset_seq
-        self.start_tls = self._stream.start_tls
+
+    async def start_tls(self, context: ssl.SSLContext) -> None:
+        """Change to TLS after the caller asked for it."""
+        await upgrade_to_tls(self.reader, self._stream.writer, context)
 
     async def read(self) -> bytes:
         """Read one payload, which may span several packets.
--- a/lavendergate/tests/test_tls.py
+++ b/lavendergate/tests/test_tls.py
@@ -20,6 +20,15 @@
 PASSWORD = 'pw'
 # SHA1(SHA1('pw')), the hash of mysql_native_password.
 AUTH_STRING = '*D821809F681A40A6E379B50D0463EFAE20BDD122'
+# Packet 1 of a login: capabilities for protocol 4.1, TLS, secure connections
+# and plugins, the largest packet, utf8mb4 and 23 zero bytes.
+TLS_REQUEST = (
+    b'\x20\x00\x00\x01'
+    + (0x8_8A00).to_bytes(4, 'little')
+    + (1 << 24).to_bytes(4, 'little')
+    + b'\x2d'
+    + bytes(23)
+)
 
 
 async def answer(request: StatementRequest) -> StatementResult:
@@ -55,15 +64,19 @@
         for path in (chain, key):
             os.utime(path, ns=(number, number))
 
-    async def test_callers_use_the_renewed_certificate(self) -> None:
-        """Guards against a restart for each renewal, and plain logins."""
-        listener = CallerListener(
+    def listener(self) -> CallerListener:
+        """Return a listener with the certificate."""
+        return CallerListener(
             session_factory=lambda: CallerSession(
                 chain=answer, is_closing=lambda: False
             ),
             accounts=CallerAccounts(auth_strings={'tablet': AUTH_STRING}),
             tls=self.contexts.server,
         )
+
+    async def test_callers_use_the_renewed_certificate(self) -> None:
+        """Guards against a restart for each renewal, and plain logins."""
+        listener = self.listener()
         await listener.start('127.0.0.1', 0)
         port = listener.port
         before = await asyncio.to_thread(self.serial_of, port)
@@ -74,6 +87,37 @@
         self.assertNotEqual(before, after)
         listener.stop_accepting()
 
+    async def test_record_right_behind_the_request_for_tls(self) -> None:
+        """Guards against a TLS record that arrives too early and is lost."""
+        listener = self.listener()
+        await listener.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', listener.port
+        )
+        header = await reader.readexactly(4)
+        await reader.readexactly(int.from_bytes(header[:3], 'little'))
+        context = ssl.create_default_context(cafile=str(self.authority_file))
+        received, to_send = ssl.MemoryBIO(), ssl.MemoryBIO()
+        client = context.wrap_bio(
+            received, to_send, server_hostname='127.0.0.1'
+        )
+        with self.assertRaises(ssl.SSLWantReadError):
+            client.do_handshake()
+        # Both in one segment: the record is read together with the request.
+        writer.write(TLS_REQUEST + to_send.read())
+        while True:
+            data = await reader.read(65_536)
+            self.assertTrue(data, 'the connection was closed')
+            received.write(data)
+            try:
+                client.do_handshake()
+                break
+            except ssl.SSLWantReadError:
+                writer.write(to_send.read())
+        self.assertIsNotNone(client.getpeercert())
+        writer.close()
+        listener.stop_accepting()
+
     def serial_of(self, port: int) -> str:
         """Log in over TLS and return the serial number of the server."""
         context = ssl.create_default_context(cafile=str(self.authority_file))
