Open channels to hosts in one place

Cause: the read-through found the same address split, codec and TLS context in the heartbeat, the control role, the log's transport and the command-line tool. Change: rpc/service.open_channel serves all four; behaviour is unchanged.

--- a/lavendergate/cli/control_client.py
+++ b/lavendergate/cli/control_client.py
@@ -3,14 +3,12 @@
 import asyncio
 from typing import TypeVar
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from lavendergate.cli.options import ControlOptions
 from lavendergate.cli.outcome import refused, unreachable
-from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import StatusReply, StatusRequest
-from lavendergate.rpc.service import STATUS, Method, call
+from lavendergate.rpc.service import STATUS, Method, call, open_channel
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
@@ -135,10 +133,7 @@
     async def _call(
         self, address: str, method: Method[RequestT, ReplyT], request: RequestT
     ) -> ReplyT:
-        host, _, port = address.rpartition(':')
-        channel = Channel(
-            host, int(port), codec=MessagePackCodec(), ssl=self._tls
-        )
+        channel = open_channel(address, tls=self._tls)
         try:
             return await asyncio.wait_for(
                 call(channel, method, request, timeout_s=self._timeout_s),
--- a/lavendergate/controllers/heartbeat.py
+++ b/lavendergate/controllers/heartbeat.py
@@ -30,9 +30,8 @@
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.settings_events import SettingsEvent
-from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import HeartbeatReply, HeartbeatRequest
-from lavendergate.rpc.service import HEARTBEAT, call
+from lavendergate.rpc.service import HEARTBEAT, call, open_channel
 
 CALL_TIMEOUT_S = 1.5
 # The long poll returns at once while things change; the pause bounds the
@@ -168,10 +167,7 @@
     def _channel(self, address: str) -> Channel:
         channel = self._channels.get(address)
         if channel is None:
-            host, _, port = address.rpartition(':')
-            channel = Channel(
-                host, int(port), codec=MessagePackCodec(), ssl=self._tls
-            )
+            channel = open_channel(address, tls=self._tls)
             self._channels[address] = channel
         return channel
 
--- a/lavendergate/daemon/control.py
+++ b/lavendergate/daemon/control.py
@@ -19,7 +19,6 @@
 from lavendergate.controllers.status import StatusController
 from lavendergate.core.types import HostId
 from lavendergate.daemon.context import ProcessContext
-from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import AnnounceReply, AnnounceRequest
 from lavendergate.rpc.service import (
     ANNOUNCE,
@@ -29,6 +28,7 @@
     SWITCHOVER,
     UnaryService,
     call,
+    open_channel,
 )
 from lavendergate.rpc.settings_service import SETTINGS_HISTORY
 from lavendergate.rpc.transport import GrpcTransport
@@ -115,13 +115,7 @@
     ) -> AnnounceReply:
         channel = self._channels.get(address)
         if channel is None:
-            host, _, port = address.rpartition(':')
-            channel = Channel(
-                host,
-                int(port),
-                codec=MessagePackCodec(),
-                ssl=self._context.peer_client,
-            )
+            channel = open_channel(address, tls=self._context.peer_client)
             self._channels[address] = channel
         try:
             return await call(
--- a/lavendergate/rpc/service.py
+++ b/lavendergate/rpc/service.py
@@ -1,5 +1,6 @@
 """Unary services and calls over grpclib."""
 
+import ssl
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
@@ -9,6 +10,7 @@
 from grpclib.server import Stream
 
 from lavendergate.rpc import messages
+from lavendergate.rpc.codec import MessagePackCodec
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
@@ -81,6 +83,20 @@
         }
 
 
+def open_channel(address: str, *, tls: ssl.SSLContext | None = None) -> Channel:
+    """Return a channel to a host; it connects at its first call.
+
+    Parameters
+    ----------
+    address
+        Address of the host, ``ip:port``.
+    tls
+        Context for mutual TLS; None for plain connections.
+    """
+    host, _, port = address.rpartition(':')
+    return Channel(host, int(port), codec=MessagePackCodec(), ssl=tls)
+
+
 async def call(
     channel: Channel,
     method: Method[RequestT, ReplyT],
--- a/lavendergate/rpc/transport.py
+++ b/lavendergate/rpc/transport.py
@@ -8,9 +8,8 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from lavendergate.core.consensus.messages import Envelope
-from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.consensus_service import EXCHANGE, ExchangeRequest
-from lavendergate.rpc.service import call
+from lavendergate.rpc.service import call, open_channel
 
 # A peer of another version may answer with bytes that do not decode.
 _LOST_CALL = (
@@ -94,14 +93,11 @@
     def _channel(self, address: str) -> Channel:
         channel = self._channels.get(address)
         if channel is None:
-            host, _, port = address.rpartition(':')
-            if not port.isdecimal():
+            if not address.rpartition(':')[2].isdecimal():
                 raise TransportError(
                     f'{address!r} is not an address: use ip:port'
                 )
-            channel = Channel(
-                host, int(port), codec=MessagePackCodec(), ssl=self._tls
-            )
+            channel = open_channel(address, tls=self._tls)
             self._channels[address] = channel
         return channel
 
