--- /dev/null
+++ b/lavendergate/backends/sessions.py
@@ -0,0 +1,109 @@
+"""Port to members that speak in sessions and statements.
+
+Each protocol implements it in a package of its own; the statement path and
+the watchers depend on this module only.
+"""
+
+import abc
+
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.statements import (
+    MemberReport,
+    PauseReplication,
+    Refused,
+    ReportStatus,
+    ResumeReplication,
+    SessionAnswer,
+    Statement,
+)
+from lavendergate.core.types import LogPosition
+
+MemberQuestion = ReportStatus | PauseReplication | ResumeReplication
+
+
+class MemberUnreachableError(Exception):
+    """No connection to a member was opened, so nothing ran there."""
+
+
+class MemberRefusedError(Exception):
+    """A member refused a connection.
+
+    Parameters
+    ----------
+    refusal
+        The member's answer.
+    """
+
+    def __init__(self, *, refusal: Refused) -> None:
+        super().__init__(f'{refusal.code.value}: {refusal.text}')
+        self.refusal = refusal
+
+
+class AnswerLostError(Exception):
+    """A statement was sent, and its answer did not arrive complete.
+
+    The statement may have run. The connection must not be used again.
+    """
+
+
+class MemberSession(abc.ABC):
+    """One connection to a member; runs one statement at a time."""
+
+    @abc.abstractmethod
+    async def run(
+        self,
+        statement: Statement,
+        *,
+        request_id: str | None = None,
+        after: LogPosition | None = None,
+    ) -> SessionAnswer:
+        """Run a statement.
+
+        Parameters
+        ----------
+        request_id
+            Id of the caller's request; None for statements of the system.
+        after
+            Position that the member must have applied.
+
+        Raises
+        ------
+        AnswerLostError
+            If the answer did not arrive complete.
+        """
+
+    @abc.abstractmethod
+    async def ask(self, question: MemberQuestion) -> MemberReport | Refused:
+        """Ask for a report, or give an order that is answered with one.
+
+        Raises
+        ------
+        AnswerLostError
+            If the answer did not arrive complete.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close the connection; an open transaction is rolled back."""
+
+
+class MemberDialer(abc.ABC):
+    """Opens connections to members."""
+
+    @abc.abstractmethod
+    async def dial(
+        self, member: MemberEntry
+    ) -> tuple[MemberSession, LogPosition | None]:
+        """Open a connection to a member.
+
+        Returns
+        -------
+        The connection, and the position that the member has applied.
+
+        Raises
+        ------
+        MemberRefusedError
+            If the member answered that it does not take the connection.
+        MemberUnreachableError
+            If no connection could be opened.
+        """
--- /dev/null
+++ b/lavendergate/controllers/control_feed.py
@@ -0,0 +1,160 @@
+"""Keeps a host's view like that of the leader of control."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+import anyio
+
+from lavendergate.core.types import HostId
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.session_events import SessionEvent
+from lavendergate.rpc.fleet_service import (
+    SYNC,
+    FleetVersion,
+    PrimaryReach,
+    SyncReply,
+    SyncRequest,
+)
+from lavendergate.rpc.peers import PeerCallError, Peers
+
+# How long the leader holds an answer back for news, in seconds. A change
+# must reach all hosts within seconds, even if a connection went silent.
+_WAIT_S = 0.7
+_CALL_TIMEOUT_S = 1.3
+_RETRY_S = 0.1
+# A leader that did not answer is not asked again at once, in seconds.
+_AVOID_S = 1.0
+
+
+class FeedSink(ABC):
+    """Takes what the leader tells."""
+
+    @property
+    @abstractmethod
+    def routes_version(self) -> int:
+        """Version of the route table that is held."""
+
+    @abstractmethod
+    def reach(self) -> tuple[PrimaryReach, ...]:
+        """Return how the primaries are reached."""
+
+    @abstractmethod
+    def apply(self, reply: SyncReply) -> None:
+        """Take an answer."""
+
+
+class ControlFeed:
+    """Asks the leader for news, or any other control host.
+
+    Parameters
+    ----------
+    host_id
+        This host.
+    is_proxy
+        Whether this host opens connections to members.
+    seeds
+        Addresses of some control hosts, ``ip:port``.
+    sink
+        Takes the answers.
+    own_address
+        Address of this host, if it is a control host itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: HostId,
+        is_proxy: bool,
+        seeds: Sequence[str],
+        sink: FeedSink,
+        peers: Peers,
+        events: EventLog,
+        own_address: str = '',
+    ) -> None:
+        self._own_address = own_address
+        self._host_id = host_id
+        self._is_proxy = is_proxy
+        self._seeds = list(seeds)
+        self._hosts: list[str] = []
+        self._sink = sink
+        self._peers = peers
+        self._events = events
+        self._known: dict[str, FleetVersion] = {}
+        self._leader: str | None = None
+        self._avoided: dict[str, float] = {}
+        self._is_lost = False
+        self._turn = 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether no control host answered lately."""
+        return self._is_lost
+
+    def change_seeds(self, seeds: Sequence[str]) -> None:
+        """Use other hosts to find the leader."""
+        self._seeds = list(seeds)
+
+    async def run(self) -> None:
+        """Ask for news until cancelled."""
+        while True:
+            address = self._next_address()
+            if address is None:
+                await anyio.sleep(_RETRY_S)
+                continue
+            reply = await self._ask(address)
+            if reply is None or not reply.is_leader:
+                await anyio.sleep(_RETRY_S)
+
+    async def _ask(self, address: str) -> SyncReply | None:
+        request = SyncRequest(
+            host_id=self._host_id,
+            is_proxy=self._is_proxy,
+            known=self._known.get(address, FleetVersion()),
+            routes_version=self._sink.routes_version,
+            reach=self._sink.reach(),
+            wait_s=_WAIT_S if address == self._leader else 0,
+        )
+        try:
+            reply = await self._peers.call(
+                address, SYNC, request, timeout_s=_CALL_TIMEOUT_S
+            )
+        except PeerCallError as error:
+            self._note_failure(address, str(error))
+            return None
+        self._note_answer(address, reply)
+        self._sink.apply(reply)
+        return reply
+
+    def _note_failure(self, address: str, reason: str) -> None:
+        self._avoided[address] = anyio.current_time() + _AVOID_S
+        if address == self._leader:
+            self._leader = None
+        if not self._is_lost:
+            self._is_lost = True
+            self._events.emit(SessionEvent.control_lost, reason=reason)
+
+    def _note_answer(self, address: str, reply: SyncReply) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._events.emit(SessionEvent.control_regained, address=address)
+        self._avoided.pop(address, None)
+        self._known[address] = reply.version
+        self._hosts = list(reply.control_hosts)
+        self._leader = address if reply.is_leader else reply.leader
+
+    def _next_address(self) -> str | None:
+        now = anyio.current_time()
+        leader = self._leader
+        if leader == self._own_address:
+            # This host leads itself; it has nobody to ask.
+            return None
+        if leader is not None and self._avoided.get(leader, 0) <= now:
+            return leader
+        known = sorted({*self._seeds, *self._hosts} - {self._own_address})
+        usable = [
+            address for address in known if self._avoided.get(address, 0) <= now
+        ] or known
+        if not usable:
+            return None
+        self._turn += 1
+        return usable[self._turn % len(usable)]
--- a/lavendergate/controllers/control_node.py
+++ b/lavendergate/controllers/control_node.py
@@ -18,8 +18,10 @@
 from lavendergate.controllers.view import ControlView
 from lavendergate.core.commands import Command
 from lavendergate.core.consensus.errors import NotLeader
+from lavendergate.core.consensus.state import Leader
 from lavendergate.core.control_records import ValidateChange, permit_change
 from lavendergate.core.types import HostId
+from lavendergate.core.voter_changes import NodeContact
 from lavendergate.rpc.consensus_service import (
     ClusterInitRequest,
     ClusterReplaceRequest,
@@ -141,6 +143,21 @@
         """Read a confirmed state; see `ConsensusDriver.read_state`."""
         return await self._driver.read_state()
 
+    def contacts(self) -> dict[HostId, NodeContact]:
+        """Return how the other nodes follow this one; empty on followers."""
+        node = self._driver.node
+        if not isinstance(node.role, Leader):
+            return {}
+        now = anyio.current_time()
+        return {
+            known.host_id: NodeContact(
+                incarnation=known.incarnation,
+                silent_s=now - progress.answered_at,
+                missing_entries=node.log.last.index - progress.match_index,
+            )
+            for known, progress in node.role.progress.items()
+        }
+
     async def answer_proposal(self, request: ProposeRequest) -> ProposeReply:
         """Answer the `Propose` method of the control service."""
         proposed = await self.propose(request.command)
--- /dev/null
+++ b/lavendergate/controllers/fleet_hub.py
@@ -0,0 +1,233 @@
+"""What a control host knows about the fleet, and tells the other hosts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from lavendergate.controllers.control_node import ControlNode
+from lavendergate.core.fleet_directory import (
+    FleetDirectory,
+    MemberAvailability,
+    MemberEntry,
+    merge,
+)
+from lavendergate.core.types import GroupId, HostId, UpstreamId
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.session_events import SessionEvent
+from lavendergate.rpc.fleet_service import (
+    FleetVersion,
+    MergeReply,
+    MergeRequest,
+    PrimaryNotice,
+    PrimaryReach,
+    SyncReply,
+    SyncRequest,
+)
+
+# A proxy that asked within this time shares the members' connections, in
+# seconds.
+_PROXY_AGE_S = 5.0
+_MAX_WAIT_S = 2.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProxyRecord:
+    """Last request of a proxy."""
+
+    asked_at: float
+    reach: tuple[PrimaryReach, ...] = field(default=())
+
+
+class FleetHub:
+    """Directory of a control host, numbered for the hosts that ask.
+
+    Parameters
+    ----------
+    node
+        Node of the replicated log.
+    source
+        Name of this host's numbering; another one after each start.
+    clock
+        Monotonic time, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: ControlNode,
+        source: str,
+        clock: Callable[[], float],
+        events: EventLog,
+    ) -> None:
+        self._node = node
+        self._source = source
+        self._clock = clock
+        self._events = events
+        self._directory = FleetDirectory()
+        self._version = 0
+        self._entry_versions: dict[UpstreamId, int] = {}
+        self._primaries: dict[GroupId, PrimaryNotice] = {}
+        self._proxies: dict[HostId, ProxyRecord] = {}
+        self._departures: dict[GroupId, float] = {}
+        self._changed = anyio.Event()
+
+    @property
+    def directory(self) -> FleetDirectory:
+        """All members that announced themselves."""
+        return self._directory
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this host leads with a majority behind it."""
+        view = self._node.view
+        return view.is_leader and view.has_quorum
+
+    @property
+    def version(self) -> FleetVersion:
+        """Number of the present view."""
+        return FleetVersion(source=self._source, version=self._version)
+
+    def departed_at(self, service: GroupId) -> float | None:
+        """Return when a member of a service left or started again empty."""
+        return self._departures.get(service)
+
+    def reports_of(
+        self, service: GroupId
+    ) -> tuple[tuple[float, PrimaryReach], ...]:
+        """Return how the proxies reach the primary, with their times."""
+        return tuple(
+            (record.asked_at, reach)
+            for record in self._proxies.values()
+            for reach in record.reach
+            if reach.service == service
+        )
+
+    def merge(self, entries: tuple[MemberEntry, ...]) -> bool:
+        """Take announcements; return whether they changed anything."""
+        former = self._directory.entries
+        self._directory, changed = merge(self._directory, entries)
+        for entry in changed:
+            self._version += 1
+            self._entry_versions[entry.upstream_id] = self._version
+            known = former.get(entry.upstream_id)
+            if _has_departed(known, entry):
+                self._departures[entry.service] = self._clock()
+            self._events.emit(
+                SessionEvent.member_changed,
+                upstream=entry.upstream_id,
+                service=entry.service,
+                availability=entry.availability.value,
+                address=entry.address,
+                is_primary=entry.is_primary,
+                born=entry.born,
+                sequence=entry.sequence,
+            )
+        if changed:
+            self._notify()
+        return bool(changed)
+
+    def notice_primary(self, notice: PrimaryNotice) -> None:
+        """Tell the hosts who leads a service."""
+        known = self._primaries.get(notice.service)
+        if known == notice:
+            return
+        if known is not None and known.term > notice.term:
+            return
+        self._primaries[notice.service] = notice
+        self._version += 1
+        self._events.emit(
+            SessionEvent.primary_noticed,
+            upstream=notice.upstream_id,
+            service=notice.service,
+            term=notice.term,
+            is_replacing=notice.is_replacing,
+        )
+        self._notify()
+
+    def take_merge(self, request: MergeRequest) -> MergeReply:
+        """Take announcements from another control host."""
+        self.merge(request.entries)
+        if self.is_leading:
+            return MergeReply(accepted=True)
+        return MergeReply(accepted=False, leader=self._node.view.leader_address)
+
+    async def sync(self, request: SyncRequest) -> SyncReply:
+        """Answer with what changed, or wait for a change."""
+        if request.is_proxy:
+            self._proxies[request.host_id] = ProxyRecord(
+                asked_at=self._clock(), reach=request.reach
+            )
+        until = self._clock() + min(request.wait_s, _MAX_WAIT_S)
+        while not self._has_news(request):
+            remaining_s = until - self._clock()
+            if remaining_s <= 0:
+                break
+            changed = self._changed
+            with anyio.move_on_after(remaining_s):
+                await changed.wait()
+        return self._reply(request)
+
+    async def watch_log(self) -> None:
+        """Wake waiting hosts when the route table changed, until cancelled."""
+        version = 0
+        async for view in self._node.views():
+            if view.state.routes.version > version:
+                version = view.state.routes.version
+                self._events.emit(
+                    SessionEvent.routes_published, version=version
+                )
+                self._notify()
+
+    def _has_news(self, request: SyncRequest) -> bool:
+        known = request.known
+        return (
+            known.source != self._source
+            or known.version < self._version
+            or request.routes_version < self._node.view.state.routes.version
+        )
+
+    def _reply(self, request: SyncRequest) -> SyncReply:
+        view = self._node.view
+        known = request.known.version
+        if request.known.source != self._source:
+            known = 0
+        routes = view.state.routes
+        is_newer = routes.version > request.routes_version
+        addresses = (
+            {}
+            if view.configuration is None
+            else view.configuration.command.addresses
+        )
+        return SyncReply(
+            version=self.version,
+            is_leader=self.is_leading,
+            leader=view.leader_address,
+            control_hosts=tuple(sorted(addresses.values())),
+            routes_version=routes.version,
+            routes=routes.content if is_newer else None,
+            entries=tuple(
+                entry
+                for upstream_id, entry in self._directory.entries.items()
+                if self._entry_versions.get(upstream_id, 0) > known
+            ),
+            primaries=tuple(self._primaries.values()),
+            proxies=self._live_proxies(),
+        )
+
+    def _live_proxies(self) -> int:
+        now = self._clock()
+        return sum(
+            now - record.asked_at <= _PROXY_AGE_S
+            for record in self._proxies.values()
+        )
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+def _has_departed(known: MemberEntry | None, entry: MemberEntry) -> bool:
+    if entry.availability == MemberAvailability.gone:
+        return True
+    return known is not None and known.born != entry.born
--- /dev/null
+++ b/lavendergate/controllers/group_formation.py
@@ -0,0 +1,215 @@
+"""Forms the control group at the first start, and lets hosts in later."""
+
+from collections.abc import Sequence
+
+import anyio
+from result import Err
+
+from lavendergate.controllers.control_node import ControlNode
+from lavendergate.core.types import HostId
+from lavendergate.core.voter_changes import Joiner, next_change
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.session_events import SessionEvent
+from lavendergate.rpc.consensus_service import (
+    HOST_IDENTITY,
+    ClusterInitRequest,
+    ControlHost,
+    HostIdentityReply,
+    HostIdentityRequest,
+)
+from lavendergate.rpc.fleet_service import JOIN, JoinReply, JoinRequest
+from lavendergate.rpc.peers import PeerCallError, Peers
+
+_INTERVAL_S = 0.3
+_CALL_TIMEOUT_S = 0.6
+# A request to join counts for this long, in seconds.
+_JOIN_AGE_S = 2.0
+# A host without a leader for this long asks to join, in seconds.
+_LEADERLESS_S = 1.5
+
+
+class GroupFormation:
+    """Keeps the control group complete.
+
+    Parameters
+    ----------
+    node
+        Node of the replicated log.
+    address
+        Address of this host for the other control hosts, ``ip:port``.
+    seeds
+        Addresses of some control hosts.
+    bootstrap
+        Whether the whole system starts for the first time.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: ControlNode,
+        address: str,
+        seeds: Sequence[str],
+        bootstrap: bool,
+        peers: Peers,
+        events: EventLog,
+    ) -> None:
+        self._node = node
+        self._address = address
+        self._seeds = tuple(seeds)
+        self._bootstrap = bootstrap
+        self._peers = peers
+        self._events = events
+        self._joiners: dict[HostId, tuple[Joiner, float]] = {}
+        self._leader_seen_at = float('-inf')
+
+    def change_seeds(self, seeds: Sequence[str]) -> None:
+        """Use other hosts to find the group."""
+        self._seeds = tuple(seeds)
+
+    def join(self, request: JoinRequest) -> JoinReply:
+        """Take a host's request to join."""
+        view = self._node.view
+        if not view.is_leader:
+            return JoinReply(accepted=False, leader=view.leader_address)
+        host = request.host
+        joiner = Joiner(
+            host_id=host.host_id,
+            incarnation=host.incarnation,
+            address=host.address,
+        )
+        self._joiners[host.host_id] = (joiner, anyio.current_time())
+        return JoinReply(accepted=True)
+
+    async def run(self) -> None:
+        """Form, join and repair the group until cancelled."""
+        self._leader_seen_at = anyio.current_time()
+        while True:
+            view = self._node.view
+            if view.is_leader:
+                await self._repair()
+            elif self._may_form():
+                await self._form()
+            else:
+                await self._join_if_lost()
+            await anyio.sleep(_INTERVAL_S)
+
+    def _may_form(self) -> bool:
+        return (
+            self._bootstrap
+            and self._address in self._seeds
+            and not self._node.view.initialised
+        )
+
+    async def _form(self) -> None:
+        """Write the first configuration, once all seeds are known.
+
+        Every seed writes the same one, so the order does not matter. A seed
+        that finds an initialised one waits to be contacted by it.
+        """
+        identities: dict[str, HostIdentityReply] = {}
+        async with anyio.create_task_group() as tasks:
+            for seed in self._seeds:
+                tasks.start_soon(self._identify, seed, identities)
+        if any(reply.initialised for reply in identities.values()):
+            await self._ask_to_join()
+            return
+        if len(identities) < len(self._seeds):
+            return
+        voters = tuple(
+            _voter(address, reply)
+            for address, reply in sorted(identities.items())
+        )
+        await self._node.initialise(ClusterInitRequest(voters=voters))
+        names = ', '.join(voter.host_id for voter in voters)
+        self._events.emit(SessionEvent.group_formed, hosts=names)
+
+    async def _identify(
+        self, seed: str, identities: dict[str, HostIdentityReply]
+    ) -> None:
+        if seed == self._address:
+            identities[seed] = await self._node.identify(HostIdentityRequest())
+            return
+        try:
+            identities[seed] = await self._peers.call(
+                seed,
+                HOST_IDENTITY,
+                HostIdentityRequest(),
+                timeout_s=_CALL_TIMEOUT_S,
+            )
+        except PeerCallError:
+            # The seed is not listening yet; the next round asks again.
+            return
+
+    async def _join_if_lost(self) -> None:
+        view = self._node.view
+        now = anyio.current_time()
+        configuration = view.configuration
+        is_configured = (
+            configuration is not None and view.identity in configuration.nodes
+        )
+        if view.leader_address is not None and is_configured:
+            self._leader_seen_at = now
+        if now - self._leader_seen_at >= _LEADERLESS_S or not view.initialised:
+            await self._ask_to_join()
+
+    async def _ask_to_join(self) -> None:
+        identity = self._node.view.identity
+        host = ControlHost(
+            host_id=identity.host_id,
+            incarnation=identity.incarnation,
+            address=self._address,
+        )
+        async with anyio.create_task_group() as tasks:
+            for address in self._known_hosts():
+                tasks.start_soon(self._ask_one, address, JoinRequest(host=host))
+
+    def _known_hosts(self) -> set[str]:
+        configuration = self._node.view.configuration
+        known = set(self._seeds)
+        if configuration is not None:
+            known.update(configuration.command.addresses.values())
+        return known - {self._address}
+
+    async def _ask_one(self, address: str, request: JoinRequest) -> None:
+        try:
+            reply = await self._peers.call(
+                address, JOIN, request, timeout_s=_CALL_TIMEOUT_S
+            )
+            if not reply.accepted and reply.leader is not None:
+                await self._peers.call(
+                    reply.leader, JOIN, request, timeout_s=_CALL_TIMEOUT_S
+                )
+        except PeerCallError:
+            # Other hosts are asked at the same time, and all again later.
+            return
+
+    async def _repair(self) -> None:
+        configuration = self._node.view.configuration
+        if configuration is None:
+            return
+        now = anyio.current_time()
+        joiners = tuple(
+            joiner
+            for joiner, asked_at in self._joiners.values()
+            if now - asked_at <= _JOIN_AGE_S
+        )
+        change = next_change(
+            configuration.command, self._node.contacts(), joiners
+        )
+        if change is None:
+            return
+        changed = await self._node.propose(change)
+        self._events.emit(
+            SessionEvent.voters_changed,
+            change=str(changed.err_value)
+            if isinstance(changed, Err)
+            else 'committed',
+            voters=tuple(sorted(change.voters)),
+            learners=tuple(sorted(change.learners)),
+        )
+
+
+def _voter(address: str, reply: HostIdentityReply) -> ControlHost:
+    return ControlHost(
+        host_id=reply.host_id, incarnation=reply.incarnation, address=address
+    )
--- /dev/null
+++ b/lavendergate/controllers/session_pools.py
@@ -0,0 +1,429 @@
+"""Connections to members that speak in sessions, shared by all callers."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from lavendergate.backends.sessions import (
+    AnswerLostError,
+    MemberDialer,
+    MemberRefusedError,
+    MemberSession,
+    MemberUnreachableError,
+)
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.statements import (
+    MemberReport,
+    Phase,
+    RefusalCode,
+    Refused,
+    ReportStatus,
+    SessionAnswer,
+    Statement,
+)
+from lavendergate.core.types import LogPosition, UpstreamId
+
+# Pause after a member refused a connection because of its limit, and
+# between attempts to reach a member that failed, in seconds.
+_REDIAL_S = 0.25
+# Connections beyond the host's share are closed when unused this long, in
+# seconds.
+_SURPLUS_IDLE_S = 1.5
+_TRIM_INTERVAL_S = 0.5
+_PROBE_TIMEOUT_S = 0.8
+# Weight of the latest answer in the smoothed latency.
+_SMOOTHING = 0.2
+# Assumed before the first answer, in seconds.
+_FIRST_LATENCY_S = 0.03
+# A host may go this far beyond its share while others use less of theirs.
+_BORROWING = 2
+
+
+class NoConnectionError(Exception):
+    """No connection was free in time, so nothing ran.
+
+    Parameters
+    ----------
+    refusal
+        What to tell the caller.
+    """
+
+    def __init__(self, *, refusal: Refused) -> None:
+        super().__init__(refusal.text)
+        self.refusal = refusal
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class PooledSession:
+    """A connection and what is set on it.
+
+    Parameters
+    ----------
+    values, prepared
+        Session values, and names of prepared statements, on the connection.
+    is_broken
+        Whether an answer was lost; the connection is not used again.
+    """
+
+    session: MemberSession
+    link: 'MemberLink'
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: set[str] = field(default_factory=set)
+    phase: Phase = Phase.idle
+    is_broken: bool = False
+    used_at: float = 0
+
+    async def run(
+        self,
+        statement: Statement,
+        *,
+        timeout_s: float,
+        request_id: str | None = None,
+        after: LogPosition | None = None,
+    ) -> SessionAnswer:
+        """Run a statement, and learn from the answer.
+
+        Raises
+        ------
+        AnswerLostError
+            If no complete answer arrived in time.
+        """
+        link = self.link
+        started_at = link.begin()
+        self.is_broken = True
+        try:
+            with anyio.fail_after(timeout_s):
+                answer = await self.session.run(
+                    statement, request_id=request_id, after=after
+                )
+        except (TimeoutError, AnswerLostError) as error:
+            link.fail()
+            raise AnswerLostError(str(error)) from error
+        finally:
+            link.end()
+        self.is_broken = False
+        self.phase = answer.phase
+        link.learn(answer.position, started_at)
+        outcome = answer.outcome
+        if isinstance(outcome, Refused):
+            if outcome.code == RefusalCode.no_statement:
+                self.prepared.clear()
+        return answer
+
+    async def report(self, *, timeout_s: float) -> MemberReport | Refused:
+        """Ask the member for its role and position."""
+        link = self.link
+        started_at = link.begin()
+        self.is_broken = True
+        try:
+            with anyio.fail_after(timeout_s):
+                report = await self.session.ask(ReportStatus())
+        except (TimeoutError, AnswerLostError) as error:
+            link.fail()
+            raise AnswerLostError(str(error)) from error
+        finally:
+            link.end()
+        self.is_broken = False
+        link.learn(None, started_at)
+        return report
+
+
+class MemberLink:
+    """Connections of this host to one member.
+
+    Parameters
+    ----------
+    entry
+        The member; a start under the same id is another member.
+    clock
+        Monotonic time, in seconds.
+    """
+
+    def __init__(
+        self, *, entry: MemberEntry, clock: Callable[[], float]
+    ) -> None:
+        self.entry = entry
+        self.idle: list[PooledSession] = []
+        self.opened = 0
+        self.in_flight = 0
+        self.latency_s = _FIRST_LATENCY_S
+        self.applied: LogPosition | None = None
+        self.applied_at = float('-inf')
+        self.answered_at = float('-inf')
+        self.failing_since: float | None = None
+        self.dial_after = float('-inf')
+        self.is_closed = False
+        self._clock = clock
+        self._freed = anyio.Event()
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the member failed since its last answer."""
+        return self.failing_since is not None
+
+    def begin(self) -> float:
+        """Count a statement and return the time."""
+        self.in_flight += 1
+        return self._clock()
+
+    def end(self) -> None:
+        """Stop counting a statement."""
+        self.in_flight -= 1
+
+    def learn(self, position: LogPosition | None, started_at: float) -> None:
+        """Record an answer."""
+        now = self._clock()
+        self.answered_at = now
+        self.failing_since = None
+        self.latency_s += _SMOOTHING * (now - started_at - self.latency_s)
+        if position is not None:
+            self.applied = position
+            self.applied_at = now
+
+    def fail(self) -> None:
+        """Record that an answer or a connection was not had."""
+        if self.failing_since is None:
+            self.failing_since = self._clock()
+
+    def notify(self) -> None:
+        """Wake those who wait for a connection."""
+        self._freed.set()
+        self._freed = anyio.Event()
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until a connection may be free."""
+        freed = self._freed
+        with anyio.move_on_after(timeout_s):
+            await freed.wait()
+
+
+class SessionPools:
+    """Connections of this host to all members.
+
+    Parameters
+    ----------
+    dialer
+        Opens connections.
+    tasks
+        Task group for probes of members that failed.
+    clock
+        Monotonic time, in seconds.
+    share
+        Returns the connections that this host may keep to a member.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialer: MemberDialer,
+        tasks: TaskGroup,
+        clock: Callable[[], float],
+        share: Callable[[MemberEntry], int],
+    ) -> None:
+        self._dialer = dialer
+        self._tasks = tasks
+        self._clock = clock
+        self._share = share
+        self._links: dict[UpstreamId, MemberLink] = {}
+        self._probing: set[UpstreamId] = set()
+
+    @property
+    def links(self) -> Mapping[UpstreamId, MemberLink]:
+        """Links by member."""
+        return self._links
+
+    def link(self, entry: MemberEntry) -> MemberLink:
+        """Return the link to a member."""
+        link = self._links.get(entry.upstream_id)
+        if link is None or _is_another(link.entry, entry):
+            if link is not None:
+                self._discard(link)
+            link = MemberLink(entry=entry, clock=self._clock)
+            self._links[entry.upstream_id] = link
+        return link
+
+    async def acquire(
+        self, entry: MemberEntry, values: Mapping[str, str], deadline: float
+    ) -> PooledSession:
+        """Return a connection to a member.
+
+        Parameters
+        ----------
+        values
+            Values of the session; a connection with the same ones is taken
+            first.
+        deadline
+            Until when to wait.
+
+        Raises
+        ------
+        NoConnectionError
+            If no connection was free in time.
+        """
+        link = self.link(entry)
+        while True:
+            pooled = _take_idle(link, values)
+            if pooled is None and self._may_open(link):
+                pooled = await self._open(link, deadline)
+            if pooled is not None:
+                return pooled
+            now = self._clock()
+            if now >= deadline or link.is_closed:
+                raise NoConnectionError(refusal=_busy(entry))
+            until = deadline
+            if now < link.dial_after:
+                until = min(until, link.dial_after)
+            await link.wait(max(0, until - now))
+
+    def _may_open(self, link: MemberLink) -> bool:
+        limit = _BORROWING * self._share(link.entry)
+        return link.opened < limit and self._clock() >= link.dial_after
+
+    async def release(self, pooled: PooledSession) -> None:
+        """Give a connection back."""
+        link = pooled.link
+        is_usable = not pooled.is_broken and pooled.phase == Phase.idle
+        if not is_usable:
+            await self.drop(pooled)
+            return
+        if link.is_closed:
+            await self.drop(pooled)
+            return
+        pooled.used_at = self._clock()
+        link.idle.append(pooled)
+        link.notify()
+
+    async def drop(self, pooled: PooledSession) -> None:
+        """Close a connection."""
+        link = pooled.link
+        link.opened -= 1
+        link.notify()
+        if link.is_suspect:
+            self._suspect(link)
+        with anyio.CancelScope(shield=True):
+            await pooled.session.close()
+
+    async def run(self) -> None:
+        """Close connections that are not needed, until cancelled."""
+        while True:
+            await anyio.sleep(_TRIM_INTERVAL_S)
+            for link in tuple(self._links.values()):
+                await self._trim(link)
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """Close the idle connections to a member that is gone."""
+        link = self._links.pop(upstream_id, None)
+        if link is not None:
+            self._discard(link)
+
+    async def _open(
+        self, link: MemberLink, deadline: float
+    ) -> PooledSession | None:
+        link.opened += 1
+        try:
+            session, position = await self._dialer.dial(link.entry)
+        except MemberRefusedError as error:
+            link.opened -= 1
+            self._refused(link, error.refusal, deadline)
+            return None
+        except MemberUnreachableError as error:
+            link.opened -= 1
+            link.dial_after = self._clock() + _REDIAL_S
+            link.fail()
+            self._suspect(link)
+            raise NoConnectionError(
+                refusal=Refused(code=RefusalCode.busy, text=str(error))
+            ) from error
+        except BaseException:
+            link.opened -= 1
+            raise
+        if position is not None:
+            link.applied = position
+            link.applied_at = self._clock()
+        return PooledSession(session=session, link=link, used_at=self._clock())
+
+    def _refused(
+        self, link: MemberLink, refusal: Refused, deadline: float
+    ) -> None:
+        link.dial_after = self._clock() + _REDIAL_S
+        is_full = refusal.code == RefusalCode.connection_limit
+        if is_full and self._clock() < deadline:
+            return
+        raise NoConnectionError(refusal=refusal)
+
+    def _suspect(self, link: MemberLink) -> None:
+        """Drop idle connections, which may be silent, and probe anew."""
+        idle, link.idle = link.idle, []
+        for pooled in idle:
+            self._tasks.start_soon(self.drop, pooled)
+        upstream_id = link.entry.upstream_id
+        if upstream_id not in self._probing and not link.is_closed:
+            self._probing.add(upstream_id)
+            self._tasks.start_soon(self._probe, link)
+
+    async def _probe(self, link: MemberLink) -> None:
+        try:
+            while link.is_suspect and not link.is_closed:
+                await self._probe_once(link)
+                await anyio.sleep(_REDIAL_S)
+        finally:
+            self._probing.discard(link.entry.upstream_id)
+        link.notify()
+
+    async def _probe_once(self, link: MemberLink) -> None:
+        deadline = self._clock() + _PROBE_TIMEOUT_S
+        try:
+            pooled = await self.acquire(link.entry, {}, deadline)
+        except NoConnectionError:
+            return
+        try:
+            await pooled.report(timeout_s=_PROBE_TIMEOUT_S)
+        except AnswerLostError:
+            # The link has recorded the failure.
+            await anyio.lowlevel.checkpoint()
+        finally:
+            await self.release(pooled)
+
+    async def _trim(self, link: MemberLink) -> None:
+        now = self._clock()
+        for pooled in tuple(link.idle):
+            is_surplus = link.opened > self._share(link.entry)
+            if is_surplus and now - pooled.used_at >= _SURPLUS_IDLE_S:
+                link.idle.remove(pooled)
+                await self.drop(pooled)
+
+    def _discard(self, link: MemberLink) -> None:
+        link.is_closed = True
+        idle, link.idle = link.idle, []
+        for pooled in idle:
+            self._tasks.start_soon(self.drop, pooled)
+        link.notify()
+
+
+def _take_idle(
+    link: MemberLink, values: Mapping[str, str]
+) -> PooledSession | None:
+    if not link.idle:
+        return None
+    for pooled in reversed(link.idle):
+        if pooled.values == values:
+            link.idle.remove(pooled)
+            return pooled
+    return link.idle.pop()
+
+
+def _is_another(known: MemberEntry, entry: MemberEntry) -> bool:
+    return (known.born, known.address, known.service) != (
+        entry.born,
+        entry.address,
+        entry.service,
+    )
+
+
+def _busy(entry: MemberEntry) -> Refused:
+    return Refused(
+        code=RefusalCode.busy,
+        text=f'no connection to {entry.upstream_id} is free; try again',
+    )
--- a/lavendergate/core/commands.py
+++ b/lavendergate/core/commands.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from lavendergate.core.routes import RoutesVersion
 from lavendergate.core.settings.document import NodePath, SettingValue
 from lavendergate.core.types import (
     FailureDomain,
@@ -125,6 +126,34 @@
     incarnations: dict[HostId, str] = msgspec.field(default_factory=dict)
 
 
+class PublishRoutes(_Command, frozen=True, kw_only=True, tag=True):
+    """Replaces the route table, if its version is higher.
+
+    A version that is not higher changes nothing and is accepted all the
+    same, so that a resend or an overtaken change is answered alike.
+
+    Parameters
+    ----------
+    content
+        The table as the operator sent it.
+    """
+
+    version: RoutesVersion
+    content: bytes
+
+
+class OrderPromotion(_Command, frozen=True, kw_only=True, tag=True):
+    """Announces an order to promote a member, before it is given.
+
+    The index of the entry is the order's fencing token: it is unique, and
+    a later order has a higher one.
+    """
+
+    service: GroupId
+    upstream_id: UpstreamId
+    holder: HostId
+
+
 Command = (
     NoOperation
     | RegisterMember
@@ -135,4 +164,6 @@
     | RegisterHost
     | RemoveHost
     | ChangeVoters
+    | PublishRoutes
+    | OrderPromotion
 )
--- a/lavendergate/core/control_records.py
+++ b/lavendergate/core/control_records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from lavendergate.core.commands import SettingChange
+from lavendergate.core.routes import NO_ROUTES, RoutesVersion
 from lavendergate.core.settings.document import SettingsDocument
 from lavendergate.core.types import (
     NO_TERM,
@@ -115,3 +116,32 @@
     if changes:
         return None
     return 'the change names no key: name at least one'
+
+
+class RoutesRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The route table in force, as its operator sent it.
+
+    Parameters
+    ----------
+    version
+        Version that `content` carries; 0 before the first publication.
+    """
+
+    version: RoutesVersion = NO_ROUTES
+    content: bytes = b''
+
+
+class PromotionRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """An announced order to promote a member.
+
+    Parameters
+    ----------
+    holder
+        Host that gives the order.
+    token
+        Fencing token of the order.
+    """
+
+    upstream_id: UpstreamId
+    holder: HostId
+    token: int
--- a/lavendergate/core/control_state.py
+++ b/lavendergate/core/control_state.py
@@ -15,6 +15,8 @@
     Command,
     ConfirmPrimary,
     NoOperation,
+    OrderPromotion,
+    PublishRoutes,
     RegisterHost,
     RegisterMember,
     RemoveHost,
@@ -33,9 +35,12 @@
     GroupRecord,
     HostRecord,
     OperationRecord,
+    PromotionRecord,
+    RoutesRecord,
     ValidateChange,
     permit_change,
 )
+from lavendergate.core.control_routes import promotion_record, publish_routes
 from lavendergate.core.control_settings import (
     SettingsRecord,
     answer_of_resend,
@@ -61,6 +66,10 @@
         Settings tree, its history, and the answers to operations.
     voters
         Last committed configuration of the replicated log.
+    routes
+        Route table in force.
+    promotions
+        Last announced order to promote a member of each service.
     """
 
     applied_index: int = 0
@@ -68,6 +77,8 @@
     hosts: dict[HostId, HostRecord] = field(default_factory=dict)
     settings: SettingsRecord = field(default_factory=SettingsRecord)
     voters: ChangeVoters | None = None
+    routes: RoutesRecord = field(default_factory=RoutesRecord)
+    promotions: dict[GroupId, PromotionRecord] = field(default_factory=dict)
 
     @property
     def document(self) -> SettingsDocument:
@@ -139,6 +150,13 @@
             return replace(state, settings=settings), None
         case ChangeVoters():
             return replace(state, voters=command), None
+        case PublishRoutes():
+            routes = publish_routes(state.routes, command)
+            return replace(state, routes=routes), None
+        case OrderPromotion(service=service):
+            record = promotion_record(command, index)
+            promotions = state.promotions | {service: record}
+            return replace(state, promotions=promotions), None
         case NoOperation():
             return state, None
 
@@ -174,6 +192,10 @@
     history: tuple[AcceptedChange, ...]
     operations: tuple[OperationRecord, ...]
     voters: ChangeVoters | None
+    routes: RoutesRecord = msgspec.field(default_factory=RoutesRecord)
+    promotions: dict[GroupId, PromotionRecord] = msgspec.field(
+        default_factory=dict
+    )
 
 
 _encoder = msgspec.msgpack.Encoder(order='deterministic')
@@ -191,6 +213,8 @@
             history=state.settings.history,
             operations=tuple(state.settings.operations.values()),
             voters=state.voters,
+            routes=state.routes,
+            promotions=state.promotions,
         )
     )
 
@@ -210,4 +234,6 @@
             },
         ),
         voters=stored.voters,
+        routes=stored.routes,
+        promotions=stored.promotions,
     )
--- /dev/null
+++ b/lavendergate/core/fleet_directory.py
@@ -0,0 +1,151 @@
+"""Directory of the members that announced themselves.
+
+Each host merges what it hears, in any order and any number of times, and
+all hosts that heard the same announcements hold the same directory.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
+
+
+@enum.unique
+class MemberAvailability(enum.Enum):
+    """What a member says about taking work."""
+
+    ready = 'ready'
+    draining = 'draining'
+    gone = 'gone'
+
+
+class MemberEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Newest announcement of a member.
+
+    Parameters
+    ----------
+    address
+        Where the member accepts connections, ``ip:port``.
+    slots
+        Statements that the member executes at the same time.
+    is_primary
+        How the member sees itself.
+    born
+        Unix time of the member's start, in milliseconds. A member that
+        starts again under its id holds nothing of before.
+    sequence
+        Number of the announcement since the start.
+    """
+
+    upstream_id: UpstreamId
+    service: GroupId
+    address: str
+    failure_domain: FailureDomain
+    slots: int
+    availability: MemberAvailability
+    is_primary: bool
+    born: int
+    sequence: int
+
+    @property
+    def freshness(self) -> tuple[int, int, bool]:
+        """Orders the announcements of one member; a departure ends them."""
+        is_gone = self.availability == MemberAvailability.gone
+        return (self.born, self.sequence, is_gone)
+
+
+Entries = dict[UpstreamId, MemberEntry]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetDirectory:
+    """Newest entry of each member, those that are gone included."""
+
+    entries: Entries = field(default_factory=dict)
+
+    def members_of(self, service: GroupId) -> tuple[MemberEntry, ...]:
+        """Return the members of a service that are not gone."""
+        return tuple(
+            entry
+            for entry in self.entries.values()
+            if entry.service == service and not _is_gone(entry)
+        )
+
+    def member(self, upstream_id: UpstreamId) -> MemberEntry | None:
+        """Return a member that is not gone."""
+        entry = self.entries.get(upstream_id)
+        return None if entry is None or _is_gone(entry) else entry
+
+
+def merge(
+    directory: FleetDirectory, heard: tuple[MemberEntry, ...]
+) -> tuple[FleetDirectory, tuple[MemberEntry, ...]]:
+    """Merge announcements into a directory.
+
+    Parameters
+    ----------
+    directory
+        What is known.
+    heard
+        Announcements in any order.
+
+    Returns
+    -------
+    The directory, and the entries whose meaning changed. A higher sequence
+    alone is no change.
+    """
+    entries = dict(directory.entries)
+    changed: dict[UpstreamId, MemberEntry] = {}
+    for entry in heard:
+        for written in _merge_one(entries, entry):
+            changed[written.upstream_id] = written
+    return FleetDirectory(entries=entries), tuple(changed.values())
+
+
+def departed(entry: MemberEntry) -> MemberEntry:
+    """Return the entry of a member that has left."""
+    return msgspec.structs.replace(
+        entry, availability=MemberAvailability.gone, is_primary=False
+    )
+
+
+def _merge_one(entries: Entries, entry: MemberEntry) -> list[MemberEntry]:
+    known = entries.get(entry.upstream_id)
+    if known is not None and known.freshness >= entry.freshness:
+        return []
+    written = []
+    if not _is_gone(entry):
+        for other in _others_at_address(entries, entry):
+            # An address is used by one member at a time: the one that was
+            # started last.
+            if other.born > entry.born:
+                entry = departed(entry)
+            else:
+                entries[other.upstream_id] = departed(other)
+                written.append(departed(other))
+    entries[entry.upstream_id] = entry
+    if known is None or not _means_the_same(known, entry):
+        written.append(entry)
+    return written
+
+
+def _others_at_address(
+    entries: Entries, entry: MemberEntry
+) -> list[MemberEntry]:
+    return [
+        other
+        for other in entries.values()
+        if other.address == entry.address
+        and other.upstream_id != entry.upstream_id
+        and not _is_gone(other)
+    ]
+
+
+def _means_the_same(known: MemberEntry, entry: MemberEntry) -> bool:
+    return msgspec.structs.replace(known, sequence=entry.sequence) == entry
+
+
+def _is_gone(entry: MemberEntry) -> bool:
+    return entry.availability == MemberAvailability.gone
--- /dev/null
+++ b/lavendergate/core/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions for callers' sessions that are shared among few connections."""
--- /dev/null
+++ b/lavendergate/daemon/hosted.py
@@ -0,0 +1,174 @@
+"""Entry point of the daemon on the users' platform."""
+
+import os
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from lavendergate.core.types import HostId
+from lavendergate.observability.bounded_log import BoundedEventLog
+from lavendergate.observability.file_log import FileEventLog
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.process_clock import ProcessClock
+from lavendergate.observability.process_events import ProcessEvent
+from lavendergate.observability.session_events import SessionEvent
+from lavendergate.platform.settings_file import (
+    HostSettings,
+    SettingsFileError,
+    load_settings,
+)
+
+EXIT_USAGE = 2
+EXIT_START = 1
+
+_VERSION = '0.1.0'
+_POLL_S = 1.0
+_STDOUT = 1
+
+RunRole = Callable[['HostedProcess'], Awaitable[None]]
+
+
+class HostedProcess:
+    """What the roles share: settings, signals and the event log.
+
+    Parameters
+    ----------
+    settings
+        Settings at the start.
+    events
+        Event log.
+    """
+
+    def __init__(self, *, settings: HostSettings, events: EventLog) -> None:
+        self._settings = settings
+        self._events = events
+        self._observers: list[Callable[[HostSettings], None]] = []
+        self._stopping = anyio.Event()
+
+    @property
+    def settings(self) -> HostSettings:
+        """Settings in force."""
+        return self._settings
+
+    @property
+    def events(self) -> EventLog:
+        """Event log of the process."""
+        return self._events
+
+    def observe(self, observer: Callable[[HostSettings], None]) -> None:
+        """Call a function whenever the settings changed."""
+        self._observers.append(observer)
+
+    async def wait_for_stop(self) -> None:
+        """Return when the process is told to stop."""
+        await self._stopping.wait()
+
+    async def watch_signals(self) -> None:
+        """React to signals until cancelled."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as received:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    self.reload()
+                else:
+                    self._stopping.set()
+
+    async def watch_file(self) -> None:
+        """Read the settings again when they changed without a signal."""
+        while True:
+            await anyio.sleep(_POLL_S)
+            self.reload(quiet=True)
+
+    def reload(self, *, quiet: bool = False) -> None:
+        """Read the settings again; unreadable ones change nothing."""
+        try:
+            settings = load_settings()
+        except SettingsFileError as error:
+            self._events.emit(
+                SessionEvent.settings_reloaded, outcome=str(error)
+            )
+            return
+        is_changed = settings != self._settings
+        if is_changed or not quiet:
+            outcome = 'changed' if is_changed else 'unchanged'
+            self._events.emit(SessionEvent.settings_reloaded, outcome=outcome)
+        if is_changed:
+            self._settings = settings
+            for observer in self._observers:
+                observer(settings)
+
+
+def real_time_s() -> float:
+    """Return a time that also passes while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a role: ``proxy`` or ``control``."""
+    named = sys.argv[1:] if arguments is None else arguments
+    role = named[0] if len(named) == 1 else ''
+    if role not in {'proxy', 'control'}:
+        sys.stderr.write(
+            f'{role!r} is no role: expected "proxy" or "control"\n'
+        )
+        return EXIT_USAGE
+    try:
+        settings = load_settings()
+    except SettingsFileError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_START
+    anyio.run(_run, _load_role(role), settings, role)
+    return 0
+
+
+def _load_role(role: str) -> RunRole:
+    # Each role imports only what it uses, which saves memory and start time.
+    if role == 'proxy':
+        from lavendergate.daemon.hosted_proxy import (  # noqa: WPS433
+            run_proxy,
+        )
+
+        return run_proxy
+    from lavendergate.daemon.hosted_control import (  # noqa: WPS433
+        run_control,
+    )
+
+    return run_control
+
+
+async def _run(run_role: RunRole, settings: HostSettings, role: str) -> None:
+    events = _open_log(settings)
+    process = HostedProcess(settings=settings, events=events)
+    events.emit(
+        ProcessEvent.process_started,
+        software_version=_VERSION,
+        roles=role,
+        region=settings.region,
+        failure_domain=settings.zone,
+        address=settings.internal_address,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(process.watch_signals)
+        tasks.start_soon(process.watch_file)
+        await run_role(process)
+        tasks.cancel_scope.cancel()
+    events.emit(ProcessEvent.process_stopped)
+
+
+def _open_log(settings: HostSettings) -> EventLog:
+    # A reader that stalls must not stop the process: lines that the pipe
+    # does not take are dropped and counted.
+    os.set_blocking(_STDOUT, False)
+    stream = os.fdopen(_STDOUT, 'wb', buffering=0, closefd=False)
+    target = FileEventLog(
+        host=HostId(settings.node_name), clock=ProcessClock(), stream=stream
+    )
+    return BoundedEventLog(target=target, clock=time.monotonic)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/lavendergate/filters/base.py
+++ b/lavendergate/filters/base.py
@@ -1,6 +1,5 @@
 """Request, result and interface of the filters of the statement path."""
 
-import abc
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -23,6 +22,7 @@
     LogPosition,
     UpstreamId,
 )
+from lavendergate.filters.chain import ChainStep, compose
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -131,33 +131,13 @@
 Forward = Callable[[StatementRequest], Awaitable[StatementResult]]
 
 
-class Filter(abc.ABC):
+class Filter(ChainStep[StatementRequest, StatementResult]):
     """One step of the statement path."""
 
-    @abc.abstractmethod
-    async def handle(
-        self, request: StatementRequest, forward: Forward
-    ) -> StatementResult:
-        """Answer the request, or forward it to the next filter."""
-
 
 def build_chain(filters: Sequence[Filter]) -> Forward:
     """Compose filters into one function; the first one runs first."""
-    forward: Forward = _unanswered
-    for step in reversed(filters):
-        forward = _bind(step, forward)
-    return forward
-
-
-def _bind(step: Filter, forward: Forward) -> Forward:
-    async def run(request: StatementRequest) -> StatementResult:  # noqa: WPS430
-        return await step.handle(request, forward)
-
-    return run
-
-
-async def _unanswered(request: StatementRequest) -> StatementResult:
-    raise RuntimeError('the last filter must answer the request')
+    return compose(filters)
 
 
 def answered(query_result: QueryResult) -> StatementResult:
--- /dev/null
+++ b/lavendergate/filters/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Filters of the statement path for callers that speak in sessions."""
--- /dev/null
+++ b/lavendergate/filters/sessions/base.py
@@ -0,0 +1,139 @@
+"""Request and session of the statement path for sessions."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from lavendergate.controllers.session_pools import PooledSession
+from lavendergate.core.routes import Route
+from lavendergate.core.sessions.statements import (
+    AccessKind,
+    CallerStatement,
+    Completed,
+    Execute,
+    Phase,
+    Read,
+    RefusalCode,
+    Refused,
+    SessionAnswer,
+    Shape,
+    Write,
+)
+from lavendergate.core.types import LogPosition
+from lavendergate.filters.chain import ChainStep
+
+DataStatement = Read | Write | Execute
+
+
+@dataclass(kw_only=True, slots=True)
+class SessionTransaction:
+    """A caller's transaction.
+
+    Parameters
+    ----------
+    route
+        Route when it began; a change applies to the next transaction.
+    arrived_at
+        When it began, on the clock of positions, in seconds.
+    pooled
+        Connection that the transaction runs on, from its first statement.
+    has_written
+        Whether a statement that writes was sent to the member.
+    """
+
+    route: Route
+    arrived_at: float
+    read_only: bool
+    pooled: PooledSession | None = None
+    has_written: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class CallerSession:
+    """State of one caller's session.
+
+    Parameters
+    ----------
+    own_position
+        Position of the session's last acknowledged write.
+    is_expired
+        Whether the transaction was ended because it was idle; the caller
+        does not know yet.
+    """
+
+    database: str
+    phase: Phase = Phase.idle
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, Shape] = field(default_factory=dict)
+    own_position: LogPosition | None = None
+    transaction: SessionTransaction | None = None
+    is_expired: bool = False
+
+    def note_write(self, position: LogPosition | None) -> None:
+        """Record the position of an acknowledged write."""
+        if position is None:
+            return
+        if self.own_position is None or position > self.own_position:
+            self.own_position = position
+
+
+@dataclass(kw_only=True, slots=True)
+class SessionRequest:
+    """One statement on its way through the filters.
+
+    Parameters
+    ----------
+    arrived_at
+        Arrival on the clock of positions, in seconds.
+    started_at, deadline
+        Arrival, and end of the time to answer, on the monotonic clock.
+    route
+        Route of the statement, set by the routing filter.
+    """
+
+    session: CallerSession
+    request_id: str
+    statement: CallerStatement
+    arrived_at: float
+    started_at: float
+    deadline: float
+    route: Route | None = None
+    attempts: int = 0
+
+    @property
+    def access(self) -> AccessKind:
+        """Whether the statement changes data."""
+        match self.statement:
+            case Read():
+                return AccessKind.read
+            case Execute(name=name):
+                return self.session.prepared[name].access
+            case _:
+                return AccessKind.write
+
+    @property
+    def known_route(self) -> Route:
+        """Route of the statement, for filters after the routing filter."""
+        if self.route is None:
+            raise RuntimeError('the routing filter must run before this one')
+        return self.route
+
+
+class SessionFilter(ChainStep[SessionRequest, SessionAnswer]):
+    """One step of the statement path for sessions."""
+
+
+ForwardRequest = Callable[[SessionRequest], Awaitable[SessionAnswer]]
+
+
+def refuse(
+    request: SessionRequest, code: RefusalCode, text: str
+) -> SessionAnswer:
+    """Return an error; the phase of the session stays."""
+    return SessionAnswer(
+        outcome=Refused(code=code, text=text), phase=request.session.phase
+    )
+
+
+def complete(request: SessionRequest) -> SessionAnswer:
+    """Return the system's own success; the phase of the session stays."""
+    return SessionAnswer(outcome=Completed(), phase=request.session.phase)
--- /dev/null
+++ b/lavendergate/filters/sessions/single.py
@@ -0,0 +1,271 @@
+"""Runs statements outside of transactions."""
+
+from collections.abc import Callable
+
+import anyio
+
+from lavendergate.backends.sessions import AnswerLostError
+from lavendergate.controllers.positions import Positions
+from lavendergate.controllers.session_pools import (
+    NoConnectionError,
+    PooledSession,
+    SessionPools,
+)
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.patience import waits_for_primary_until
+from lavendergate.core.sessions.statements import (
+    NOT_RUN_CODES,
+    AccessKind,
+    Completed,
+    Execute,
+    Read,
+    RefusalCode,
+    Refused,
+    SessionAnswer,
+    Write,
+)
+from lavendergate.core.types import LogPosition
+from lavendergate.filters.sessions.base import (
+    DataStatement,
+    ForwardRequest,
+    SessionFilter,
+    SessionRequest,
+    refuse,
+)
+from lavendergate.filters.sessions.placing import Placing, ReadDemand
+from lavendergate.filters.sessions.preparation import (
+    NotPreparedError,
+    prepare_connection,
+    renamed,
+)
+
+# Pause before a statement that did not run is placed again, in seconds.
+_RETRY_PAUSE_S = 0.02
+# A read that is not answered after this share of its time is sent to
+# another member as well worth trying.
+_FIRST_READ_SHARE = 0.6
+_MAX_ATTEMPTS = 8
+
+_COMING_BACK = 'come back in 500 ms'
+# Reads that failed at one member may succeed at another.
+_READ_RETRY_CODES = NOT_RUN_CODES | {RefusalCode.failed, RefusalCode.timeout}
+
+
+class SingleStatementFilter(SessionFilter):
+    """Places reads and writes, again if they provably did not run.
+
+    Parameters
+    ----------
+    placing, pools, positions
+        Where statements may run.
+    monotonic
+        Monotonic time, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        placing: Placing,
+        pools: SessionPools,
+        positions: Positions,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self._placing = placing
+        self._pools = pools
+        self._positions = positions
+        self._monotonic = monotonic
+
+    async def handle(
+        self, request: SessionRequest, forward: ForwardRequest
+    ) -> SessionAnswer:
+        """Answer the request, or forward it to the next filter."""
+        if request.session.transaction is not None:
+            return await forward(request)
+        match request.statement:
+            case Read() | Write() | Execute() as statement:
+                if request.access == AccessKind.read:
+                    return await self._read(request, statement)
+                return await self._write(request, statement)
+            case _:
+                return await forward(request)
+
+    async def _read(
+        self, request: SessionRequest, statement: DataStatement
+    ) -> SessionAnswer:
+        last = refuse(
+            request,
+            RefusalCode.lagging,
+            f'no member is known to be recent enough; {_COMING_BACK}',
+        )
+        demand = ReadDemand(
+            route=request.known_route,
+            arrived_at=request.arrived_at,
+            started_at=request.started_at,
+            deadline=request.deadline,
+            own=request.session.own_position,
+        )
+        while request.attempts < _MAX_ATTEMPTS:
+            plan = await self._placing.plan_read(demand)
+            if plan is None or not plan.members:
+                return last
+            for member in plan.members:
+                request.attempts += 1
+                answer = await self._try_read(
+                    request, statement, member, plan.position
+                )
+                if not _may_go_elsewhere(answer):
+                    return answer
+                last = answer
+                if self._monotonic() >= request.deadline:
+                    return last
+            await anyio.sleep(_RETRY_PAUSE_S)
+        return last
+
+    async def _try_read(
+        self,
+        request: SessionRequest,
+        statement: DataStatement,
+        member: MemberEntry,
+        position: LogPosition,
+    ) -> SessionAnswer:
+        remaining_s = request.deadline - self._monotonic()
+        try:
+            pooled = await self._connect(request, statement, member)
+        except (NoConnectionError, NotPreparedError) as error:
+            return refuse(request, RefusalCode.busy, str(error))
+        try:
+            answer = await pooled.run(
+                renamed(request.session, statement),
+                timeout_s=max(0, remaining_s * _FIRST_READ_SHARE),
+                request_id=request.request_id,
+                after=position,
+            )
+        except AnswerLostError:
+            return refuse(
+                request, RefusalCode.timeout, 'the member did not answer'
+            )
+        finally:
+            await self._pools.release(pooled)
+        self._learn_from_lag(request, answer, member)
+        return _for_caller(request, answer)
+
+    async def _write(
+        self, request: SessionRequest, statement: DataStatement
+    ) -> SessionAnswer:
+        last = refuse(
+            request,
+            RefusalCode.busy,
+            f'the service has no primary at the moment; {_COMING_BACK}',
+        )
+        route = request.known_route
+        while request.attempts < _MAX_ATTEMPTS:
+            request.attempts += 1
+            primary = await self._placing.find_primary(
+                route, request.started_at, request.deadline
+            )
+            if primary is None:
+                return last
+            answer = await self._try_write(request, statement, primary)
+            if not _did_not_run(answer):
+                return answer
+            last = answer
+            if self._monotonic() >= request.deadline:
+                return last
+            await anyio.sleep(_RETRY_PAUSE_S)
+        return last
+
+    async def _try_write(
+        self,
+        request: SessionRequest,
+        statement: DataStatement,
+        primary: MemberEntry,
+    ) -> SessionAnswer:
+        try:
+            pooled = await self._connect(request, statement, primary)
+        except (NoConnectionError, NotPreparedError) as error:
+            return refuse(request, RefusalCode.busy, str(error))
+        asked_at = self._positions.now()
+        remaining_s = request.deadline - self._monotonic()
+        try:
+            answer = await pooled.run(
+                renamed(request.session, statement),
+                timeout_s=max(0, remaining_s),
+                request_id=request.request_id,
+            )
+        except AnswerLostError:
+            return refuse(
+                request,
+                RefusalCode.unknown,
+                'the member did not answer; the write may have run',
+            )
+        finally:
+            await self._pools.release(pooled)
+        self._placing.note_refusal(primary, answer)
+        if isinstance(answer.outcome, Completed):
+            self._note_write(request, answer, asked_at)
+        return _for_caller(request, answer)
+
+    async def _connect(
+        self,
+        request: SessionRequest,
+        statement: DataStatement,
+        member: MemberEntry,
+    ) -> PooledSession:
+        until = waits_for_primary_until(
+            request.known_route, self._monotonic(), request.deadline
+        )
+        session = request.session
+        pooled = await self._pools.acquire(member, session.values, until)
+        try:
+            await prepare_connection(
+                pooled,
+                session,
+                statement,
+                timeout_s=request.deadline - self._monotonic(),
+            )
+        except BaseException:
+            await self._pools.drop(pooled)
+            raise
+        return pooled
+
+    def _note_write(
+        self, request: SessionRequest, answer: SessionAnswer, asked_at: float
+    ) -> None:
+        request.session.note_write(answer.position)
+        if answer.position is not None:
+            service = request.known_route.service
+            self._positions.add(service, answer.position, asked_at)
+
+    def _learn_from_lag(
+        self,
+        request: SessionRequest,
+        answer: SessionAnswer,
+        member: MemberEntry,
+    ) -> None:
+        outcome = answer.outcome
+        if not isinstance(outcome, Refused):
+            return
+        if outcome.code == RefusalCode.lagging and member.is_primary:
+            # A promotion rolled the position back; no member will hold it.
+            service = request.known_route.service
+            self._positions.forget_beyond(service, answer.position)
+
+
+def _for_caller(
+    request: SessionRequest, answer: SessionAnswer
+) -> SessionAnswer:
+    return SessionAnswer(
+        outcome=answer.outcome,
+        phase=request.session.phase,
+        rows=answer.rows if isinstance(answer.outcome, Completed) else (),
+    )
+
+
+def _may_go_elsewhere(answer: SessionAnswer) -> bool:
+    outcome = answer.outcome
+    return isinstance(outcome, Refused) and outcome.code in _READ_RETRY_CODES
+
+
+def _did_not_run(answer: SessionAnswer) -> bool:
+    outcome = answer.outcome
+    return isinstance(outcome, Refused) and outcome.code in NOT_RUN_CODES
--- /dev/null
+++ b/lavendergate/filters/sessions/transaction.py
@@ -0,0 +1,355 @@
+"""Runs transactions, each on one connection."""
+
+from collections.abc import Callable
+
+import anyio
+
+from lavendergate.backends.sessions import AnswerLostError
+from lavendergate.controllers.positions import Positions
+from lavendergate.controllers.session_pools import (
+    NoConnectionError,
+    PooledSession,
+    SessionPools,
+)
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.routes import Consistency
+from lavendergate.core.sessions.patience import waits_for_primary_until
+from lavendergate.core.sessions.statements import (
+    NOT_RUN_CODES,
+    AccessKind,
+    Begin,
+    Commit,
+    Completed,
+    Execute,
+    Phase,
+    Read,
+    RefusalCode,
+    Refused,
+    Rollback,
+    SessionAnswer,
+    Write,
+)
+from lavendergate.core.types import LogPosition
+from lavendergate.filters.sessions.base import (
+    CallerSession,
+    DataStatement,
+    ForwardRequest,
+    SessionFilter,
+    SessionRequest,
+    SessionTransaction,
+    complete,
+    refuse,
+)
+from lavendergate.filters.sessions.placing import Placing, ReadDemand
+from lavendergate.filters.sessions.preparation import (
+    NotPreparedError,
+    prepare_connection,
+    renamed,
+)
+
+_RETRY_PAUSE_S = 0.02
+_ROLLBACK_TIMEOUT_S = 0.5
+_MAX_ATTEMPTS = 8
+
+
+class TransactionFilter(SessionFilter):
+    """Begins, continues and ends transactions.
+
+    Parameters
+    ----------
+    placing, pools, positions
+        Where transactions may run.
+    monotonic
+        Monotonic time, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        placing: Placing,
+        pools: SessionPools,
+        positions: Positions,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self._placing = placing
+        self._pools = pools
+        self._positions = positions
+        self._monotonic = monotonic
+
+    async def handle(
+        self, request: SessionRequest, forward: ForwardRequest
+    ) -> SessionAnswer:
+        """Answer the request, or forward it to the next filter."""
+        transaction = request.session.transaction
+        if transaction is None:
+            return await forward(request)
+        match request.statement:
+            case Rollback():
+                await self.end(request.session)
+                request.session.phase = Phase.idle
+                return complete(request)
+            case Commit():
+                return await self._commit(request, transaction)
+            case Read() | Write() | Execute() as statement:
+                return await self._run(request, transaction, statement)
+            case _:
+                return await forward(request)
+
+    async def end(self, session: CallerSession) -> None:
+        """Roll the transaction back and free its connection."""
+        transaction = session.transaction
+        session.transaction = None
+        if transaction is None or transaction.pooled is None:
+            return
+        pooled = transaction.pooled
+        transaction.pooled = None
+        with anyio.CancelScope(shield=True):
+            await self._roll_back(pooled)
+
+    async def _roll_back(self, pooled: PooledSession) -> None:
+        if not pooled.is_broken and pooled.phase != Phase.idle:
+            try:
+                await pooled.run(Rollback(), timeout_s=_ROLLBACK_TIMEOUT_S)
+            except AnswerLostError:
+                # The connection is closed, which rolls back as well.
+                pooled.is_broken = True
+        await self._pools.release(pooled)
+
+    async def _fail(
+        self, request: SessionRequest, code: RefusalCode, text: str
+    ) -> SessionAnswer:
+        """End the transaction; the caller still has to end it, too."""
+        session = request.session
+        await self.end(session)
+        session.phase = Phase.failed
+        return refuse(request, code, text)
+
+    async def _run(
+        self,
+        request: SessionRequest,
+        transaction: SessionTransaction,
+        statement: DataStatement,
+    ) -> SessionAnswer:
+        problem = await self._ensure_begun(request, transaction, statement)
+        if problem is not None:
+            return await self._fail(request, problem.code, problem.text)
+        while True:
+            answer = await self._send(request, transaction, statement)
+            if isinstance(answer.outcome, Completed):
+                return SessionAnswer(
+                    outcome=answer.outcome,
+                    phase=request.session.phase,
+                    rows=answer.rows,
+                )
+            refusal = answer.outcome
+            again = (
+                refusal.code in NOT_RUN_CODES
+                and refusal.code != RefusalCode.read_only
+                and answer.phase == Phase.in_transaction
+                and self._monotonic() < request.deadline
+            )
+            if not again:
+                code = _code_without_commit(refusal.code)
+                return await self._fail(request, code, refusal.text)
+            await anyio.sleep(_RETRY_PAUSE_S)
+
+    async def _send(
+        self,
+        request: SessionRequest,
+        transaction: SessionTransaction,
+        statement: DataStatement,
+    ) -> SessionAnswer:
+        pooled = transaction.pooled
+        lost = refuse(
+            request,
+            RefusalCode.aborted,
+            'the member did not answer; the transaction is rolled back',
+        )
+        if pooled is None:
+            return lost
+        if request.access == AccessKind.write:
+            transaction.has_written = True
+        try:
+            await prepare_connection(
+                pooled,
+                request.session,
+                statement,
+                timeout_s=request.deadline - self._monotonic(),
+            )
+            return await pooled.run(
+                renamed(request.session, statement),
+                timeout_s=max(0, request.deadline - self._monotonic()),
+                request_id=request.request_id,
+            )
+        except (AnswerLostError, NotPreparedError):
+            return SessionAnswer(outcome=lost.outcome, phase=Phase.failed)
+
+    async def _commit(
+        self, request: SessionRequest, transaction: SessionTransaction
+    ) -> SessionAnswer:
+        session = request.session
+        problem = await self._ensure_begun(request, transaction, None)
+        if problem is not None or transaction.pooled is None:
+            await self.end(session)
+            session.phase = Phase.idle
+            return refuse(
+                request,
+                RefusalCode.aborted,
+                'the transaction was not begun at a member; begin it again',
+            )
+        asked_at = self._positions.now()
+        answer = await self._send_commit(request, transaction)
+        await self.end(session)
+        session.phase = Phase.idle
+        if isinstance(answer.outcome, Completed):
+            if transaction.has_written:
+                self._note_write(request, transaction, answer, asked_at)
+            return SessionAnswer(outcome=answer.outcome, rows=answer.rows)
+        code = answer.outcome.code
+        if not transaction.has_written:
+            code = _code_without_commit(code)
+        return refuse(request, code, answer.outcome.text)
+
+    async def _send_commit(
+        self, request: SessionRequest, transaction: SessionTransaction
+    ) -> SessionAnswer:
+        pooled = transaction.pooled
+        while pooled is not None:
+            try:
+                answer = await pooled.run(
+                    Commit(),
+                    timeout_s=max(0, request.deadline - self._monotonic()),
+                    request_id=request.request_id,
+                )
+            except AnswerLostError:
+                break
+            again = (
+                isinstance(answer.outcome, Refused)
+                and answer.outcome.code == RefusalCode.busy
+                and answer.phase == Phase.in_transaction
+                and self._monotonic() < request.deadline
+            )
+            if not again:
+                return answer
+            await anyio.sleep(_RETRY_PAUSE_S)
+        return refuse(
+            request,
+            RefusalCode.unknown,
+            'the member did not answer; the transaction may be committed',
+        )
+
+    def _note_write(
+        self,
+        request: SessionRequest,
+        transaction: SessionTransaction,
+        answer: SessionAnswer,
+        asked_at: float,
+    ) -> None:
+        request.session.note_write(answer.position)
+        if answer.position is not None:
+            service = transaction.route.service
+            self._positions.add(service, answer.position, asked_at)
+
+    async def _ensure_begun(
+        self,
+        request: SessionRequest,
+        transaction: SessionTransaction,
+        statement: DataStatement | None,
+    ) -> Refused | None:
+        """Begin the transaction at a member; return why that failed."""
+        if transaction.pooled is not None:
+            return None
+        last = Refused(
+            code=RefusalCode.busy,
+            text='no member can run the transaction; come back in 500 ms',
+        )
+        while request.attempts < _MAX_ATTEMPTS:
+            request.attempts += 1
+            placed = await self._place(request, transaction)
+            if placed is None:
+                return last
+            member, position = placed
+            refusal = await self._begin(request, transaction, member, position)
+            if refusal is None:
+                return None
+            last = refusal
+            if self._monotonic() >= request.deadline:
+                break
+            await anyio.sleep(_RETRY_PAUSE_S)
+        return last
+
+    async def _place(
+        self, request: SessionRequest, transaction: SessionTransaction
+    ) -> tuple[MemberEntry, LogPosition | None] | None:
+        route = transaction.route
+        is_on_replica = (
+            transaction.read_only and route.consistency != Consistency.primary
+        )
+        if not is_on_replica:
+            primary = await self._placing.find_primary(
+                route, request.started_at, request.deadline
+            )
+            return None if primary is None else (primary, None)
+        plan = await self._placing.plan_read(
+            ReadDemand(
+                route=route,
+                arrived_at=transaction.arrived_at,
+                started_at=request.started_at,
+                deadline=request.deadline,
+                own=request.session.own_position,
+            )
+        )
+        if plan is None or not plan.members:
+            return None
+        index = (request.attempts - 1) % len(plan.members)
+        return plan.members[index], plan.position
+
+    async def _begin(
+        self,
+        request: SessionRequest,
+        transaction: SessionTransaction,
+        member: MemberEntry,
+        position: LogPosition | None,
+    ) -> Refused | None:
+        session = request.session
+        now = self._monotonic()
+        until = waits_for_primary_until(
+            transaction.route, now, request.deadline
+        )
+        try:
+            pooled = await self._pools.acquire(member, session.values, until)
+        except NoConnectionError as error:
+            return Refused(code=RefusalCode.busy, text=str(error))
+        try:
+            await prepare_connection(
+                pooled, session, None, timeout_s=request.deadline - now
+            )
+            # A plain transaction is refused by all but the primary, which
+            # proves that the member still leads.
+            answer = await pooled.run(
+                Begin(read_only=position is not None),
+                timeout_s=max(0, request.deadline - self._monotonic()),
+                after=position,
+            )
+        except (AnswerLostError, NotPreparedError) as error:
+            await self._pools.release(pooled)
+            return Refused(code=RefusalCode.busy, text=str(error))
+        except BaseException:
+            await self._pools.drop(pooled)
+            raise
+        if isinstance(answer.outcome, Refused):
+            if position is None:
+                self._placing.note_refusal(member, answer)
+            await self._roll_back(pooled)
+            return answer.outcome
+        transaction.pooled = pooled
+        return None
+
+
+def _code_without_commit(code: RefusalCode) -> RefusalCode:
+    """Return the code for a transaction whose commit was not sent.
+
+    The member rolls it back, whatever became of its statements, so the
+    caller may be told that nothing is kept.
+    """
+    return code if code in NOT_RUN_CODES else RefusalCode.aborted
--- /dev/null
+++ b/lavendergate/frontend/session_service.py
@@ -0,0 +1,241 @@
+"""Serves callers that speak in sessions."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.core.sessions.statements import (
+    Phase,
+    RefusalCode,
+    Refused,
+    SessionAnswer,
+)
+from lavendergate.filters.sessions.base import (
+    CallerSession,
+    ForwardRequest,
+    SessionRequest,
+)
+from lavendergate.filters.sessions.transaction import TransactionFilter
+from lavendergate.frontend.caller_channel import (
+    CallerChannel,
+    CallerFarewell,
+    CallerGoneError,
+    CallerRequest,
+)
+from lavendergate.observability.log import EventLog
+from lavendergate.observability.session_events import SessionEvent
+
+# A host that has just started may learn the routes within this time, in
+# seconds; callers wait two seconds for the answer to their start.
+_ROUTES_TIMEOUT_S = 1.2
+_MS_PER_S = 1000
+# Without a route there is no time limit of its own, in seconds.
+_DEFAULT_TIMEOUT_S = 1.0
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class OpenSession:
+    """A session that is being served.
+
+    Parameters
+    ----------
+    waiting
+        Scope of the wait for the next statement; None while one runs.
+    """
+
+    state: CallerSession
+    waiting: anyio.CancelScope | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the session may be closed without harm."""
+        return self.waiting is not None and self.state.phase == Phase.idle
+
+
+class SessionService:
+    """Reads statements of callers and answers them.
+
+    Parameters
+    ----------
+    chain
+        Filters that answer a statement.
+    transactions
+        Ends transactions whose callers left.
+    view
+        Routes in force.
+    clock
+        Clock of positions, in seconds.
+    monotonic
+        Monotonic time, in seconds.
+    events
+        Event log.
+    """
+
+    def __init__(
+        self,
+        *,
+        chain: ForwardRequest,
+        transactions: TransactionFilter,
+        view: FleetView,
+        clock: Callable[[], float],
+        monotonic: Callable[[], float],
+        events: EventLog,
+    ) -> None:
+        self._chain = chain
+        self._transactions = transactions
+        self._view = view
+        self._clock = clock
+        self._monotonic = monotonic
+        self._events = events
+        self._open: set[OpenSession] = set()
+        self._closes_idle = False
+        self._ends_transactions = False
+
+    @property
+    def sessions(self) -> int:
+        """Number of sessions that are being served."""
+        return len(self._open)
+
+    def close_idle(self) -> None:
+        """Close idle sessions, now and whenever one becomes idle."""
+        self._closes_idle = True
+        for session in self._open:
+            if session.is_idle and session.waiting is not None:
+                session.waiting.cancel()
+
+    def end_transactions(self) -> None:
+        """Roll back transactions that wait for their caller."""
+        self._ends_transactions = True
+        for session in self._open:
+            if session.waiting is not None:
+                session.waiting.cancel()
+
+    async def serve(self, channel: CallerChannel) -> None:
+        """Serve a caller to the end of the session."""
+        try:
+            database = await channel.open()
+            if database is None or not await self._is_served(database):
+                await channel.refuse(_no_database(database))
+                return
+            await channel.accept()
+            await self._serve_session(channel, CallerSession(database=database))
+        except CallerGoneError:
+            # Nothing is owed to a caller that left; its transaction was
+            # rolled back on the way here.
+            return
+
+    async def _is_served(self, database: str) -> bool:
+        until = self._monotonic() + _ROUTES_TIMEOUT_S
+        while not self._view.routes.version:
+            remaining_s = until - self._monotonic()
+            if remaining_s <= 0:
+                break
+            await self._view.wait_for_change(remaining_s)
+        return self._view.route(database) is not None
+
+    async def _serve_session(
+        self, channel: CallerChannel, state: CallerSession
+    ) -> None:
+        session = OpenSession(state=state)
+        self._open.add(session)
+        try:
+            while True:
+                received = await self._receive(channel, session)
+                if not isinstance(received, CallerRequest):
+                    return
+                answer = await self._answer(received, state)
+                await channel.answer(answer)
+                if _ends_session(answer):
+                    return
+                if self._closes_idle and state.phase == Phase.idle:
+                    return
+        finally:
+            self._open.discard(session)
+            with anyio.CancelScope(shield=True):
+                await self._transactions.end(state)
+
+    async def _receive(
+        self, channel: CallerChannel, session: OpenSession
+    ) -> CallerRequest | CallerFarewell | None:
+        """Return what the caller says; None if the session is to be closed."""
+        while True:
+            state = session.state
+            has_connection = (
+                state.transaction is not None
+                and state.transaction.pooled is not None
+            )
+            limit_s = self._view.routes.transaction_idle_ms / _MS_PER_S
+            until = anyio.current_time() + limit_s
+            with anyio.CancelScope() as waiting:
+                if has_connection:
+                    waiting.deadline = until
+                session.waiting = waiting
+                try:
+                    return await channel.receive()
+                finally:
+                    session.waiting = None
+            if state.phase != Phase.in_transaction:
+                return None
+            await self._expire(state)
+            if self._ends_transactions:
+                return None
+
+    async def _expire(self, state: CallerSession) -> None:
+        await self._transactions.end(state)
+        state.phase = Phase.failed
+        state.is_expired = True
+
+    async def _answer(
+        self, received: CallerRequest, state: CallerSession
+    ) -> SessionAnswer:
+        if received.statement is None:
+            return SessionAnswer(
+                outcome=Refused(
+                    code=RefusalCode.malformed, text='no such statement'
+                ),
+                phase=state.phase,
+            )
+        started_at = self._monotonic()
+        request = SessionRequest(
+            session=state,
+            request_id=received.request_id,
+            statement=received.statement,
+            arrived_at=self._clock(),
+            started_at=started_at,
+            deadline=started_at + _DEFAULT_TIMEOUT_S,
+        )
+        answer = await self._chain(request)
+        self._log(request, answer)
+        return answer
+
+    def _log(self, request: SessionRequest, answer: SessionAnswer) -> None:
+        if not isinstance(answer.outcome, Refused):
+            return
+        waited_s = self._monotonic() - request.started_at
+        self._events.emit(
+            SessionEvent.statement_refused,
+            request_id=request.request_id,
+            kind=type(request.statement).__name__,
+            code=answer.outcome.code.value,
+            reason=answer.outcome.text,
+            waited_ms=round(waited_s * _MS_PER_S),
+            attempts=request.attempts,
+            database=request.session.database,
+            routes_version=self._view.routes.version,
+        )
+
+
+def _no_database(database: str | None) -> Refused:
+    return Refused(
+        code=RefusalCode.no_database,
+        text=f'no route serves database {database!r}',
+    )
+
+
+def _ends_session(answer: SessionAnswer) -> bool:
+    outcome = answer.outcome
+    return (
+        isinstance(outcome, Refused) and outcome.code == RefusalCode.no_database
+    )
--- a/lavendergate/observability/events.py
+++ b/lavendergate/observability/events.py
@@ -2,7 +2,7 @@
 
 Ranges: 1xxx proxy and statement path, 2xxx connections and shares, 3xxx
 membership, 4xxx failover, 5xxx replicated log, 6xxx settings, 7xxx start and
-stop of processes.
+stop of processes, 8xxx sessions, announced members and promotions.
 """
 
 from collections.abc import Mapping
@@ -13,6 +13,7 @@
 from lavendergate.observability.failover_events import FailoverEvent
 from lavendergate.observability.membership_events import MembershipEvent
 from lavendergate.observability.process_events import ProcessEvent
+from lavendergate.observability.session_events import SessionEvent
 from lavendergate.observability.settings_events import SettingsEvent
 from lavendergate.observability.statement_events import StatementEvent
 
@@ -26,6 +27,7 @@
     'Level',
     'MembershipEvent',
     'ProcessEvent',
+    'SessionEvent',
     'SettingsEvent',
     'StatementEvent',
     'event_by_number',
@@ -40,6 +42,7 @@
     5: ('Replicated log', ConsensusEvent),
     6: ('Settings', SettingsEvent),
     7: ('Start and stop', ProcessEvent),
+    8: ('Sessions and promotions', SessionEvent),
 }
 
 ALL_EVENTS: tuple[Event, ...] = tuple(
--- /dev/null
+++ b/lavendergate/platform/callers.py
@@ -0,0 +1,125 @@
+"""Callers' connections in the platform's statement protocol."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import SocketStream, TaskStatus
+
+from lavendergate.core.sessions.statements import (
+    Completed,
+    Refused,
+    SessionAnswer,
+)
+from lavendergate.frontend.caller_channel import (
+    CallerChannel,
+    CallerFarewell,
+    CallerGoneError,
+    CallerRequest,
+)
+from lavendergate.platform.line_codec import (
+    parse_statement,
+    write_answer,
+    write_ready,
+    write_refusal,
+)
+from lavendergate.platform.line_stream import (
+    LOST_CONNECTION,
+    LOST_OR_LATE,
+    LineStream,
+)
+
+_BACKLOG = 4096
+# A caller that asks for nothing within this time is not one, in seconds.
+_START_TIMEOUT_S = 5.0
+
+_OPENED = SessionAnswer(outcome=Completed())
+
+ServeCaller = Callable[[CallerChannel], Awaitable[None]]
+
+
+class LineCallerChannel(CallerChannel):
+    """A caller's connection.
+
+    Parameters
+    ----------
+    stream
+        The connection.
+    """
+
+    def __init__(self, *, stream: LineStream) -> None:
+        self._stream = stream
+
+    async def open(self) -> str | None:
+        """Read the start of the session."""
+        try:
+            with anyio.fail_after(_START_TIMEOUT_S):
+                word, rest = await self._stream.read()
+        except LOST_OR_LATE as error:
+            raise CallerGoneError(repr(error)) from error
+        database = rest.partition(' ')[0]
+        return database if word == 'START' and database else None
+
+    async def accept(self) -> None:
+        """Tell the caller that the session is open."""
+        await self._write(write_ready(_OPENED))
+
+    async def refuse(self, refusal: Refused) -> None:
+        """Tell the caller why the session does not go on."""
+        await self._write(write_refusal(refusal))
+
+    async def receive(self) -> CallerRequest | CallerFarewell:
+        """Wait for the next statement."""
+        try:
+            word, rest = await self._stream.read()
+        except LOST_CONNECTION as error:
+            raise CallerGoneError(repr(error)) from error
+        if word == 'BYE':
+            return CallerFarewell()
+        request_id, _, text = rest.partition(' ')
+        statement = parse_statement(text) if word == 'QUERY' else None
+        return CallerRequest(request_id=request_id, statement=statement)
+
+    async def answer(self, answer: SessionAnswer) -> None:
+        """Answer the last statement."""
+        await self._write(write_answer(answer))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._stream.close()
+
+    async def _write(self, lines: bytes) -> None:
+        try:
+            await self._stream.write(lines)
+        except LOST_CONNECTION as error:
+            raise CallerGoneError(repr(error)) from error
+
+
+async def serve_callers(
+    address: str,
+    serve: ServeCaller,
+    *,
+    task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept callers until cancelled.
+
+    Parameters
+    ----------
+    address
+        Where to listen, ``ip:port``.
+    serve
+        Serves one caller to the end of the session.
+    """
+    ip, _, port = address.rpartition(':')
+
+    async def handle(stream: SocketStream) -> None:  # noqa: WPS430
+        channel = LineCallerChannel(stream=LineStream(stream=stream))
+        try:
+            await serve(channel)
+        finally:
+            await channel.close()
+
+    listener = await anyio.create_tcp_listener(
+        local_host=ip, local_port=int(port), backlog=_BACKLOG
+    )
+    task_status.started()
+    await listener.serve(handle)
--- /dev/null
+++ b/lavendergate/platform/documents.py
@@ -0,0 +1,159 @@
+"""Documents of the operator and announcements of members."""
+
+from typing import Literal
+
+import msgspec
+from result import Err, Ok, Result
+
+from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
+from lavendergate.core.routes import (
+    DEFAULT_TRANSACTION_IDLE_MS,
+    Consistency,
+    Route,
+    RoutesVersion,
+    RouteTable,
+    ServiceLimits,
+)
+from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
+
+_DEFAULT_CONNECTIONS = 16
+
+
+class _RouteDocument(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    name: str
+    database: str
+    service: str
+    route_type: Consistency
+    timeout_ms: int
+    path_prefix: str = '/'
+    target_latency_ms: int = 1000
+    priority: int = 0
+    max_staleness_ms: int = 0
+
+
+class _ServiceDocument(
+    msgspec.Struct, frozen=True, kw_only=True, rename='camel'
+):
+    name: str
+    max_conns: int = _DEFAULT_CONNECTIONS
+    sync_replicas: int = 0
+
+
+class _LimitsDocument(
+    msgspec.Struct, frozen=True, kw_only=True, rename='camel'
+):
+    txn_idle_ms: int = DEFAULT_TRANSACTION_IDLE_MS
+
+
+class _ConfigurationDocument(
+    msgspec.Struct, frozen=True, kw_only=True, rename='camel'
+):
+    version: int
+    routes: tuple[_RouteDocument, ...]
+    services: tuple[_ServiceDocument, ...]
+    limits: _LimitsDocument = _LimitsDocument()
+
+
+class _BeatDocument(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    service: str
+    address: str
+    state: Literal['ready', 'draining']
+    sequence: int
+    db_role: Literal['primary', 'replica']
+    zone: str = ''
+    capacity: int = 1
+    born: int = 0
+
+
+def decode_routes(content: bytes) -> Result[RouteTable, str]:
+    """Decode and validate the operator's document.
+
+    Returns
+    -------
+    The route table, or why the document is not valid.
+    """
+    try:
+        document = msgspec.json.decode(content, type=_ConfigurationDocument)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(f'the document cannot be read: {error}')
+    problem = _problem_with(document)
+    if problem is not None:
+        return Err(problem)
+    return Ok(
+        RouteTable(
+            version=RoutesVersion(document.version),
+            routes={
+                route.database: _route_of(route) for route in document.routes
+            },
+            services={
+                GroupId(service.name): ServiceLimits(
+                    service=GroupId(service.name),
+                    max_connections=service.max_conns,
+                    synchronous_replicas=service.sync_replicas,
+                )
+                for service in document.services
+            },
+            transaction_idle_ms=document.limits.txn_idle_ms,
+        )
+    )
+
+
+def decode_announcement(
+    upstream_id: str, content: bytes
+) -> Result[MemberEntry, str]:
+    """Decode a member's announcement.
+
+    Returns
+    -------
+    The entry, or why the announcement names no member to use.
+    """
+    try:
+        beat = msgspec.json.decode(content, type=_BeatDocument)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(f'the announcement cannot be read: {error}')
+    ip, _, port = beat.address.rpartition(':')
+    if not (ip and port.isdecimal()):
+        return Err(f'{beat.address!r} is no address: expected ip:port')
+    return Ok(
+        MemberEntry(
+            upstream_id=UpstreamId(upstream_id),
+            service=GroupId(beat.service),
+            address=beat.address,
+            failure_domain=FailureDomain(beat.zone),
+            slots=beat.capacity,
+            availability=MemberAvailability(beat.state),
+            is_primary=beat.db_role == 'primary',
+            born=beat.born,
+            sequence=beat.sequence,
+        )
+    )
+
+
+def _problem_with(document: _ConfigurationDocument) -> str | None:
+    services = {service.name for service in document.services}
+    places: set[tuple[str, str]] = set()
+    for route in document.routes:
+        place = (route.database, route.path_prefix)
+        if route.service not in services:
+            return f'route {route.name} names unknown service {route.service}'
+        if place in places:
+            return f'two routes serve database {route.database}'
+        if route.timeout_ms <= 0:
+            return f'route {route.name} has no time to run: set timeoutMs'
+        places.add(place)
+    if document.version <= 0:
+        return f'version {document.version} is not above 0'
+    return None
+
+
+def _route_of(route: _RouteDocument) -> Route:
+    return Route(
+        name=route.name,
+        database=route.database,
+        service=GroupId(route.service),
+        consistency=route.route_type,
+        timeout_ms=route.timeout_ms,
+        target_latency_ms=route.target_latency_ms,
+        priority=route.priority,
+        max_staleness_ms=route.max_staleness_ms,
+    )
--- /dev/null
+++ b/lavendergate/platform/line_codec.py
@@ -0,0 +1,271 @@
+"""Lines of the platform's statement protocol."""
+
+from collections.abc import Callable, Mapping
+
+from lavendergate.core.sessions.statements import (
+    AccessKind,
+    Begin,
+    CallerStatement,
+    Commit,
+    Completed,
+    Execute,
+    Forget,
+    MemberReport,
+    Outcome,
+    PauseReplication,
+    Phase,
+    Prepare,
+    Read,
+    RefusalCode,
+    Refused,
+    ReportStatus,
+    ResetSession,
+    ResumeReplication,
+    Rollback,
+    SessionAnswer,
+    SetValue,
+    Shape,
+    Statement,
+    Write,
+)
+from lavendergate.core.types import LogPosition, Term
+
+LINE_END = b'\r\n'
+MAX_LINE_BYTES = 1024 * 1024
+NOTHING = '-'
+
+_PHASE_WORDS: Mapping[Phase, str] = {
+    Phase.idle: 'I',
+    Phase.in_transaction: 'T',
+    Phase.failed: 'E',
+}
+_PHASES = {word: phase for phase, word in _PHASE_WORDS.items()}
+
+_CODE_WORDS: Mapping[RefusalCode, str] = {
+    RefusalCode.aborted: 'ABORTED',
+    RefusalCode.busy: 'BUSY',
+    RefusalCode.connection_limit: 'CONNLIMIT',
+    RefusalCode.failed: 'FAILED',
+    RefusalCode.lagging: 'LAGGING',
+    RefusalCode.malformed: 'MALFORMED',
+    RefusalCode.misrouted: 'MISROUTED',
+    RefusalCode.no_database: 'NODB',
+    RefusalCode.no_statement: 'NOSTMT',
+    RefusalCode.read_only: 'READONLY',
+    RefusalCode.timeout: 'TIMEOUT',
+    RefusalCode.unknown: 'UNKNOWN',
+}
+_CODES = {word: code for code, word in _CODE_WORDS.items()}
+
+_ACCESS_WORDS = {AccessKind.read: 'READ', AccessKind.write: 'WRITE'}
+_ACCESS = {word: access for access, word in _ACCESS_WORDS.items()}
+
+_FIELDS_OF_REPORT = 7
+
+
+class LineError(Exception):
+    """A line that the protocol does not allow."""
+
+
+def parse_statement(text: str) -> CallerStatement | None:
+    """Return a caller's statement; None if it is none.
+
+    The statement is written exactly as it was read, so a text that would
+    be written differently is none.
+    """
+    word, _, rest = text.partition(' ')
+    parse = _PARSERS.get(word)
+    if parse is None:
+        return None
+    statement = parse(rest)
+    if statement is None or write_statement(statement) != text:
+        return None
+    return statement
+
+
+def write_statement(statement: Statement) -> str:  # noqa: C901, WPS212
+    """Return the text of a statement."""
+    match statement:
+        case Begin(read_only=read_only):
+            return 'BEGIN READ' if read_only else 'BEGIN'
+        case Commit():
+            return 'COMMIT'
+        case Rollback():
+            return 'ROLLBACK'
+        case Read(item=item):
+            return f'READ {item}'
+        case Write(item=item, content=content):
+            return f'WRITE {item} {content}'
+        case SetValue(name=name, value=value):
+            return f'SET {name} {value}'
+        case Prepare(name=name, shape=shape):
+            return f'PREPARE {name} {_ACCESS_WORDS[shape.access]} {shape.text}'
+        case Execute(name=name, item=item, content=None):
+            return f'EXEC {name} {item}'
+        case Execute(name=name, item=item, content=content):
+            return f'EXEC {name} {item} {content}'
+        case _:
+            return _write_session_statement(statement)
+
+
+def write_position(position: LogPosition | None) -> str:
+    """Return the text of a position."""
+    if position is None:
+        return NOTHING
+    return f'{position.term}.{position.position}'
+
+
+def parse_position(text: str) -> LogPosition | None:
+    """Return a position; None if there is none.
+
+    Raises
+    ------
+    LineError
+        If the text is no position.
+    """
+    if text == NOTHING:
+        return None
+    term, dot, number = text.partition('.')
+    if not (dot and term.isdecimal() and number.isdecimal()):
+        raise LineError(f'{text!r} is no position: expected TERM.NUMBER')
+    return LogPosition(term=Term(int(term)), position=int(number))
+
+
+def write_query(
+    statement: Statement, request_id: str | None, after: LogPosition | None
+) -> bytes:
+    """Return the line that asks a member to run a statement."""
+    text = write_statement(statement)
+    if after is not None:
+        text = f'AFTER {write_position(after)} {text}'
+    return f'QUERY {request_id or NOTHING} {text}'.encode() + LINE_END
+
+
+def write_refusal(refusal: Refused) -> bytes:
+    """Return the line of an error."""
+    word = _CODE_WORDS[refusal.code]
+    return f'ERR {word} {refusal.text or NOTHING}'.encode() + LINE_END
+
+
+def write_answer(answer: SessionAnswer) -> bytes:
+    """Return all lines of an answer to a caller."""
+    rows = b''.join(f'ROW {row}'.encode() + LINE_END for row in answer.rows)
+    return rows + _write_outcome(answer.outcome) + write_ready(answer)
+
+
+def write_ready(answer: SessionAnswer) -> bytes:
+    """Return the line that says that the next request may come."""
+    word = _PHASE_WORDS[answer.phase]
+    position = write_position(answer.position)
+    return f'READY {word} {position}'.encode() + LINE_END
+
+
+def parse_ready(rest: str) -> tuple[Phase, LogPosition | None]:
+    """Return the fields of a line that ends an answer."""
+    word, _, position = rest.partition(' ')
+    phase = _PHASES.get(word)
+    if phase is None:
+        raise LineError(f'{word!r} is no state of a session')
+    return phase, parse_position(position)
+
+
+def parse_refusal(rest: str) -> Refused:
+    """Return the fields of an error."""
+    word, _, text = rest.partition(' ')
+    # A code that is not known promises nothing.
+    code = _CODES.get(word, RefusalCode.failed)
+    return Refused(code=code, text=text if word in _CODES else rest)
+
+
+def parse_report(row: str) -> MemberReport:
+    """Return a member's report about itself."""
+    fields = row.split(' ')
+    if len(fields) < _FIELDS_OF_REPORT:
+        raise LineError(f'{row!r} is no status: expected 7 fields')
+    role, term, received = fields[:3]
+    paused, lag, busy, connections = fields[3:_FIELDS_OF_REPORT]
+    position = parse_position(received)
+    numbers = (term, paused, lag, busy, connections)
+    if position is None or not all(map(_is_number, numbers)):
+        raise LineError(f'{row!r} is no status: a number is missing')
+    return MemberReport(
+        is_primary=role == 'primary',
+        term=Term(int(term)),
+        received=position,
+        # The field's name is "term held"; it is the term of the pause.
+        paused_term=Term(int(paused)),
+        lag_ms=int(float(lag)),
+        busy=int(float(busy)),
+        connections=int(float(connections)),
+    )
+
+
+def _is_number(text: str) -> bool:
+    return text.replace('.', '', 1).isdecimal()
+
+
+def _write_outcome(outcome: Outcome) -> bytes:
+    match outcome:
+        case Completed(signature=signature):
+            return f'DONE {signature or NOTHING}'.encode() + LINE_END
+        case Refused():
+            return write_refusal(outcome)
+
+
+def _write_session_statement(statement: Statement) -> str:
+    match statement:
+        case Forget(name=name):
+            return f'FORGET {name}'
+        case PauseReplication(term=term):
+            return f'PAUSE {term}'
+        case ResumeReplication():
+            return 'RESUME'
+        case ReportStatus():
+            return 'STATUS'
+        case ResetSession():
+            return 'RESET'
+        case _:
+            raise TypeError(f'{statement!r} has no text in this protocol')
+
+
+def _parse_begin(rest: str) -> CallerStatement | None:
+    return {'': Begin(), 'READ': Begin(read_only=True)}.get(rest)
+
+
+def _parse_write(rest: str) -> CallerStatement | None:
+    item, blank, content = rest.partition(' ')
+    return Write(item=item, content=content) if item and blank else None
+
+
+def _parse_set(rest: str) -> CallerStatement | None:
+    name, blank, value = rest.partition(' ')
+    return SetValue(name=name, value=value) if name and blank else None
+
+
+def _parse_prepare(rest: str) -> CallerStatement | None:
+    name, _, shape = rest.partition(' ')
+    word, blank, text = shape.partition(' ')
+    if not (name and blank and word in _ACCESS):
+        return None
+    return Prepare(name=name, shape=Shape(access=_ACCESS[word], text=text))
+
+
+def _parse_execute(rest: str) -> CallerStatement | None:
+    name, _, arguments = rest.partition(' ')
+    item, blank, content = arguments.partition(' ')
+    if not (name and item):
+        return None
+    return Execute(name=name, item=item, content=content if blank else None)
+
+
+_PARSERS: Mapping[str, Callable[[str], CallerStatement | None]] = {
+    'BEGIN': _parse_begin,
+    'COMMIT': lambda rest: Commit(),
+    'ROLLBACK': lambda rest: Rollback(),
+    'READ': lambda rest: Read(item=rest) if rest else None,
+    'WRITE': _parse_write,
+    'SET': _parse_set,
+    'PREPARE': _parse_prepare,
+    'EXEC': _parse_execute,
+    'FORGET': lambda rest: Forget(name=rest) if rest else None,
+}
--- /dev/null
+++ b/lavendergate/platform/members.py
@@ -0,0 +1,157 @@
+"""Connections to members that speak the platform's statement protocol."""
+
+from collections.abc import Callable
+
+import anyio
+
+from lavendergate.backends.sessions import (
+    AnswerLostError,
+    MemberDialer,
+    MemberQuestion,
+    MemberRefusedError,
+    MemberSession,
+    MemberUnreachableError,
+)
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.statements import (
+    Completed,
+    MemberReport,
+    Outcome,
+    Refused,
+    SessionAnswer,
+    Statement,
+)
+from lavendergate.core.types import LogPosition
+from lavendergate.platform.line_codec import (
+    LINE_END,
+    NOTHING,
+    LineError,
+    parse_ready,
+    parse_refusal,
+    parse_report,
+    write_query,
+)
+from lavendergate.platform.line_stream import (
+    LOST_CONNECTION,
+    LOST_OR_LATE,
+    LineStream,
+)
+
+
+class LineMemberSession(MemberSession):
+    """A connection to a member.
+
+    Parameters
+    ----------
+    stream
+        The connection, after its start was answered.
+    """
+
+    def __init__(self, *, stream: LineStream) -> None:
+        self._stream = stream
+
+    async def run(
+        self,
+        statement: Statement,
+        *,
+        request_id: str | None = None,
+        after: LogPosition | None = None,
+    ) -> SessionAnswer:
+        """Run a statement; see the base class."""
+        try:
+            await self._stream.write(write_query(statement, request_id, after))
+            return await self._read_answer()
+        except LOST_CONNECTION as error:
+            raise AnswerLostError(f'no answer: {error!r}') from error
+
+    async def ask(self, question: MemberQuestion) -> MemberReport | Refused:
+        """Ask for a report; see the base class."""
+        answer = await self.run(question)
+        if isinstance(answer.outcome, Refused):
+            return answer.outcome
+        try:
+            return parse_report(answer.rows[0] if answer.rows else '')
+        except LineError as error:
+            raise AnswerLostError(str(error)) from error
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._stream.close()
+
+    async def _read_answer(self) -> SessionAnswer:
+        rows: list[str] = []
+        outcome: Outcome | None = None
+        while True:
+            word, rest = await self._stream.read()
+            match word:
+                case 'ROW':
+                    rows.append(rest)
+                case 'DONE':
+                    signature = None if rest == NOTHING else rest
+                    outcome = Completed(signature=signature)
+                case 'ERR':
+                    outcome = parse_refusal(rest)
+                case 'READY' if outcome is not None:
+                    phase, position = parse_ready(rest)
+                    return SessionAnswer(
+                        outcome=outcome,
+                        phase=phase,
+                        rows=tuple(rows),
+                        position=position,
+                    )
+                case _:
+                    raise LineError(f'unexpected line {word!r} of a member')
+
+
+class LineMemberDialer(MemberDialer):
+    """Opens connections to members.
+
+    Parameters
+    ----------
+    host
+        Name under which this host shows at members.
+    timeout_s
+        Returns the longest time to open a connection, in seconds.
+    """
+
+    def __init__(self, *, host: str, timeout_s: Callable[[], float]) -> None:
+        self._host = host
+        self._timeout_s = timeout_s
+
+    async def dial(
+        self, member: MemberEntry
+    ) -> tuple[MemberSession, LogPosition | None]:
+        """Open a connection; see the base class."""
+        try:
+            with anyio.fail_after(self._timeout_s()):
+                return await self._open(member)
+        except LOST_OR_LATE as error:
+            raise MemberUnreachableError(
+                f'no connection to {member.upstream_id} at '
+                f'{member.address}: {error!r}'
+            ) from error
+
+    async def _open(
+        self, member: MemberEntry
+    ) -> tuple[MemberSession, LogPosition | None]:
+        ip, _, port = member.address.rpartition(':')
+        stream = LineStream(stream=await anyio.connect_tcp(ip, int(port)))
+        try:
+            return await self._start(stream, member)
+        except BaseException:
+            await stream.close()
+            raise
+
+    async def _start(
+        self, stream: LineStream, member: MemberEntry
+    ) -> tuple[MemberSession, LogPosition | None]:
+        # An address may belong to another member by now, so the id is sent.
+        start = f'START {member.service} {self._host} {member.upstream_id}'
+        await stream.write(start.encode() + LINE_END)
+        word, rest = await stream.read()
+        if word == 'ERR':
+            raise MemberRefusedError(refusal=parse_refusal(rest))
+        if word != 'READY':
+            raise LineError(f'unexpected line {word!r} at the start')
+        _, position = parse_ready(rest)
+        return LineMemberSession(stream=stream), position
