--- /dev/null
+++ b/lavendergate/tests/session_fixture.py
@@ -0,0 +1,185 @@
+"""A proxy's statement path for sessions, on members in memory."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import anyio
+import trio
+from anyio.abc import TaskGroup
+from trio.testing import MockClock
+
+from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.controllers.positions import Positions
+from lavendergate.controllers.session_pools import SessionPools
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.routes import (
+    Consistency,
+    Route,
+    RoutesVersion,
+    RouteTable,
+    ServiceLimits,
+)
+from lavendergate.core.sessions.statements import (
+    CallerStatement,
+    SessionAnswer,
+)
+from lavendergate.core.types import Term
+from lavendergate.filters.chain import compose
+from lavendergate.filters.sessions.base import CallerSession, SessionRequest
+from lavendergate.filters.sessions.local import LocalFilter
+from lavendergate.filters.sessions.placing import Placing
+from lavendergate.filters.sessions.route import RouteFilter
+from lavendergate.filters.sessions.single import SingleStatementFilter
+from lavendergate.filters.sessions.transaction import TransactionFilter
+from lavendergate.rpc.fleet_service import PrimaryNotice
+from standin.session_group import GroupDialer, SessionGroup
+
+PRIMARY = 'primary-db'
+BOUNDED = 'bounded-db'
+OWN = 'own-db'
+_TIMEOUT_MS = 800
+_CONSISTENCY = {
+    PRIMARY: (Consistency.primary, 0),
+    BOUNDED: (Consistency.bounded_staleness, 1500),
+    OWN: (Consistency.read_own_writes, 2500),
+}
+
+
+class SessionFixture:
+    """One proxy before one group of three members.
+
+    Parameters
+    ----------
+    tasks
+        Task group of the pools.
+    """
+
+    def __init__(self, *, tasks: TaskGroup) -> None:
+        self.group = SessionGroup(names=('a', 'b', 'c'))
+        self.dialer = GroupDialer(groups=(self.group,))
+        self.share = 4
+        self.view = FleetView(clock=anyio.current_time)
+        self.pools = SessionPools(
+            dialer=self.dialer,
+            tasks=tasks,
+            clock=anyio.current_time,
+            share=self._share,
+        )
+        self.positions = Positions(
+            view=self.view,
+            pools=self.pools,
+            tasks=tasks,
+            clock=anyio.current_time,
+            monotonic=anyio.current_time,
+        )
+        placing = Placing(
+            view=self.view,
+            pools=self.pools,
+            positions=self.positions,
+            monotonic=anyio.current_time,
+        )
+        self.transactions = TransactionFilter(
+            placing=placing,
+            pools=self.pools,
+            positions=self.positions,
+            monotonic=anyio.current_time,
+        )
+        self.chain = compose(
+            (
+                LocalFilter(),
+                RouteFilter(view=self.view),
+                SingleStatementFilter(
+                    placing=placing,
+                    pools=self.pools,
+                    positions=self.positions,
+                    monotonic=anyio.current_time,
+                ),
+                self.transactions,
+            )
+        )
+        self._ids = itertools.count(1)
+        self.publish(1)
+        self.announce()
+        self.notice('a', 1)
+
+    def publish(self, version: int, databases: tuple[str, ...] = ()) -> None:
+        """Bring a route table into force."""
+        service = self.group.service
+        self.view.adopt_routes(
+            RouteTable(
+                version=RoutesVersion(version),
+                routes={
+                    database: Route(
+                        name=database,
+                        database=database,
+                        service=service,
+                        consistency=consistency,
+                        timeout_ms=_TIMEOUT_MS,
+                        target_latency_ms=1000,
+                        priority=1,
+                        max_staleness_ms=staleness_ms,
+                    )
+                    for database, (
+                        consistency,
+                        staleness_ms,
+                    ) in _CONSISTENCY.items()
+                    if not databases or database in databases
+                },
+                services={
+                    service: ServiceLimits(
+                        service=service,
+                        max_connections=16,
+                        synchronous_replicas=1,
+                    )
+                },
+            )
+        )
+
+    def announce(self) -> None:
+        """Announce all members as they are."""
+        self.view.merge(
+            tuple(member.entry for member in self.group.members.values())
+        )
+
+    def notice(self, name: str, term: int) -> None:
+        """Tell the proxy who leads."""
+        member = self.group.member(name)
+        self.view.notice_primaries(
+            (
+                PrimaryNotice(
+                    service=self.group.service,
+                    upstream_id=member.entry.upstream_id,
+                    term=Term(term),
+                ),
+            )
+        )
+
+    async def send(
+        self, session: CallerSession, statement: CallerStatement
+    ) -> SessionAnswer:
+        """Send a statement of a caller."""
+        now = anyio.current_time()
+        return await self.chain(
+            SessionRequest(
+                session=session,
+                request_id=f'request-{next(self._ids)}',
+                statement=statement,
+                arrived_at=now,
+                started_at=now,
+                deadline=now + 1,
+            )
+        )
+
+    def _share(self, entry: MemberEntry) -> int:
+        return self.share
+
+
+def play(scenario: Callable[[SessionFixture], Awaitable[None]]) -> None:
+    """Run a scenario under a clock that jumps over waits."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            await scenario(SessionFixture(tasks=tasks))
+            tasks.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
--- /dev/null
+++ b/lavendergate/tests/test_fleet_directory.py
@@ -0,0 +1,102 @@
+"""Tests of the directory of announced members."""
+
+import unittest
+from itertools import permutations
+
+import msgspec
+
+from lavendergate.core.fleet_directory import (
+    FleetDirectory,
+    MemberAvailability,
+    MemberEntry,
+    departed,
+    merge,
+)
+from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
+
+SERVICE = GroupId('rounds')
+
+
+def entry(
+    name: str = 'a',
+    *,
+    born: int = 1,
+    sequence: int = 1,
+    address: str = '10.0.0.1:80',
+    availability: MemberAvailability = MemberAvailability.ready,
+) -> MemberEntry:
+    """Return an announcement."""
+    return MemberEntry(
+        upstream_id=UpstreamId(name),
+        service=SERVICE,
+        address=address,
+        failure_domain=FailureDomain('d'),
+        slots=2,
+        availability=availability,
+        is_primary=False,
+        born=born,
+        sequence=sequence,
+    )
+
+
+class MergeTest(unittest.TestCase):
+    """What a host keeps of what it hears."""
+
+    def test_order_of_announcements_does_not_matter(self) -> None:
+        """Guards against hosts that hold different directories."""
+        heard = (
+            entry(sequence=1),
+            entry(sequence=3, availability=MemberAvailability.draining),
+            departed(entry(sequence=3)),
+            entry('b', born=5),
+        )
+        results = set()
+        for order in permutations(heard):
+            directory = FleetDirectory()
+            for one in order:
+                directory, _ = merge(directory, (one,))
+            present = tuple(
+                sorted(
+                    (known.upstream_id, known.availability.value)
+                    for known in directory.members_of(SERVICE)
+                )
+            )
+            results.add(present)
+        self.assertEqual(results, {(('b', 'ready'),)})
+
+    def test_late_announcement_of_a_crashed_start_changes_nothing(
+        self,
+    ) -> None:
+        """Guards against a beat that was held up by a partition."""
+        directory, _ = merge(FleetDirectory(), (entry(born=9, sequence=1),))
+        late = entry(born=2, sequence=40)
+        merged, changed = merge(directory, (late,))
+        self.assertEqual(merged, directory)
+        self.assertFalse(changed)
+
+    def test_address_belongs_to_the_member_started_last(self) -> None:
+        """Guards against two members at one address."""
+        heard = (entry('old', born=1), entry('new', born=2))
+        for order in permutations(heard):
+            directory, _ = merge(FleetDirectory(), order)
+            names = [
+                known.upstream_id for known in directory.members_of(SERVICE)
+            ]
+            self.assertEqual(names, ['new'])
+
+    def test_higher_sequence_alone_is_no_change(self) -> None:
+        """Guards against traffic for each announcement."""
+        directory, _ = merge(FleetDirectory(), (entry(sequence=1),))
+        later = msgspec.structs.replace(entry(), sequence=2)
+        merged, changed = merge(directory, (later,))
+        self.assertFalse(changed)
+        self.assertEqual(merged.entries[UpstreamId('a')].sequence, 2)
+
+    def test_member_that_left_returns_with_a_new_start(self) -> None:
+        """Guards against a departure that hides the next start."""
+        directory, _ = merge(
+            FleetDirectory(), (entry(born=1), departed(entry(born=1)))
+        )
+        self.assertFalse(directory.members_of(SERVICE))
+        directory, _ = merge(directory, (entry(born=2),))
+        self.assertTrue(directory.members_of(SERVICE))
--- /dev/null
+++ b/lavendergate/tests/test_platform_formats.py
@@ -0,0 +1,276 @@
+"""Tests of the platform's formats."""
+
+import json
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from lavendergate.core.fleet_directory import MemberAvailability
+from lavendergate.core.routes import Consistency
+from lavendergate.core.sessions.statements import (
+    Completed,
+    Phase,
+    RefusalCode,
+    Refused,
+    SessionAnswer,
+)
+from lavendergate.core.types import LogPosition, Term
+from lavendergate.platform.documents import decode_announcement, decode_routes
+from lavendergate.platform.line_codec import (
+    LineError,
+    parse_position,
+    parse_ready,
+    parse_refusal,
+    parse_report,
+    parse_statement,
+    write_answer,
+    write_query,
+    write_statement,
+)
+from lavendergate.platform.settings_file import (
+    SETTINGS_VARIABLE,
+    SettingsFileError,
+    load_settings,
+)
+
+STATEMENTS = (
+    'BEGIN',
+    'BEGIN READ',
+    'COMMIT',
+    'ROLLBACK',
+    'READ 1a4',
+    'WRITE 1a4 some data  with blanks',
+    'SET name value',
+    'PREPARE s1 WRITE q2c',
+    'EXEC s1 1a4',
+    'EXEC s1 1a4 xkqpwnzd',
+    'FORGET s1',
+)
+ROUTE = {
+    'name': 'r1',
+    'database': 'd1',
+    'pathPrefix': '/',
+    'routeType': 'bounded_staleness',
+    'timeoutMs': 800,
+    'targetLatencyMs': 600,
+    'priority': 1,
+    'service': 's1',
+    'attempts': 2,
+    'maxStalenessMs': 1500,
+}
+DOCUMENT = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [{'name': 's1', 'maxConns': 16, 'syncReplicas': 1}],
+    'limits': {'txnIdleMs': 2000},
+}
+BEAT = {
+    'service': 's1',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'version': 'v1',
+    'capacity': 3,
+    'state': 'ready',
+    'warmupLeftMs': 0,
+    'dbRole': 'replica',
+    'sequence': 4,
+    'born': 1700000000000,
+}
+SETTINGS = """
+nodeName = "edge-1"
+ip = "10.1.0.8"
+zone = "z1"
+region = "r1"
+internalPorts = [7440, 7455]
+seeds = ["10.1.0.11:8782", "10.2.0.8:8782"]
+bootstrap = true
+unknownField = 1
+[bindAddrs]
+front = "10.1.0.8:8784"
+[bounds]
+graceS = 6
+requireFencing = true
+[cloudApi]
+address = "10.200.0.160:8783"
+dutyPerS = 50.0
+"""
+
+
+def routes(**changes: object) -> bytes:
+    """Return a document with changed fields."""
+    return json.dumps(DOCUMENT | changes).encode()
+
+
+class LineCodecTest(unittest.TestCase):
+    """Lines of the statement protocol."""
+
+    def test_statements_are_written_as_they_were_read(self) -> None:
+        """Guards against a statement that runs with a changed text."""
+        for text in STATEMENTS:
+            statement = parse_statement(text)
+            assert statement is not None, text
+            self.assertEqual(write_statement(statement), text)
+
+    @given(text=st.text())
+    @example(text='READ')
+    @example(text='BEGIN  READ')
+    @example(text='EXEC s1  x')
+    @example(text='COMMIT now')
+    @example(text='AFTER 1.2 READ x')
+    @example(text='STATUS')
+    @settings(derandomize=True)
+    def test_any_text_is_read_unchanged_or_not_at_all(self, text: str) -> None:
+        """Guards against foreign input that ends a process."""
+        statement = parse_statement(text)
+        if statement is not None:
+            self.assertEqual(write_statement(statement), text)
+
+    @given(text=st.text())
+    @settings(derandomize=True)
+    def test_any_line_of_a_member_is_read_or_refused(self, text: str) -> None:
+        """Guards against a member whose bytes end a process."""
+        parse_refusal(text)
+        for parse in (parse_position, parse_ready, parse_report):
+            try:
+                parse(text)
+            except LineError:
+                continue
+
+    def test_unknown_code_promises_nothing(self) -> None:
+        """Guards against a promise that the member did not make."""
+        refusal = parse_refusal('STRANGE text')
+        self.assertEqual(refusal.code, RefusalCode.failed)
+
+    def test_report_names_the_pause_and_the_received_position(self) -> None:
+        """Guards against fields that are taken for each other."""
+        report = parse_report('replica 3 3.1209 4 12 2 17')
+        self.assertFalse(report.is_primary)
+        self.assertEqual(report.term, 3)
+        self.assertEqual(report.paused_term, 4)
+        self.assertEqual(report.received.position, 1209)
+        self.assertEqual(report.connections, 17)
+
+    def test_query_carries_the_position_to_wait_for(self) -> None:
+        """Guards against a read without its position."""
+        statement = parse_statement('READ 1a4')
+        assert statement is not None
+        position = LogPosition(term=Term(3), position=7)
+        self.assertEqual(
+            write_query(statement, 'id1', position),
+            b'QUERY id1 AFTER 3.7 READ 1a4\r\n',
+        )
+        self.assertEqual(
+            write_query(statement, None, None), b'QUERY - READ 1a4\r\n'
+        )
+
+    def test_answers_end_with_the_state_of_the_session(self) -> None:
+        """Guards against a caller that waits for the end of an answer."""
+        done = SessionAnswer(
+            outcome=Completed(signature='sig'), rows=('row',)
+        )
+        self.assertEqual(
+            write_answer(done), b'ROW row\r\nDONE sig\r\nREADY I -\r\n'
+        )
+        refused = SessionAnswer(
+            outcome=Refused(code=RefusalCode.aborted, text='why'),
+            phase=Phase.failed,
+        )
+        self.assertEqual(
+            write_answer(refused), b'ERR ABORTED why\r\nREADY E -\r\n'
+        )
+
+
+class DocumentTest(unittest.TestCase):
+    """Documents of operators and announcements of members."""
+
+    def test_document_becomes_a_route_table(self) -> None:
+        """Guards against fields that are taken for each other."""
+        decoded = decode_routes(routes())
+        assert isinstance(decoded, Ok)
+        table = decoded.ok_value
+        route = table.routes['d1']
+        self.assertEqual(table.version, 7)
+        self.assertEqual(route.consistency, Consistency.bounded_staleness)
+        self.assertEqual(route.max_staleness_ms, 1500)
+        self.assertEqual(table.transaction_idle_ms, 2000)
+        (limits,) = table.services.values()
+        self.assertEqual(limits.synchronous_replicas, 1)
+
+    def test_invalid_documents_are_refused(self) -> None:
+        """Guards against an invalid document that comes into force."""
+        invalid = (
+            routes()[:-9],
+            routes(routes=[ROUTE | {'service': 'other'}]),
+            routes(routes=[ROUTE, ROUTE | {'name': 'r2'}]),
+            routes(routes=[ROUTE | {'timeoutMs': 0}]),
+            routes(version='7'),
+            b'',
+            b'[]',
+            b'\xff\xfe',
+        )
+        for content in invalid:
+            self.assertIsInstance(decode_routes(content), Err, content)
+
+    def test_announcement_becomes_an_entry(self) -> None:
+        """Guards against fields that are taken for each other."""
+        decoded = decode_announcement('i-1', json.dumps(BEAT).encode())
+        assert isinstance(decoded, Ok)
+        entry = decoded.ok_value
+        self.assertEqual(entry.availability, MemberAvailability.ready)
+        self.assertEqual((entry.born, entry.sequence), (1700000000000, 4))
+        self.assertEqual(entry.slots, 3)
+
+    def test_foreign_announcements_name_no_member(self) -> None:
+        """Guards against an entry of another writer."""
+        foreign: tuple[dict[str, object], ...] = (
+            BEAT | {'state': 'resting'},
+            BEAT | {'sequence': 'x'},
+            BEAT | {'address': 'nowhere'},
+            BEAT | {'born': 1.5},
+            {key: BEAT[key] for key in BEAT if key != 'service'},
+        )
+        for beat in foreign:
+            decoded = decode_announcement('i-1', json.dumps(beat).encode())
+            self.assertIsInstance(decoded, Err, beat)
+
+    @given(content=st.binary())
+    @settings(derandomize=True)
+    def test_any_bytes_are_decoded_or_refused(self, content: bytes) -> None:
+        """Guards against bytes that end a process."""
+        decode_routes(content)
+        decode_announcement('i-1', content)
+
+
+class SettingsFileTest(unittest.TestCase):
+    """The settings file of a process."""
+
+    def test_file_is_read_and_unknown_fields_are_ignored(self) -> None:
+        """Guards against a start that fails on a new field."""
+        with tempfile.NamedTemporaryFile('w', suffix='.toml') as file:
+            file.write(SETTINGS)
+            file.flush()
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: file.name}):
+                host = load_settings()
+        self.assertEqual(host.internal_address, '10.1.0.8:7440')
+        self.assertEqual(
+            host.control_hosts, ('10.1.0.11:7440', '10.2.0.8:7440')
+        )
+        self.assertTrue(host.bootstrap)
+        self.assertEqual(host.bind_addrs.front, '10.1.0.8:8784')
+
+    def test_problems_name_the_file_and_the_field(self) -> None:
+        """Guards against a start that fails without a reason."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'boot.toml'
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}):
+                with self.assertRaisesRegex(SettingsFileError, 'boot.toml'):
+                    load_settings()
+                path.write_text('nodeName = 5')
+                with self.assertRaisesRegex(SettingsFileError, 'nodeName'):
+                    load_settings()
--- /dev/null
+++ b/lavendergate/tests/test_session_decisions.py
@@ -0,0 +1,202 @@
+"""Tests of positions, placement, shares and voter changes."""
+
+import unittest
+
+from lavendergate.core.commands import ChangeVoters
+from lavendergate.core.routes import Consistency, ServiceLimits
+from lavendergate.core.sessions.freshness import (
+    PositionHistory,
+    PositionSample,
+    required_position,
+    sample_needed_since,
+)
+from lavendergate.core.sessions.placement import (
+    ReadCandidate,
+    order_for_read,
+)
+from lavendergate.core.sessions.shares import connection_share
+from lavendergate.core.types import (
+    GroupId,
+    HostId,
+    LogPosition,
+    Term,
+    UpstreamId,
+)
+from lavendergate.core.voter_changes import Joiner, NodeContact, next_change
+
+
+def at(number: int, term: int = 1) -> LogPosition:
+    """Return a position."""
+    return LogPosition(term=Term(term), position=number)
+
+
+def sample(number: int, asked_at: float, term: int = 1) -> PositionSample:
+    """Return a sample."""
+    return PositionSample(position=at(number, term), asked_at=asked_at)
+
+
+class PositionHistoryTest(unittest.TestCase):
+    """Positions of a primary."""
+
+    def test_oldest_sample_within_the_bound_is_used(self) -> None:
+        """Guards against positions that replicas hold later than needed."""
+        history = PositionHistory()
+        for number, asked_at in ((1, 1.0), (2, 2.0), (3, 3.0)):
+            history.add(sample(number, asked_at))
+        self.assertEqual(history.since(1.5), sample(2, 2.0))
+        self.assertIsNone(history.since(3.1))
+
+    def test_late_answer_does_not_replace_a_later_question(self) -> None:
+        """Guards against a position that goes back."""
+        history = PositionHistory()
+        history.add(sample(5, 2.0))
+        history.add(sample(4, 1.0))
+        self.assertEqual(history.newest_asked_at, 2.0)
+
+    def test_rollback_drops_positions_of_the_lost_commits(self) -> None:
+        """Guards against reads that wait for a commit that is lost."""
+        history = PositionHistory()
+        history.add(sample(9, 1.0))
+        history.forget_beyond(at(7))
+        self.assertIsNone(history.since(0.5))
+
+    def test_needs_follow_the_consistency_of_the_route(self) -> None:
+        """Guards against a bound that is taken from the wrong clock."""
+        primary = sample_needed_since(Consistency.primary, 1500, 10)
+        bounded = sample_needed_since(Consistency.bounded_staleness, 1500, 10)
+        self.assertEqual((primary, bounded), (10, 8.5))
+
+    def test_own_write_is_required_beyond_the_sample(self) -> None:
+        """Guards against a session that does not see its own write."""
+        required = required_position(sample(3, 1.0), at(5))
+        self.assertEqual(required, at(5))
+
+
+def candidate(
+    name: str,
+    *,
+    is_primary: bool = False,
+    in_flight: int = 0,
+    applied: int | None = None,
+    is_suspect: bool = False,
+) -> ReadCandidate:
+    """Return a member that takes 10 ms."""
+    return ReadCandidate(
+        upstream_id=UpstreamId(name),
+        is_primary=is_primary,
+        latency_s=0.01,
+        in_flight=in_flight,
+        slots=2,
+        applied=None if applied is None else at(applied),
+        applied_age_s=0.01,
+        is_suspect=is_suspect,
+    )
+
+
+class OrderForReadTest(unittest.TestCase):
+    """Which member serves a read."""
+
+    def test_replicas_come_before_the_primary(self) -> None:
+        """Guards against reads on the slots that writes need."""
+        order = order_for_read(
+            (candidate('p', is_primary=True), candidate('r')), at(1)
+        )
+        self.assertEqual(order, ('r', 'p'))
+
+    def test_busy_replicas_leave_reads_to_the_primary(self) -> None:
+        """Guards against a queue at a replica beside a free primary."""
+        order = order_for_read(
+            (candidate('p', is_primary=True), candidate('r', in_flight=4)),
+            at(1),
+        )
+        self.assertEqual(order, ('p', 'r'))
+
+    def test_replica_that_just_lacked_the_position_comes_last(self) -> None:
+        """Guards against attempts that the replica will refuse."""
+        order = order_for_read(
+            (
+                candidate('late', applied=1),
+                candidate('p', is_primary=True),
+                candidate('down', is_suspect=True),
+            ),
+            at(2),
+        )
+        self.assertEqual(order, ('p', 'late', 'down'))
+
+
+class ConnectionShareTest(unittest.TestCase):
+    """Connections of one proxy."""
+
+    def test_shares_of_all_proxies_fit_the_limit(self) -> None:
+        """Guards against members that refuse connections in calm."""
+        limits = ServiceLimits(
+            service=GroupId('g'), max_connections=16, synchronous_replicas=1
+        )
+        for proxies in range(1, 10):
+            share = connection_share(limits, proxies)
+            self.assertLessEqual(share * proxies, 16)
+            self.assertGreaterEqual(share, 1)
+
+
+def group(voters: str, learners: str = '') -> ChangeVoters:
+    """Return a configuration of hosts with one-letter names."""
+    names = [HostId(name) for name in voters + learners]
+    return ChangeVoters(
+        voters=frozenset(HostId(name) for name in voters),
+        learners=frozenset(HostId(name) for name in learners),
+        addresses={name: f'{name}:1' for name in names},
+        incarnations={name: 'first' for name in names},
+    )
+
+
+def contact(silent_s: float = 0, missing: int = 0) -> NodeContact:
+    """Return how a node follows."""
+    return NodeContact(
+        incarnation='first', silent_s=silent_s, missing_entries=missing
+    )
+
+
+class NextChangeTest(unittest.TestCase):
+    """How a control group repairs itself; `a` leads."""
+
+    def test_host_with_a_lost_disk_leaves_before_it_returns(self) -> None:
+        """Guards against an empty disk that votes as if it remembered."""
+        joiner = Joiner(
+            host_id=HostId('b'), incarnation='second', address='b:1'
+        )
+        change = next_change(group('abc'), {}, (joiner,))
+        assert change is not None
+        self.assertEqual(change.voters, {'a', 'c'})
+        change = next_change(change, {}, (joiner,))
+        assert change is not None
+        self.assertEqual(change.learners, {'b'})
+        self.assertEqual(change.incarnations[HostId('b')], 'second')
+
+    def test_learner_votes_once_it_has_caught_up(self) -> None:
+        """Guards against a voter that lacks committed entries."""
+        current = group('abc', 'd')
+        lagging = {HostId('d'): contact(missing=100)}
+        self.assertIsNone(next_change(current, lagging, ()))
+        change = next_change(current, {HostId('d'): contact()}, ())
+        assert change is not None
+        self.assertEqual(change.voters, set('abcd'))
+
+    def test_silent_voter_is_removed_after_its_successor_joined(self) -> None:
+        """Guards against a group that shrinks on its own."""
+        contacts = {
+            HostId('e'): contact(silent_s=9),
+            HostId('f'): contact(),
+        }
+        alone = {HostId('e'): contact(silent_s=9)}
+        self.assertIsNone(next_change(group('abcde'), alone, ()))
+        change = next_change(group('abcde', 'f'), contacts, ())
+        assert change is not None
+        self.assertEqual(change.voters, set('abcdef'))
+        change = next_change(change, contacts, ())
+        assert change is not None
+        self.assertEqual(change.voters, set('abcdf'))
+
+    def test_complete_group_changes_nothing(self) -> None:
+        """Guards against changes without a need."""
+        contacts = {HostId(name): contact() for name in 'bcdef'}
+        self.assertIsNone(next_change(group('abcde', 'f'), contacts, ()))
--- /dev/null
+++ b/lavendergate/tests/test_succession.py
@@ -0,0 +1,205 @@
+"""Tests of the decision which member follows a primary."""
+
+import unittest
+from dataclasses import replace
+
+from lavendergate.core.succession import (
+    Evidence,
+    Keep,
+    MemberObservation,
+    PausedReplica,
+    Promotable,
+    ReachReport,
+    Replace,
+    ServiceObservation,
+    Unproved,
+    choose_candidate,
+    judge_primary,
+    prove,
+)
+from lavendergate.core.types import LogPosition, Term, UpstreamId
+
+NOW = 100.0
+A, B, C = UpstreamId('a'), UpstreamId('b'), UpstreamId('c')
+
+
+def at(number: int) -> LogPosition:
+    """Return a position of the first term."""
+    return LogPosition(term=Term(1), position=number)
+
+
+def member(name: UpstreamId, *, received: int = 5) -> MemberObservation:
+    """Return a member that answers; `a` leads."""
+    return MemberObservation(
+        upstream_id=name,
+        is_leaving=False,
+        is_primary=name == A,
+        term=Term(1),
+        received=at(received),
+        answered_at=NOW,
+        failing_since=None,
+        behind_since=None,
+        paused_term=Term(0),
+    )
+
+
+def service(*members: MemberObservation) -> ServiceObservation:
+    """Return an observation of a service that `a` leads."""
+    return ServiceObservation(
+        primary=A, members=members, primary_seen_at=NOW
+    )
+
+
+def silent(known: MemberObservation) -> MemberObservation:
+    """Return a member that has not answered for two seconds."""
+    return replace(known, failing_since=NOW - 2, answered_at=NOW - 2)
+
+
+def evidence(
+    candidate: int, *paused: int, unproved: tuple[UpstreamId, ...] = ()
+) -> Evidence:
+    """Return positions of the candidate and of paused replicas."""
+    return Evidence(
+        candidate=B,
+        candidate_received=at(candidate),
+        paused=tuple(
+            PausedReplica(upstream_id=C, received=at(number))
+            for number in paused
+        ),
+        unproved=frozenset(unproved),
+    )
+
+
+class JudgePrimaryTest(unittest.TestCase):
+    """When a primary is replaced."""
+
+    def test_primary_that_answers_stays(self) -> None:
+        """Guards against a needless gap."""
+        verdict = judge_primary(service(member(A), member(B)), NOW)
+        self.assertEqual(verdict, Keep())
+
+    def test_silent_primary_is_replaced(self) -> None:
+        """Guards against a lasting gap after a crash."""
+        observed = service(silent(member(A)), member(B), member(C))
+        self.assertIsInstance(judge_primary(observed, NOW), Replace)
+
+    def test_silence_for_control_alone_replaces_nobody(self) -> None:
+        """Guards against a promotion because control is cut off."""
+        observed = replace(
+            service(silent(member(A)), member(B), member(C)),
+            reports=(ReachReport(reported_at=NOW, reachable=True),) * 3,
+        )
+        self.assertEqual(judge_primary(observed, NOW), Keep())
+
+    def test_old_reports_of_proxies_do_not_count(self) -> None:
+        """Guards against a gap that lasts as long as old reports."""
+        observed = replace(
+            service(silent(member(A)), member(B), member(C)),
+            reports=(ReachReport(reported_at=NOW - 3, reachable=True),) * 3,
+        )
+        self.assertIsInstance(judge_primary(observed, NOW), Replace)
+
+    def test_primary_that_most_proxies_miss_is_replaced(self) -> None:
+        """Guards against a primary that only control reaches."""
+        observed = replace(
+            service(member(A), member(B), member(C)),
+            reports=(ReachReport(reported_at=NOW, reachable=False),) * 2,
+        )
+        self.assertIsInstance(judge_primary(observed, NOW), Replace)
+
+    def test_primary_without_receiving_replicas_is_replaced(self) -> None:
+        """Guards against writes that no replica confirms any more."""
+        behind = [
+            replace(member(name, received=3), behind_since=NOW - 2)
+            for name in (B, C)
+        ]
+        observed = service(member(A), *behind)
+        self.assertIsInstance(judge_primary(observed, NOW), Replace)
+
+    def test_one_replica_that_keeps_up_keeps_the_primary(self) -> None:
+        """Guards against a promotion because of one deaf replica."""
+        behind = replace(member(B, received=3), behind_since=NOW - 2)
+        observed = service(member(A), behind, member(C))
+        self.assertEqual(judge_primary(observed, NOW), Keep())
+
+    def test_primary_that_leaves_waits_for_a_replica(self) -> None:
+        """Guards against a planned replacement without a successor."""
+        leaving = replace(member(A), is_leaving=True)
+        alone = service(leaving, silent(member(B)))
+        self.assertEqual(judge_primary(alone, NOW), Keep())
+        followed = service(leaving, member(B))
+        self.assertIsInstance(judge_primary(followed, NOW), Replace)
+
+
+class ProveTest(unittest.TestCase):
+    """Whether a promotion keeps every acknowledged commit."""
+
+    def test_furthest_of_all_replicas_may_lead(self) -> None:
+        """Guards against waiting where everything is proved."""
+        observed = service(silent(member(A)), member(B), member(C))
+        proof = prove(observed, evidence(7, 7), NOW, synchronous_replicas=1)
+        self.assertEqual(proof, Promotable(upstream_id=B))
+
+    def test_replica_that_received_more_is_named(self) -> None:
+        """Guards against the loss of a commit that only `c` received."""
+        observed = service(silent(member(A)), member(B), member(C))
+        proof = prove(observed, evidence(6, 7), NOW, synchronous_replicas=1)
+        assert isinstance(proof, Unproved)
+        self.assertEqual(proof.better, C)
+
+    def test_replica_without_a_confirmed_pause_delays(self) -> None:
+        """Guards against a replica that still confirms commits."""
+        observed = service(silent(member(A)), member(B), member(C))
+        proof = prove(
+            observed,
+            evidence(7, unproved=(C,)),
+            NOW,
+            synchronous_replicas=1,
+        )
+        self.assertIsInstance(proof, Unproved)
+
+    def test_second_confirmation_covers_one_missing_replica(self) -> None:
+        """Guards against waiting although another replica holds all."""
+        observed = service(silent(member(A)), member(B), member(C))
+        proof = prove(
+            observed,
+            evidence(7, unproved=(C,)),
+            NOW,
+            synchronous_replicas=2,
+        )
+        self.assertIsInstance(proof, Promotable)
+
+    def test_departed_replica_delays_until_the_primary_is_seen(self) -> None:
+        """Guards against a commit that only the departed one confirmed."""
+        observed = replace(
+            service(silent(member(A)), member(B), member(C)),
+            departed_at=NOW - 1,
+            primary_seen_at=NOW - 2,
+        )
+        proof = prove(observed, evidence(7, 7), NOW, synchronous_replicas=1)
+        self.assertIsInstance(proof, Unproved)
+        seen = replace(observed, primary_seen_at=NOW - 0.5)
+        proof = prove(seen, evidence(7, 7), NOW, synchronous_replicas=1)
+        self.assertIsInstance(proof, Promotable)
+
+
+class ChooseCandidateTest(unittest.TestCase):
+    """Which replica is tried."""
+
+    def test_furthest_replica_is_chosen(self) -> None:
+        """Guards against a candidate that cannot be proved."""
+        observed = service(
+            silent(member(A)), member(B, received=5), member(C, received=6)
+        )
+        self.assertEqual(choose_candidate(observed, None), C)
+
+    def test_member_of_an_open_order_is_preferred(self) -> None:
+        """Guards against two members that lead one after the other."""
+        observed = service(silent(member(A)), member(B), member(C))
+        self.assertEqual(choose_candidate(observed, B), B)
+
+    def test_leaving_replica_is_the_last_choice(self) -> None:
+        """Guards against a primary that leaves at once."""
+        leaving = replace(member(C, received=9), is_leaving=True)
+        observed = service(silent(member(A)), member(B), leaving)
+        self.assertEqual(choose_candidate(observed, None), B)
--- /dev/null
+++ b/lavendergate/tests/test_takeover.py
@@ -0,0 +1,281 @@
+"""Tests of takeovers with members, orders and a log in memory."""
+
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+import anyio
+import msgspec
+import trio
+from anyio.abc import TaskGroup
+from result import Ok
+from trio.testing import MockClock
+
+from lavendergate.controllers.control_node import ControlNode
+from lavendergate.controllers.fleet_hub import FleetHub
+from lavendergate.controllers.member_watch import MemberWatch
+from lavendergate.controllers.takeover import TakeoverController
+from lavendergate.core.commands import Command
+from lavendergate.core.control_records import Answer
+from lavendergate.core.control_state import ControlState, apply
+from lavendergate.core.fleet_directory import MemberAvailability, departed
+from lavendergate.core.routes import RoutesVersion, RouteTable, ServiceLimits
+from lavendergate.core.types import HostId, Term
+from lavendergate.observability.log import MemoryEventLog
+from lavendergate.observability.session_events import SessionEvent
+from standin.session_group import GroupDialer, SessionGroup, StandinOrders
+
+
+@dataclass(kw_only=True)
+class _View:
+    """The part of a control view that takeovers use."""
+
+    is_leader: bool = True
+    has_quorum: bool = True
+    leader_address: str | None = None
+    configuration: None = None
+    state: ControlState = field(default_factory=ControlState)
+
+
+class _Node:
+    """A log of one host."""
+
+    def __init__(self) -> None:
+        self.view = _View()
+
+    async def propose(self, command: Command) -> Ok[Answer]:
+        await anyio.lowlevel.checkpoint()
+        index = self.view.state.applied_index + 1
+        self.view.state, answer = apply(self.view.state, index, command)
+        return Ok(answer)
+
+    async def read_state(self) -> Ok[ControlState]:
+        await anyio.lowlevel.checkpoint()
+        return Ok(self.view.state)
+
+    async def views(self) -> AsyncIterator[_View]:
+        yield self.view
+
+
+class TakeoverFixture:
+    """Control of one group of three members."""
+
+    def __init__(self, *, tasks: TaskGroup) -> None:
+        self.group = SessionGroup(names=('a', 'b', 'c'))
+        self.orders = StandinOrders(group=self.group)
+        self.node = _Node()
+        self.events = MemoryEventLog()
+        node = cast(ControlNode, self.node)
+        self.hub = FleetHub(
+            node=node,
+            source='test',
+            clock=anyio.current_time,
+            events=self.events,
+        )
+        self.watch = MemberWatch(
+            hub=self.hub,
+            dialer=GroupDialer(groups=(self.group,)),
+            clock=anyio.current_time,
+        )
+        self.takeover = TakeoverController(
+            node=node,
+            hub=self.hub,
+            watch=self.watch,
+            orders=self.orders,
+            routes=self._routes,
+            host_id=HostId('control-1'),
+            clock=anyio.current_time,
+            real_clock=anyio.current_time,
+            events=self.events,
+        )
+        self.announce()
+        tasks.start_soon(self.watch.run)
+        tasks.start_soon(self.takeover.run)
+
+    def announce(self) -> None:
+        """Announce all members as they are."""
+        self.hub.merge(
+            tuple(member.entry for member in self.group.members.values())
+        )
+
+    def _routes(self) -> RouteTable:
+        service = self.group.service
+        limits = ServiceLimits(
+            service=service, max_connections=16, synchronous_replicas=1
+        )
+        return RouteTable(
+            version=RoutesVersion(1), services={service: limits}
+        )
+
+
+def play(scenario: Callable[[TakeoverFixture], Awaitable[None]]) -> None:
+    """Run a scenario under a clock that jumps over waits."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            await scenario(TakeoverFixture(tasks=tasks))
+            tasks.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+class TakeoverTest(unittest.TestCase):
+    """Failures of members and of the hosts that steer them."""
+
+    def test_crashed_primary_is_followed_by_the_furthest_replica(
+        self,
+    ) -> None:
+        """Guards against the loss of a commit that one replica received."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            group.member('b').is_deaf = True
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('a').is_down = True
+            group.member('b').is_deaf = False
+            await anyio.sleep(4)
+            self.assertTrue(group.member('c').is_primary)
+            self.assertEqual(group.member('c').content('x'), 'acknowledged')
+
+        play(scenario)
+
+    def test_promotion_waits_for_a_replica_that_cannot_be_paused(
+        self,
+    ) -> None:
+        """Guards against a commit that only the missing replica holds."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            group.member('c').is_down = True
+            group.member('a').is_down = True
+            await anyio.sleep(5)
+            self.assertFalse(control.orders.orders)
+            group.member('c').is_down = False
+            await anyio.sleep(3)
+            self.assertEqual(len(control.orders.orders), 1)
+
+        play(scenario)
+
+    def test_paused_replicas_are_resumed_after_a_promotion(self) -> None:
+        """Guards against a new primary whose writes nobody confirms."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            group.member('a').is_down = True
+            await anyio.sleep(4)
+            paused = [
+                member.paused_term for member in group.members.values()
+            ]
+            self.assertEqual(paused, [0, 0, 0])
+
+        play(scenario)
+
+    def test_primary_that_returns_is_confirmed_before_replicas_resume(
+        self,
+    ) -> None:
+        """Guards against an old order that runs after the replicas resumed."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            # A former leader paused a replica and was lost.
+            group.member('b').paused_term = Term(2)
+            await anyio.sleep(3)
+            self.assertEqual(group.member('b').paused_term, 0)
+            self.assertEqual(control.orders.orders[0][0], 'a')
+            self.assertTrue(group.member('a').is_primary)
+
+        play(scenario)
+
+    def test_unclear_order_is_repeated_with_its_token(self) -> None:
+        """Guards against two members under one token."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            await anyio.sleep(2)
+            control.orders.unclear = 2
+            control.group.member('a').is_down = True
+            await anyio.sleep(5)
+            self.assertEqual(len(set(control.orders.orders)), 1)
+            self.assertEqual(len(control.orders.orders), 3)
+
+        play(scenario)
+
+    def test_refused_token_is_replaced_by_a_higher_one(self) -> None:
+        """Guards against a holder that repeats a refused token."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            await anyio.sleep(2)
+            control.orders.newest_token = 2
+            control.group.member('a').is_down = True
+            await anyio.sleep(5)
+            tokens = [token for _, token in control.orders.orders]
+            self.assertEqual(tokens, sorted(set(tokens)))
+            self.assertNotEqual(control.group.primary.entry.upstream_id, 'a')
+
+        play(scenario)
+
+    def test_host_that_does_not_lead_orders_nothing(self) -> None:
+        """Guards against orders of a follower."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            await anyio.sleep(2)
+            control.node.view.is_leader = False
+            control.group.member('a').is_down = True
+            await anyio.sleep(5)
+            self.assertFalse(control.orders.orders)
+
+        play(scenario)
+
+    def test_primary_that_leaves_is_replaced_before_it_is_gone(self) -> None:
+        """Guards against a gap in a planned replacement."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            member = group.member('a')
+            member.entry = msgspec.structs.replace(
+                member.entry,
+                availability=MemberAvailability.draining,
+                sequence=2,
+            )
+            control.announce()
+            await anyio.sleep(2)
+            self.assertFalse(group.member('a').is_primary)
+
+        play(scenario)
+
+    def test_departed_replica_delays_a_promotion(self) -> None:
+        """Guards against a commit that only the departed one confirmed."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            group.member('a').is_down = True
+            control.hub.merge((departed(group.member('c').entry),))
+            await anyio.sleep(5)
+            self.assertFalse(control.orders.orders)
+            reasons = control.events.of(SessionEvent.takeover_waits)
+            self.assertTrue(reasons)
+
+        play(scenario)
+
+    def test_first_write_after_a_calm_minute_replaces_nobody(self) -> None:
+        """Guards against replicas that seem stalled by an old comparison.
+
+        The primary is asked right after a write and the replicas right
+        before it, and nothing was written for a long time before.
+        """
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(60)
+            for _ in range(40):
+                group.commit(group.member('a'), {'x': '1'})
+                await anyio.sleep(0.07)
+            self.assertFalse(control.orders.orders)
+
+        play(scenario)
