Recover faster after a loss of power, and send fewer bytes

Change: BUSY until the routes are known; statements are tried until their deadline; surplus connections close after a second; the first election after a start is early; the directory survives restarts; route tables are packed.

--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -28,9 +28,11 @@
 # Pause after a member refused a connection because of its limit, and
 # between attempts to reach a member that failed, in seconds.
 _REDIAL_S = 0.25
-# Connections beyond the host's share are closed when unused this long, in
-# seconds.
-_SURPLUS_IDLE_S = 1.5
+# Connections beyond this number are closed when unused this long, in
+# seconds. Members hold connections of hosts that lost power for a while, so
+# some of their limit must stay free for a restart.
+_KEPT_IDLE = 1
+_SURPLUS_IDLE_S = 1.0
 _TRIM_INTERVAL_S = 0.5
 _PROBE_TIMEOUT_S = 0.8
 # Weight of the latest answer in the smoothed latency.
@@ -389,7 +391,7 @@
     async def _trim(self, link: MemberLink) -> None:
         now = self._clock()
         for pooled in tuple(link.idle):
-            is_surplus = link.opened > self._share(link.entry)
+            is_surplus = link.opened > _KEPT_IDLE
             if is_surplus and now - pooled.used_at >= _SURPLUS_IDLE_S:
                 link.idle.remove(pooled)
                 await self.drop(pooled)
--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -188,8 +188,8 @@
         term = Term(_newest_term(observed) + 1)
         paused: list[PausedReplica] = []
         async with anyio.create_task_group() as tasks:
-            for replica in others:
-                tasks.start_soon(self._pause, replica, term, paused)
+            for other in others:
+                tasks.start_soon(self._pause, other, term, paused)
         report = await self._watch.ask(candidate, ReportStatus())
         if report is None:
             return None
--- a/lavendergate/core/commands.py
+++ b/lavendergate/core/commands.py
@@ -135,7 +135,7 @@
     Parameters
     ----------
     content
-        The table as the operator sent it.
+        The table as the operator sent it, packed.
     """
 
     version: RoutesVersion
--- a/lavendergate/core/consensus/election.py
+++ b/lavendergate/core/consensus/election.py
@@ -29,7 +29,8 @@
     A node that cannot win keeps its term, so that it does not disturb a
     working leader when its partition heals.
     """
-    timeout_s = state.options.randomized_timeout_s(jitter)
+    has_heard = state.heard_at > float('-inf')
+    timeout_s = state.options.randomized_timeout_s(jitter, has_heard=has_heard)
     waiting = replace(
         state,
         leader=None,
--- a/lavendergate/core/consensus/machine.py
+++ b/lavendergate/core/consensus/machine.py
@@ -97,7 +97,7 @@
             known for known in configurations if known.index > commit_index
         )
         configurations = (first, *later)
-    timeout_s = options.randomized_timeout_s(jitter)
+    timeout_s = options.randomized_timeout_s(jitter, has_heard=False)
     return NodeState(
         identity=identity,
         hard_state=hard_state,
--- a/lavendergate/core/consensus/types.py
+++ b/lavendergate/core/consensus/types.py
@@ -186,21 +186,33 @@
         Time between messages of an idle leader, in seconds.
     entries_per_message
         Most entries that a leader sends at once.
+    first_timeout_s
+        Shortest time before an election on a node that has heard of no
+        leader since its start; None for `election_timeout_s`. Nodes that
+        follow a leader refuse such an election, so it disturbs nobody.
     """
 
     election_timeout_s: float = _ELECTION_TIMEOUT_S
     heartbeat_interval_s: float = _HEARTBEAT_INTERVAL_S
     entries_per_message: int = _ENTRIES_PER_MESSAGE
+    first_timeout_s: float | None = None
 
-    def randomized_timeout_s(self, jitter: float) -> float:
+    def randomized_timeout_s(
+        self, jitter: float, *, has_heard: bool = True
+    ) -> float:
         """Return an election timeout.
 
         Parameters
         ----------
         jitter
             Random number from 0 to 1.
+        has_heard
+            Whether the node heard of a leader since its start.
         """
-        return self.election_timeout_s * (1 + jitter)
+        shortest_s = self.election_timeout_s
+        if not has_heard and self.first_timeout_s is not None:
+            shortest_s = self.first_timeout_s
+        return shortest_s * (1 + jitter)
 
 
 def _nodes(
--- a/lavendergate/core/control_records.py
+++ b/lavendergate/core/control_records.py
@@ -119,12 +119,14 @@
 
 
 class RoutesRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """The route table in force, as its operator sent it.
+    """The route table in force.
 
     Parameters
     ----------
     version
         Version that `content` carries; 0 before the first publication.
+    content
+        The table as its operator sent it, packed.
     """
 
     version: RoutesVersion = NO_ROUTES
--- a/lavendergate/core/control_routes.py
+++ b/lavendergate/core/control_routes.py
@@ -1,9 +1,25 @@
 """Changes of the route table and of promotion orders in the control state."""
 
+import zlib
+
 from lavendergate.core.commands import OrderPromotion, PublishRoutes
 from lavendergate.core.control_records import PromotionRecord, RoutesRecord
 
 
+def pack_routes(content: bytes) -> bytes:
+    """Return a route table for the log and for other hosts.
+
+    Tables repeat the same fields for each route and shrink to a tenth,
+    which counts most between regions.
+    """
+    return zlib.compress(content)
+
+
+def unpack_routes(packed: bytes) -> bytes:
+    """Return a packed route table as its operator sent it."""
+    return zlib.decompress(packed) if packed else b''
+
+
 def publish_routes(
     record: RoutesRecord, command: PublishRoutes
 ) -> RoutesRecord:
--- a/lavendergate/daemon/hosted.py
+++ b/lavendergate/daemon/hosted.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from typing import NoReturn
 
 import anyio
 
@@ -83,6 +84,15 @@
             await anyio.sleep(_POLL_S)
             self.reload(quiet=True)
 
+    def exit(self) -> NoReturn:
+        """End the process at once.
+
+        What still runs is not waited for: the time to stop is over, and
+        members roll back when the connections close.
+        """
+        self._events.emit(ProcessEvent.process_stopped)
+        os._exit(0)  # noqa: WPS437
+
     def reload(self, *, quiet: bool = False) -> None:
         """Read the settings again; unreadable ones change nothing."""
         try:
@@ -155,8 +165,6 @@
         tasks.start_soon(process.watch_signals)
         tasks.start_soon(process.watch_file)
         await run_role(process)
-        tasks.cancel_scope.cancel()
-    events.emit(ProcessEvent.process_stopped)
 
 
 def _open_log(settings: HostSettings) -> EventLog:
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -6,6 +6,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from anyio.to_thread import run_sync as run_in_thread
 from grpclib.server import Server
 from result import Err, Ok
 
@@ -18,6 +19,7 @@
 from lavendergate.controllers.takeover import TakeoverController
 from lavendergate.core.commands import OrderPromotion, PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
+from lavendergate.core.control_routes import pack_routes, unpack_routes
 from lavendergate.core.fleet_directory import MemberEntry, departed
 from lavendergate.core.routes import RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
@@ -54,10 +56,13 @@
 from lavendergate.rpc.peers import PeerCallError, Peers
 from lavendergate.rpc.service import UnaryService
 from lavendergate.rpc.transport import GrpcTransport
+from lavendergate.storage.directory_file import DirectoryFile
 
 # Outlasts a round trip between regions and a slow sync several times over.
 _ELECTION_TIMEOUT_S = 0.7
-_HEARTBEAT_INTERVAL_S = 0.15
+_HEARTBEAT_INTERVAL_S = 0.25
+# After a loss of power all hosts start together, and none leads.
+_FIRST_TIMEOUT_S = 0.2
 # A snapshot replaces so many entries: a route table may take tens of
 # kilobytes, and the disk and the memory are small.
 _ENTRIES_PER_SNAPSHOT = 64
@@ -68,6 +73,7 @@
 _DIAL_TIMEOUT_S = 0.5
 _STOP_DELAY_S = 0.3
 _LEADER_POLL_S = 0.1
+_SAVE_INTERVAL_S = 0.5
 _SOURCE_BYTES = 8
 
 
@@ -129,6 +135,7 @@
                 node=NodeOptions(
                     election_timeout_s=_ELECTION_TIMEOUT_S,
                     heartbeat_interval_s=_HEARTBEAT_INTERVAL_S,
+                    first_timeout_s=_FIRST_TIMEOUT_S,
                 ),
                 entries_per_snapshot=_ENTRIES_PER_SNAPSHOT,
                 retained_entries=_RETAINED_ENTRIES,
@@ -175,6 +182,7 @@
             events=self._events,
             own_address=settings.internal_address,
         )
+        self._directory_file = DirectoryFile(folder=directory)
         process.observe(self._change_settings)
 
     async def run(self) -> None:
@@ -183,6 +191,7 @@
         if settings.bind_addrs.control is None:
             raise ValueError('the settings name no address for control')
         await self._tasks.start(self._node.run)
+        self._hub.merge(self._directory_file.load())
         server = Server(
             [self._node.service, self._fleet_service()],
             codec=MessagePackCodec(),
@@ -205,6 +214,7 @@
             ('watch', self._watch.run),
             ('takeover', self._takeover.run),
             ('handover', self._push_to_leaders),
+            ('directory', self._save_directory),
         ):
             self._tasks.start_soon(keep_running, name, run, self._events)
         await self._process.wait_for_stop()
@@ -234,7 +244,7 @@
         if version <= self._node.view.state.routes.version:
             # What is applied is committed, so the version is overtaken.
             return True
-        command = PublishRoutes(version=version, content=content)
+        command = PublishRoutes(version=version, content=pack_routes(content))
         if self._node.view.is_leader:
             return await self._propose(command)
         leader = self._node.view.leader_address
@@ -254,8 +264,7 @@
     async def published(self) -> bytes | None:
         """Return the newest route table; see the port."""
         if self._node.view.is_leader:
-            reply = await self._answer_routes(RoutesRequest())
-            return reply.content
+            return _unpacked(await self._answer_routes(RoutesRequest()))
         leader = self._node.view.leader_address
         if leader is None:
             return None
@@ -268,7 +277,7 @@
             )
         except PeerCallError:
             return None
-        return reply.content
+        return _unpacked(reply)
 
     def _fleet_service(self) -> UnaryService:
         return UnaryService(
@@ -333,10 +342,20 @@
             if await self._push(entries):
                 told = current
 
+    async def _save_directory(self) -> None:
+        """Save the directory soon after it changed."""
+        saved = self._hub.version
+        while True:
+            await anyio.sleep(_SAVE_INTERVAL_S)
+            if self._hub.version != saved:
+                saved = self._hub.version
+                entries = tuple(self._hub.directory.entries.values())
+                await run_in_thread(self._directory_file.save, entries)
+
     def _current_routes(self) -> RouteTable:
         record = self._node.view.state.routes
         if record.version != self._routes.version:
-            decoded = decode_routes(record.content)
+            decoded = decode_routes(unpack_routes(record.content))
             if not isinstance(decoded, Err):
                 self._routes = decoded.ok_value
         return self._routes
@@ -346,8 +365,12 @@
         self._formation.change_seeds(settings.control_hosts)
 
 
+def _unpacked(reply: RoutesReply) -> bytes | None:
+    return None if reply.content is None else unpack_routes(reply.content)
+
+
 async def run_control(process: HostedProcess) -> None:
     """Run the control role until the process is told to stop."""
     async with anyio.create_task_group() as tasks:
         await HostedControl(process=process, tasks=tasks).run()
-        tasks.cancel_scope.cancel()
+        process.exit()
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -8,6 +8,7 @@
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.positions import Positions
 from lavendergate.controllers.session_pools import SessionPools
+from lavendergate.core.control_routes import unpack_routes
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
 from lavendergate.core.sessions.shares import connection_share
 from lavendergate.core.types import HostId
@@ -103,7 +104,7 @@
     def _adopt_routes(self, content: bytes | None) -> None:
         if not content:
             return
-        table = decode_routes(content)
+        table = decode_routes(unpack_routes(content))
         if isinstance(table, Err):
             # Control hosts accept valid documents only.
             report_failure('routes', ValueError(table.err_value), self._events)
@@ -193,6 +194,7 @@
         await anyio.sleep_until(began_at + grace_s / 2)
         self._service.end_transactions()
         while anyio.current_time() < began_at + grace_s - _EXIT_MARGIN_S:
+            self._service.close_idle()
             if not self._service.sessions:
                 break
             await anyio.sleep(_POLL_S)
@@ -251,4 +253,4 @@
     """Run the proxy role until the process is told to stop."""
     async with anyio.create_task_group() as tasks:
         await HostedProxy(process=process, tasks=tasks).run()
-        tasks.cancel_scope.cancel()
+        process.exit()
--- a/lavendergate/filters/sessions/single.py
+++ b/lavendergate/filters/sessions/single.py
@@ -39,12 +39,12 @@
     renamed,
 )
 
-# Pause before a statement that did not run is placed again, in seconds.
-_RETRY_PAUSE_S = 0.02
+# Pauses before a statement that did not run is placed again, in seconds.
+_FIRST_PAUSE_S = 0.02
+_LONGEST_PAUSE_S = 0.16
 # A read that is not answered after this share of its time is sent to
 # another member as well worth trying.
 _FIRST_READ_SHARE = 0.6
-_MAX_ATTEMPTS = 8
 
 _COMING_BACK = 'come back in 500 ms'
 # Reads that failed at one member may succeed at another.
@@ -104,7 +104,8 @@
             deadline=request.deadline,
             own=request.session.own_position,
         )
-        while request.attempts < _MAX_ATTEMPTS:
+        pause_s = _FIRST_PAUSE_S
+        while self._monotonic() < request.deadline:
             plan = await self._placing.plan_read(demand)
             if plan is None or not plan.members:
                 return last
@@ -118,7 +119,8 @@
                 last = answer
                 if self._monotonic() >= request.deadline:
                     return last
-            await anyio.sleep(_RETRY_PAUSE_S)
+            await anyio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
         return last
 
     async def _try_read(
@@ -158,7 +160,8 @@
             f'the service has no primary at the moment; {_COMING_BACK}',
         )
         route = request.known_route
-        while request.attempts < _MAX_ATTEMPTS:
+        pause_s = _FIRST_PAUSE_S
+        while self._monotonic() < request.deadline:
             request.attempts += 1
             primary = await self._placing.find_primary(
                 route, request.started_at, request.deadline
@@ -169,9 +172,8 @@
             if not _did_not_run(answer):
                 return answer
             last = answer
-            if self._monotonic() >= request.deadline:
-                return last
-            await anyio.sleep(_RETRY_PAUSE_S)
+            await anyio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
         return last
 
     async def _try_write(
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -47,9 +47,8 @@
     renamed,
 )
 
-_RETRY_PAUSE_S = 0.02
+_RETRY_PAUSE_S = 0.03
 _ROLLBACK_TIMEOUT_S = 0.5
-_MAX_ATTEMPTS = 8
 
 
 class TransactionFilter(SessionFilter):
@@ -263,7 +262,7 @@
             code=RefusalCode.busy,
             text='no member can run the transaction; come back in 500 ms',
         )
-        while request.attempts < _MAX_ATTEMPTS:
+        while self._monotonic() < request.deadline:
             request.attempts += 1
             placed = await self._place(request, transaction)
             if placed is None:
@@ -273,8 +272,6 @@
             if refusal is None:
                 return None
             last = refusal
-            if self._monotonic() >= request.deadline:
-                break
             await anyio.sleep(_RETRY_PAUSE_S)
         return last
 
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -29,7 +29,10 @@
 
 # A host that has just started may learn the routes within this time, in
 # seconds; callers wait two seconds for the answer to their start.
-_ROUTES_TIMEOUT_S = 1.2
+_ROUTES_TIMEOUT_S = 1.6
+# A session that was opened a moment ago is about to send its first
+# statement, in seconds.
+_FIRST_STATEMENT_S = 1.0
 _MS_PER_S = 1000
 # Without a route there is no time limit of its own, in seconds.
 _DEFAULT_TIMEOUT_S = 1.0
@@ -41,17 +44,26 @@
 
     Parameters
     ----------
+    opened_at
+        When the session was opened, on the monotonic clock.
+    has_answered
+        Whether a statement of the caller was answered.
     waiting
         Scope of the wait for the next statement; None while one runs.
     """
 
     state: CallerSession
+    opened_at: float
+    has_answered: bool = False
     waiting: anyio.CancelScope | None = None
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether the session may be closed without harm."""
-        return self.waiting is not None and self.state.phase == Phase.idle
+    def is_idle(self, now: float) -> bool:
+        """Return whether the session may be closed without harm."""
+        is_waiting = self.waiting is not None
+        is_new = now - self.opened_at < _FIRST_STATEMENT_S
+        is_about_to_start = is_new and not self.has_answered
+        at_rest = self.state.phase == Phase.idle
+        return is_waiting and at_rest and not is_about_to_start
 
 
 class SessionService:
@@ -101,8 +113,9 @@
     def close_idle(self) -> None:
         """Close idle sessions, now and whenever one becomes idle."""
         self._closes_idle = True
+        now = self._monotonic()
         for session in self._open:
-            if session.is_idle and session.waiting is not None:
+            if session.is_idle(now) and session.waiting is not None:
                 session.waiting.cancel()
 
     def end_transactions(self) -> None:
@@ -116,29 +129,41 @@
         """Serve a caller to the end of the session."""
         try:
             database = await channel.open()
-            if database is None or not await self._is_served(database):
-                await channel.refuse(_no_database(database))
+            refusal = await self._problem_with(database)
+            if refusal is not None:
+                await channel.refuse(refusal)
                 return
             await channel.accept()
-            await self._serve_session(channel, CallerSession(database=database))
+            await self._serve_session(
+                channel, CallerSession(database=database or '')
+            )
         except CallerGoneError:
             # Nothing is owed to a caller that left; its transaction was
             # rolled back on the way here.
             return
 
-    async def _is_served(self, database: str) -> bool:
+    async def _problem_with(self, database: str | None) -> Refused | None:
+        """Return why a session with a database cannot be opened."""
         until = self._monotonic() + _ROUTES_TIMEOUT_S
         while not self._view.routes.version:
             remaining_s = until - self._monotonic()
             if remaining_s <= 0:
                 break
             await self._view.wait_for_change(remaining_s)
-        return self._view.route(database) is not None
+        if not self._view.routes.version:
+            # It is not known yet whether the database exists.
+            return Refused(
+                code=RefusalCode.busy,
+                text='the host has just started; come back in 500 ms',
+            )
+        if database is None or self._view.route(database) is None:
+            return _no_database(database)
+        return None
 
     async def _serve_session(
         self, channel: CallerChannel, state: CallerSession
     ) -> None:
-        session = OpenSession(state=state)
+        session = OpenSession(state=state, opened_at=self._monotonic())
         self._open.add(session)
         try:
             while True:
@@ -147,6 +172,7 @@
                     return
                 answer = await self._answer(received, state)
                 await channel.answer(answer)
+                session.has_answered = True
                 if _ends_session(answer):
                     return
                 if self._closes_idle and state.phase == Phase.idle:
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -83,7 +83,7 @@
     control_hosts
         Addresses of the control hosts, ``ip:port``.
     routes
-        Route table as its operator sent it; None if the asker has it.
+        Packed route table; None if the asker has it.
     entries
         Members whose entries changed.
     proxies
@@ -138,7 +138,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutesReply:
-    """The newest route table; None if the receiver cannot be sure."""
+    """The newest route table, packed; None if that is not certain."""
 
     content: bytes | None
     leader: str | None = None
--- a/lavendergate/tests/test_platform_formats.py
+++ b/lavendergate/tests/test_platform_formats.py
@@ -171,9 +171,7 @@
 
     def test_answers_end_with_the_state_of_the_session(self) -> None:
         """Guards against a caller that waits for the end of an answer."""
-        done = SessionAnswer(
-            outcome=Completed(signature='sig'), rows=('row',)
-        )
+        done = SessionAnswer(outcome=Completed(signature='sig'), rows=('row',))
         self.assertEqual(
             write_answer(done), b'ROW row\r\nDONE sig\r\nREADY I -\r\n'
         )
--- a/lavendergate/tests/test_succession.py
+++ b/lavendergate/tests/test_succession.py
@@ -45,9 +45,7 @@
 
 def service(*members: MemberObservation) -> ServiceObservation:
     """Return an observation of a service that `a` leads."""
-    return ServiceObservation(
-        primary=A, members=members, primary_seen_at=NOW
-    )
+    return ServiceObservation(primary=A, members=members, primary_seen_at=NOW)
 
 
 def silent(known: MemberObservation) -> MemberObservation:
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -104,9 +104,7 @@
         limits = ServiceLimits(
             service=service, max_connections=16, synchronous_replicas=1
         )
-        return RouteTable(
-            version=RoutesVersion(1), services={service: limits}
-        )
+        return RouteTable(version=RoutesVersion(1), services={service: limits})
 
 
 def play(scenario: Callable[[TakeoverFixture], Awaitable[None]]) -> None:
@@ -167,9 +165,7 @@
             await anyio.sleep(2)
             group.member('a').is_down = True
             await anyio.sleep(4)
-            paused = [
-                member.paused_term for member in group.members.values()
-            ]
+            paused = [member.paused_term for member in group.members.values()]
             self.assertEqual(paused, [0, 0, 0])
 
         play(scenario)
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -34,7 +34,6 @@
     Read,
     RefusalCode,
     Refused,
-    ReportStatus,
     ResetSession,
     ResumeReplication,
     Rollback,
@@ -271,9 +270,7 @@
         """Run a statement."""
         await self._reach()
         member = self._member
-        is_data = isinstance(
-            statement, (Read, Write, Execute, Commit, Begin)
-        )
+        is_data = isinstance(statement, (Read, Write, Execute, Commit, Begin))
         if is_data and member.refusals:
             return self._refuse(member.refusals.pop(0))
         if after is not None and member.position < after:
