Answer a statement that meets the close of its session

Change: a session that was just opened gets its first statement served, and a closing one reads for 20 ms more. The platform's protocols are tested on sockets against a stand-in.

--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -33,6 +33,8 @@
 # A session that was opened a moment ago is about to send its first
 # statement, in seconds.
 _FIRST_STATEMENT_S = 1.0
+# A statement may be on its way when the host closes a session, in seconds.
+_LAST_WORDS_S = 0.02
 _MS_PER_S = 1000
 # Without a route there is no time limit of its own, in seconds.
 _DEFAULT_TIMEOUT_S = 1.0
@@ -203,11 +205,19 @@
                 finally:
                     session.waiting = None
             if state.phase != Phase.in_transaction:
-                return None
+                return await self._last_words(channel)
             await self._expire(state)
             if self._ends_transactions:
                 return None
 
+    async def _last_words(
+        self, channel: CallerChannel
+    ) -> CallerRequest | CallerFarewell | None:
+        """Return a statement that arrived just before the session ends."""
+        with anyio.move_on_after(_LAST_WORDS_S):
+            return await channel.receive()
+        return None
+
     async def _expire(self, state: CallerSession) -> None:
         await self._transactions.end(state)
         state.phase = Phase.failed
--- a/lavendergate/platform/callers.py
+++ b/lavendergate/platform/callers.py
@@ -115,6 +115,9 @@
         channel = LineCallerChannel(stream=LineStream(stream=stream))
         try:
             await serve(channel)
+        except CallerGoneError:
+            # Nothing is owed to a caller that left.
+            return
         finally:
             await channel.close()
 
--- a/lavendergate/tests/session_fixture.py
+++ b/lavendergate/tests/session_fixture.py
@@ -55,6 +55,7 @@
     """
 
     def __init__(self, *, tasks: TaskGroup) -> None:
+        self.tasks = tasks
         self.group = SessionGroup(names=('a', 'b', 'c'))
         self.dialer = GroupDialer(groups=(self.group,))
         self.share = 4
--- /dev/null
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -0,0 +1,416 @@
+"""Tests of the platform's protocols on sockets."""
+
+import asyncio
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from lavendergate.backends.promotion import OrderOutcome
+from lavendergate.backends.sessions import (
+    AnswerLostError,
+    MemberRefusedError,
+    MemberUnreachableError,
+)
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.routes import RoutesVersion
+from lavendergate.core.sessions.statements import (
+    Completed,
+    MemberReport,
+    PauseReplication,
+    Read,
+    RefusalCode,
+    Refused,
+    ReportStatus,
+    SessionAnswer,
+    Write,
+)
+from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
+from lavendergate.frontend.caller_channel import (
+    CallerChannel,
+    CallerGoneError,
+    CallerRequest,
+)
+from lavendergate.platform.callers import serve_callers
+from lavendergate.platform.control_calls import ControlCalls, ControlHttp
+from lavendergate.platform.members import LineMemberDialer
+from lavendergate.platform.promotion_calls import PlatformPromotions
+from lavendergate.platform.readiness import serve_readiness
+from lavendergate.rpc.http import (
+    HttpCallError,
+    HttpRequest,
+    HttpResponse,
+    call_http,
+    serve_http,
+)
+from standin.line_member import serve_member
+from standin.session_group import GroupDialer, SessionGroup
+
+_MAX_BODY = 1000
+
+
+def free_address() -> str:
+    """Return an address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+    return f'127.0.0.1:{port}'
+
+
+def play(scenario: Callable[[TaskGroup], Awaitable[None]]) -> None:
+    """Run a scenario, and end all servers after it."""
+
+    async def run() -> None:
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                await scenario(tasks)
+                tasks.cancel_scope.cancel()
+
+    asyncio.run(run())
+
+
+async def start_member(
+    tasks: TaskGroup, group: SessionGroup, name: str
+) -> MemberEntry:
+    """Serve a member on a socket and return its entry."""
+    member = group.member(name)
+    address: str = await tasks.start(
+        serve_member, GroupDialer(groups=(group,)), member
+    )
+    return msgspec.structs.replace(member.entry, address=address)
+
+
+def dialer() -> LineMemberDialer:
+    """Return a dialer of a proxy."""
+    return LineMemberDialer(host='proxy-1', timeout_s=lambda: 2)
+
+
+class MemberConnectionTest(unittest.TestCase):
+    """Connections to members."""
+
+    def test_statements_and_reports_cross_the_wire(self) -> None:
+        """Guards against an answer that is read in parts."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            group = SessionGroup(names=('a', 'b'))
+            entry = await start_member(tasks, group, 'a')
+            session, position = await dialer().dial(entry)
+            self.assertIsNotNone(position)
+            await session.run(Write(item='x', content='a b'), request_id='1')
+            answer = await session.run(Read(item='x'), request_id='2')
+            self.assertEqual(answer.rows, ('a b',))
+            assert isinstance(answer.outcome, Completed)
+            self.assertTrue(answer.outcome.signature)
+            report = await session.ask(ReportStatus())
+            assert isinstance(report, MemberReport)
+            self.assertTrue(report.is_primary)
+            self.assertEqual(report.received, group.member('a').received)
+            await session.close()
+
+        play(scenario)
+
+    def test_pause_is_reported_by_the_replica(self) -> None:
+        """Guards against a pause that is taken for confirmed."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            group = SessionGroup(names=('a', 'b'))
+            entry = await start_member(tasks, group, 'b')
+            session, _ = await dialer().dial(entry)
+            report = await session.ask(PauseReplication(term=Term(2)))
+            assert isinstance(report, MemberReport)
+            self.assertEqual(report.paused_term, 2)
+            await session.close()
+
+        play(scenario)
+
+    def test_address_of_another_member_is_refused(self) -> None:
+        """Guards against a statement at a member that took the address."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            group = SessionGroup(names=('a', 'b'))
+            entry = await start_member(tasks, group, 'a')
+            stale = msgspec.structs.replace(
+                entry, upstream_id=UpstreamId('gone')
+            )
+            with self.assertRaises(MemberRefusedError) as raised:
+                await dialer().dial(stale)
+            code = raised.exception.refusal.code
+            self.assertEqual(code, RefusalCode.misrouted)
+
+        play(scenario)
+
+    def test_lost_answer_and_closed_port_are_told_apart(self) -> None:
+        """Guards against `not run` for a statement that was sent."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            group = SessionGroup(names=('a', 'b'))
+            entry = await start_member(tasks, group, 'a')
+            group.member('a').lost_answers = 1
+            session, _ = await dialer().dial(entry)
+            with self.assertRaises(AnswerLostError):
+                await session.run(Write(item='x', content='1'))
+            closed = msgspec.structs.replace(entry, address=free_address())
+            with self.assertRaises(MemberUnreachableError):
+                await dialer().dial(closed)
+
+        play(scenario)
+
+
+async def echo(channel: CallerChannel) -> None:
+    """Answer each statement with its name."""
+    database = await channel.open()
+    if database != 'known':
+        await channel.refuse(Refused(code=RefusalCode.no_database))
+        return
+    await channel.accept()
+    while True:
+        try:
+            received = await channel.receive()
+        except CallerGoneError:
+            return
+        if not isinstance(received, CallerRequest):
+            return
+        name = type(received.statement).__name__
+        await channel.answer(SessionAnswer(outcome=Completed(), rows=(name,)))
+
+
+class CallerConnectionTest(unittest.TestCase):
+    """Connections of callers."""
+
+    def test_session_is_served_from_start_to_end(self) -> None:
+        """Guards against lines that another caller would not understand."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            address = free_address()
+            await tasks.start(serve_callers, address, echo)
+            reader, writer = await asyncio.open_connection(*address.split(':'))
+            writer.write(b'START known u1\r\nQUERY 1 READ x\r\n')
+            writer.write(b'QUERY 2 \xc3\xa4 ?\r\nBYE\r\n')
+            lines = (await reader.read()).decode().splitlines()
+            self.assertEqual(
+                lines,
+                [
+                    'READY I -',
+                    'ROW Read',
+                    'DONE -',
+                    'READY I -',
+                    'ROW NoneType',
+                    'DONE -',
+                    'READY I -',
+                ],
+            )
+            writer.close()
+
+        play(scenario)
+
+    def test_refused_session_and_foreign_bytes_end_alone(self) -> None:
+        """Guards against one caller's bytes that end the listener."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            address = free_address()
+            await tasks.start(serve_callers, address, echo)
+            for sent, expected in (
+                (b'START other u1\r\n', b'ERR NODB -\r\n'),
+                (b'\xff\xfe\r\n', b''),
+                (b'GET / HTTP/1.1\r\n', b'ERR NODB -\r\n'),
+            ):
+                reader, writer = await asyncio.open_connection(
+                    *address.split(':')
+                )
+                writer.write(sent)
+                self.assertEqual(await reader.read(), expected)
+                writer.close()
+
+        play(scenario)
+
+
+class RecordingCalls(ControlCalls):
+    """Records the calls of members and operators."""
+
+    def __init__(self) -> None:
+        self.entries: list[MemberEntry] = []
+        self.departed: list[UpstreamId] = []
+        self.content: bytes | None = None
+        self.is_sure = True
+
+    async def announce(self, entry: MemberEntry) -> bool:
+        self.entries.append(entry)
+        return self.is_sure
+
+    async def depart(self, upstream_id: UpstreamId) -> bool:
+        self.departed.append(upstream_id)
+        return self.is_sure
+
+    async def publish(self, version: RoutesVersion, content: bytes) -> bool:
+        self.content = content
+        return self.is_sure
+
+    async def published(self) -> bytes | None:
+        return self.content if self.is_sure else None
+
+
+class ControlCallsTest(unittest.TestCase):
+    """Calls of members and operators."""
+
+    def test_calls_are_answered_with_the_right_status(self) -> None:
+        """Guards against a refusal that callers take for final."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            calls = RecordingCalls()
+            handle = ControlHttp(calls=calls).handle
+            beat = (
+                b'{"service":"s","address":"10.0.0.1:80","zone":"z",'
+                b'"capacity":2,"state":"ready","dbRole":"replica",'
+                b'"sequence":1,"born":1}'
+            )
+            table = b'{"version":3,"routes":[],"services":[]}'
+            wanted = (
+                ('PUT', '/instances/i-1', beat, 200, 503),
+                ('PUT', '/instances/i-1', b'{}', 400, 400),
+                ('DELETE', '/instances/i-1', b'', 200, 503),
+                ('PUT', '/config', table, 200, 503),
+                ('PUT', '/config', b'{"version":', 400, 400),
+                ('GET', '/config', b'', 200, 503),
+                ('GET', '/other', b'', 404, 404),
+            )
+            for method, path, body, sure, unsure in wanted:
+                request = HttpRequest(method=method, path=path, body=body)
+                for calls.is_sure, expected in ((True, sure), (False, unsure)):
+                    response = await handle(request)
+                    self.assertEqual(response.status, expected, request)
+            self.assertEqual(calls.content, table)
+
+        play(scenario)
+
+
+class HttpTest(unittest.TestCase):
+    """The small server and client."""
+
+    def test_requests_share_a_connection_and_long_ones_are_refused(
+        self,
+    ) -> None:
+        """Guards against a body that fills the memory."""
+
+        async def handle(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(body=request.body)
+
+        async def serve(address: str, **options: object) -> None:
+            await serve_http(
+                address,
+                handle,
+                max_body_bytes=_MAX_BODY,
+                **options,  # type: ignore[arg-type]
+            )
+
+        async def scenario(tasks: TaskGroup) -> None:
+            address = free_address()
+            await tasks.start(serve, address)
+            reader, writer = await asyncio.open_connection(*address.split(':'))
+            for _ in range(2):
+                writer.write(
+                    b'PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok'
+                )
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.assertIn(b'200', head)
+                self.assertEqual(await reader.readexactly(2), b'ok')
+            writer.write(
+                b'PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n'
+                + b'x' * 5000
+            )
+            self.assertIn(b'413', await reader.readline())
+            writer.close()
+
+        play(scenario)
+
+    def test_missing_response_is_unclear(self) -> None:
+        """Guards against an order that is taken for refused."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            orders = PlatformPromotions(address=free_address())
+            outcome = await orders.promote(
+                service=GroupId('s'),
+                upstream_id=UpstreamId('i'),
+                holder=HostId('h'),
+                token=1,
+            )
+            self.assertEqual(outcome, OrderOutcome.unclear)
+            with self.assertRaises(HttpCallError):
+                await call_http(
+                    free_address(),
+                    HttpRequest(method='GET', path='/'),
+                    headers={},
+                    timeout_s=1,
+                )
+
+        play(scenario)
+
+    def test_order_carries_the_fence_and_its_status_is_read(self) -> None:
+        """Guards against an order without a fencing token."""
+        seen: list[HttpRequest] = []
+        statuses = iter((200, 409, 429))
+
+        async def handle(request: HttpRequest) -> HttpResponse:
+            seen.append(request)
+            return HttpResponse(status=next(statuses))
+
+        async def serve(address: str, **options: object) -> None:
+            await serve_http(
+                address,
+                handle,
+                max_body_bytes=_MAX_BODY,
+                **options,  # type: ignore[arg-type]
+            )
+
+        async def scenario(tasks: TaskGroup) -> None:
+            address = free_address()
+            await tasks.start(serve, address)
+            orders = PlatformPromotions(address=address)
+            outcomes = [
+                await orders.promote(
+                    service=GroupId('s'),
+                    upstream_id=UpstreamId('i'),
+                    holder=HostId('h'),
+                    token=token,
+                )
+                for token in (1, 2, 3)
+            ]
+            self.assertEqual(
+                outcomes,
+                [
+                    OrderOutcome.done,
+                    OrderOutcome.refused,
+                    OrderOutcome.unclear,
+                ],
+            )
+            self.assertEqual(seen[0].body, b'{"service":"s","id":"i"}')
+
+        play(scenario)
+
+
+class ReadinessTest(unittest.TestCase):
+    """The question whether a host takes callers."""
+
+    def test_answer_follows_the_state_of_the_host(self) -> None:
+        """Guards against callers that are sent to a stopping host."""
+        ready = [True, False]
+
+        async def scenario(tasks: TaskGroup) -> None:
+            address = free_address()
+            await tasks.start(serve_readiness, address, ready.pop)
+            statuses = [
+                (
+                    await call_http(
+                        address,
+                        HttpRequest(method='GET', path='/ready'),
+                        headers={},
+                        timeout_s=2,
+                    )
+                ).status
+                for _ in range(2)
+            ]
+            self.assertEqual(statuses, [503, 200])
+
+        play(scenario)
--- /dev/null
+++ b/lavendergate/tests/test_session_service.py
@@ -0,0 +1,277 @@
+"""Tests of callers' sessions, from their start to their end."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+import trio
+from trio.testing import MockClock
+
+from lavendergate.core.sessions.statements import (
+    Begin,
+    CallerStatement,
+    Completed,
+    Phase,
+    Read,
+    RefusalCode,
+    Refused,
+    SessionAnswer,
+    Write,
+)
+from lavendergate.frontend.caller_channel import (
+    CallerChannel,
+    CallerFarewell,
+    CallerGoneError,
+    CallerRequest,
+)
+from lavendergate.frontend.session_service import SessionService
+from lavendergate.observability.log import MemoryEventLog
+from lavendergate.tests.session_fixture import OWN, PRIMARY, SessionFixture
+
+
+class FakeCaller(CallerChannel):
+    """A caller whose statements a test sends."""
+
+    def __init__(self, *, database: str) -> None:
+        self._database = database
+        send, receive = anyio.create_memory_object_stream[
+            CallerRequest | CallerFarewell
+        ](10)
+        self._send = send
+        self._receive = receive
+        self.answers: list[SessionAnswer] = []
+        self.refusal: Refused | None = None
+        self.is_open = False
+        self.is_closed = False
+
+    def say(self, statement: CallerStatement | None) -> None:
+        """Send a statement."""
+        self._send.send_nowait(
+            CallerRequest(
+                request_id=f'r{len(self.answers)}', statement=statement
+            )
+        )
+
+    def leave(self) -> None:
+        """Close the connection without a word."""
+        self._send.close()
+
+    async def open(self) -> str | None:
+        return self._database
+
+    async def accept(self) -> None:
+        self.is_open = True
+
+    async def refuse(self, refusal: Refused) -> None:
+        self.refusal = refusal
+
+    async def receive(self) -> CallerRequest | CallerFarewell:
+        try:
+            return await self._receive.receive()
+        except anyio.EndOfStream as error:
+            raise CallerGoneError('left') from error
+
+    async def answer(self, answer: SessionAnswer) -> None:
+        self.answers.append(answer)
+
+    async def close(self) -> None:
+        self.is_closed = True
+        self._send.close()
+        self._receive.close()
+
+
+class ServiceFixture(SessionFixture):
+    """A proxy that serves fake callers."""
+
+    def connect(self, database: str) -> FakeCaller:
+        """Open a session; it runs in the background."""
+        caller = FakeCaller(database=database)
+        self.tasks.start_soon(self._serve, caller)
+        return caller
+
+    async def _serve(self, caller: FakeCaller) -> None:
+        await self.service.serve(caller)
+        await caller.close()
+
+    def build(self) -> None:
+        """Build the service."""
+        self.service = SessionService(
+            chain=self.chain,
+            transactions=self.transactions,
+            view=self.view,
+            clock=anyio.current_time,
+            monotonic=anyio.current_time,
+            events=MemoryEventLog(),
+        )
+
+
+def play(scenario: Callable[[ServiceFixture], Awaitable[None]]) -> None:
+    """Run a scenario under a clock that jumps over waits."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            fixture = ServiceFixture(tasks=tasks)
+            fixture.build()
+            await scenario(fixture)
+            tasks.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+class SessionServiceTest(unittest.TestCase):
+    """Sessions of callers."""
+
+    def test_statements_are_answered_in_their_order(self) -> None:
+        """Guards against answers that are given to other statements."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            caller = proxy.connect(OWN)
+            caller.say(Write(item='x', content='1'))
+            caller.say(Read(item='x'))
+            await anyio.sleep(0.1)
+            self.assertEqual(
+                [answer.rows for answer in caller.answers], [(), ('1',)]
+            )
+
+        play(scenario)
+
+    def test_unreadable_statement_is_answered_and_the_session_goes_on(
+        self,
+    ) -> None:
+        """Guards against foreign input that ends other sessions."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            caller = proxy.connect(OWN)
+            caller.say(None)
+            caller.say(Read(item='x'))
+            await anyio.sleep(0.1)
+            first, second = caller.answers
+            assert isinstance(first.outcome, Refused)
+            self.assertEqual(first.outcome.code, RefusalCode.malformed)
+            self.assertIsInstance(second.outcome, Completed)
+
+        play(scenario)
+
+    def test_unknown_database_is_refused_at_the_start(self) -> None:
+        """Guards against a session that no route serves."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            caller = proxy.connect('other')
+            await anyio.sleep(0.1)
+            assert caller.refusal is not None
+            self.assertEqual(caller.refusal.code, RefusalCode.no_database)
+            self.assertTrue(caller.is_closed)
+
+        play(scenario)
+
+    def test_database_is_not_denied_before_the_routes_are_known(self) -> None:
+        """Guards against callers that give up on a host that just started."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            proxy.view.__init__(  # type: ignore[misc]
+                clock=anyio.current_time
+            )
+            caller = proxy.connect(OWN)
+            await anyio.sleep(2)
+            assert caller.refusal is not None
+            self.assertEqual(caller.refusal.code, RefusalCode.busy)
+
+        play(scenario)
+
+    def test_idle_transaction_is_ended_and_the_caller_is_told(self) -> None:
+        """Guards against connections that resting callers hold."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            caller = proxy.connect(PRIMARY)
+            caller.say(Begin())
+            caller.say(Write(item='x', content='1'))
+            await anyio.sleep(4)
+            caller.say(Read(item='x'))
+            await anyio.sleep(0.1)
+            outcome = caller.answers[-1].outcome
+            assert isinstance(outcome, Refused)
+            self.assertEqual(outcome.code, RefusalCode.aborted)
+            self.assertEqual(caller.answers[-1].phase, Phase.failed)
+            link = proxy.pools.link(proxy.group.member('a').entry)
+            self.assertEqual(len(link.idle), link.opened)
+
+        play(scenario)
+
+    def test_caller_that_left_in_a_transaction_frees_its_connection(
+        self,
+    ) -> None:
+        """Guards against a transaction that outlives its caller."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            caller = proxy.connect(PRIMARY)
+            caller.say(Begin())
+            caller.say(Write(item='x', content='1'))
+            await anyio.sleep(0.1)
+            caller.leave()
+            await anyio.sleep(0.1)
+            link = proxy.pools.link(proxy.group.member('a').entry)
+            self.assertEqual(len(link.idle), link.opened)
+            self.assertFalse(proxy.group.member('a').log)
+
+        play(scenario)
+
+
+class DrainTest(unittest.TestCase):
+    """Sessions while the host stops."""
+
+    def test_idle_sessions_close_and_open_transactions_go_on(self) -> None:
+        """Guards against a stop that cuts a transaction."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            idle = proxy.connect(OWN)
+            busy = proxy.connect(PRIMARY)
+            idle.say(Read(item='x'))
+            busy.say(Begin())
+            busy.say(Write(item='x', content='1'))
+            await anyio.sleep(0.1)
+            proxy.service.close_idle()
+            await anyio.sleep(0.1)
+            self.assertTrue(idle.is_closed)
+            self.assertFalse(busy.is_closed)
+            proxy.service.end_transactions()
+            await anyio.sleep(0.1)
+            self.assertTrue(busy.is_closed)
+            self.assertFalse(proxy.group.member('a').log)
+
+        play(scenario)
+
+    def test_session_that_was_just_opened_is_served_before_it_closes(
+        self,
+    ) -> None:
+        """Guards against a caller that is sent here while the host stops."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            proxy.service.close_idle()
+            caller = proxy.connect(OWN)
+            await anyio.sleep(0.01)
+            proxy.service.close_idle()
+            await anyio.sleep(0.05)
+            caller.say(Read(item='x'))
+            await anyio.sleep(0.1)
+            self.assertIsInstance(caller.answers[0].outcome, Completed)
+            self.assertTrue(caller.is_closed)
+
+        play(scenario)
+
+    def test_statement_on_its_way_is_answered_before_the_session_closes(
+        self,
+    ) -> None:
+        """Guards against a statement that meets a closed session."""
+
+        async def scenario(proxy: ServiceFixture) -> None:
+            caller = proxy.connect(OWN)
+            caller.say(Read(item='x'))
+            await anyio.sleep(0.1)
+            proxy.service.close_idle()
+            await anyio.sleep(0.01)
+            caller.say(Read(item='x'))
+            await anyio.sleep(0.1)
+            self.assertEqual(len(caller.answers), 2)
+            self.assertTrue(caller.is_closed)
+
+        play(scenario)
