Wait until a promoted member leads before replicas resume

The takeover resumed the paused replica after the acknowledgement; it confirmed commits of the old primary that the promoted one lacked, and the still leading primary was judged again, which gave ten orders. Change: the candidate is asked until it leads; a confirmed primary is watched for three seconds before replicas resume. Also: metrics in Prometheus text form, events for delayed statements and for members, and a damaged log that is set aside.

--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -200,7 +200,7 @@
             return
         changed = await self._node.propose(change)
         self._events.emit(
-            SessionEvent.voters_changed,
+            SessionEvent.group_changed,
             change=str(changed.err_value)
             if isinstance(changed, Err)
             else 'committed',
--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -30,6 +30,7 @@
     prove,
 )
 from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
+from lavendergate.observability.exposition import SessionMetrics
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.fleet_service import PrimaryNotice
@@ -42,6 +43,10 @@
 # up on its way, could resume a replica meanwhile.
 _PROOF_AGE_S = 0.6
 _ORDER_ATTEMPTS = 3
+# Longest time from the acknowledgement of an order to its effect, in
+# seconds.
+_EFFECT_S = 3.0
+_EFFECT_POLL_S = 0.08
 _MS_PER_S = 1000
 
 
@@ -64,6 +69,8 @@
         Monotonic time, in seconds.
     real_clock
         Time that also passes while the host is suspended, in seconds.
+    events, metrics
+        Where decisions are recorded.
     """
 
     def __init__(
@@ -78,7 +85,9 @@
         clock: Callable[[], float],
         real_clock: Callable[[], float],
         events: EventLog,
+        metrics: SessionMetrics,
     ) -> None:
+        self._metrics = metrics
         self._node = node
         self._hub = hub
         self._watch = watch
@@ -230,10 +239,26 @@
             await anyio.sleep(_RETRY_S)
         if outcome != OrderOutcome.done:
             return None
-        await self._watch.ask(candidate, ReportStatus())
+        if not await self._leads(candidate):
+            self._wait(service, 'the promoted member does not lead', candidate)
+            return None
         await self._resume(known.upstream_id for known in evidence.paused)
         return f'{candidate} was promoted'
 
+    async def _leads(self, upstream_id: UpstreamId) -> bool:
+        """Wait until a promoted member leads.
+
+        An order is acknowledged before it takes effect. Replicas that
+        resumed in between would confirm commits that the member lacks.
+        """
+        with anyio.move_on_after(_EFFECT_S):
+            while True:
+                report = await self._watch.ask(upstream_id, ReportStatus())
+                if report is not None and report.is_primary:
+                    return True
+                await anyio.sleep(_EFFECT_POLL_S)
+        return False
+
     async def _announce(
         self, service: GroupId, upstream_id: UpstreamId
     ) -> int | None:
@@ -256,6 +281,7 @@
             holder=self._host_id,
             token=token,
         )
+        self._metrics.orders.labels(service, outcome.value).inc()
         self._events.emit(
             SessionEvent.promotion_ordered,
             upstream=upstream_id,
@@ -289,6 +315,11 @@
         if outcome != OrderOutcome.done:
             await anyio.sleep(_RETRY_S)
             return
+        # An order that was accepted earlier may be about to take effect.
+        await anyio.sleep(_EFFECT_S)
+        now = self._watch.observe(service)
+        if now.primary != primary:
+            return
         await self._resume(
             replica.upstream_id
             for replica in observed.replicas
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -25,6 +25,8 @@
 from lavendergate.core.types import HostId, UpstreamId
 from lavendergate.daemon.hosted import HostedProcess, real_time_s
 from lavendergate.daemon.supervision import keep_running
+from lavendergate.observability.exposition import SessionMetrics
+from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.control_calls import (
     MAX_BODY_BYTES,
     ControlCalls,
@@ -33,6 +35,7 @@
 from lavendergate.platform.documents import decode_routes
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.promotion_calls import PlatformPromotions
+from lavendergate.platform.readiness import serve_metrics
 from lavendergate.platform.settings_file import HostSettings
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.fleet_service import (
@@ -57,6 +60,7 @@
 from lavendergate.rpc.service import UnaryService
 from lavendergate.rpc.transport import GrpcTransport
 from lavendergate.storage.directory_file import DirectoryFile
+from lavendergate.storage.recovery import open_or_replace
 
 # Outlasts a round trip between regions and a slow sync several times over.
 _ELECTION_TIMEOUT_S = 0.7
@@ -124,13 +128,17 @@
         self._events = process.events
         self._host_id = HostId(settings.node_name)
         self._peers = Peers()
+        self._metrics = SessionMetrics()
         self._routes = RouteTable()
         directory = Path(settings.data_dir or '/tmp/control')  # noqa: S108
+        storage, damage = open_or_replace(directory / 'log', self._host_id)
+        if damage is not None:
+            self._events.emit(SessionEvent.log_replaced, reason=damage)
         self._node = ControlNode(
             host_id=self._host_id,
             address=settings.internal_address,
             transport=GrpcTransport(),
-            data_directory=directory / 'log',
+            storage=storage,
             options=DriverOptions(
                 node=NodeOptions(
                     election_timeout_s=_ELECTION_TIMEOUT_S,
@@ -164,6 +172,7 @@
             clock=anyio.current_time,
             real_clock=real_time_s,
             events=self._events,
+            metrics=self._metrics,
         )
         self._formation = GroupFormation(
             node=self._node,
@@ -207,6 +216,11 @@
                 max_body_bytes=MAX_BODY_BYTES,
             )
         )
+        self._metrics.is_leader.set_function(lambda: int(self._hub.is_leading))
+        self._metrics.routes_version.set_function(
+            lambda: self._node.view.state.routes.version
+        )
+        await self._tasks.start(serve_metrics, settings.ip, self._metrics.text)
         for name, run in (
             ('formation', self._formation.run),
             ('hub', self._hub.watch_log),
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -22,12 +22,13 @@
 from lavendergate.filters.sessions.transaction import TransactionFilter
 from lavendergate.frontend.caller_channel import CallerChannel
 from lavendergate.frontend.session_service import SessionService
+from lavendergate.observability.exposition import SessionMetrics
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.documents import decode_routes
 from lavendergate.platform.members import LineMemberDialer
-from lavendergate.platform.readiness import serve_readiness
+from lavendergate.platform.readiness import serve_metrics, serve_readiness
 from lavendergate.platform.settings_file import HostSettings
 from lavendergate.rpc.fleet_service import PrimaryReach, SyncReply
 from lavendergate.rpc.peers import Peers
@@ -137,6 +138,7 @@
         self._events = process.events
         self._is_draining = False
         self._peers = Peers()
+        self._metrics = SessionMetrics()
         self._view = FleetView(clock=anyio.current_time)
         self._pools = SessionPools(
             dialer=LineMemberDialer(
@@ -145,6 +147,8 @@
             tasks=tasks,
             clock=anyio.current_time,
             share=self._share,
+            events=self._events,
+            metrics=self._metrics,
         )
         self._feed = ControlFeed(
             host_id=HostId(settings.node_name),
@@ -173,6 +177,12 @@
         await self._tasks.start(
             serve_readiness, addresses.readiness, lambda: self.is_ready
         )
+        self._metrics.routes_version.set_function(
+            lambda: self._view.routes.version
+        )
+        await self._tasks.start(
+            serve_metrics, self._process.settings.ip, self._metrics.text
+        )
         for name, run in (('feed', self._feed.run), ('pools', self._pools.run)):
             self._tasks.start_soon(keep_running, name, run, self._events)
         await self._process.wait_for_stop()
@@ -239,6 +249,7 @@
             clock=real_time_s,
             monotonic=anyio.current_time,
             events=self._events,
+            metrics=self._metrics,
         )
 
     def _share(self, entry: MemberEntry) -> int:
--- a/lavendergate/filters/sessions/base.py
+++ b/lavendergate/filters/sessions/base.py
@@ -18,7 +18,7 @@
     Shape,
     Write,
 )
-from lavendergate.core.types import LogPosition
+from lavendergate.core.types import LogPosition, UpstreamId
 from lavendergate.filters.chain import ChainStep
 
 DataStatement = Read | Write | Execute
@@ -88,6 +88,11 @@
         Arrival, and end of the time to answer, on the monotonic clock.
     route
         Route of the statement, set by the routing filter.
+    served_by
+        Member that was tried last.
+    position, position_asked_at
+        What a read had to include, and when the primary was asked for it,
+        on the clock of positions.
     """
 
     session: CallerSession
@@ -98,6 +103,9 @@
     deadline: float
     route: Route | None = None
     attempts: int = 0
+    served_by: UpstreamId | None = None
+    position: LogPosition | None = None
+    position_asked_at: float | None = None
 
     @property
     def access(self) -> AccessKind:
--- a/lavendergate/filters/sessions/placing.py
+++ b/lavendergate/filters/sessions/placing.py
@@ -41,10 +41,13 @@
         Members to try, best first.
     position
         What the member must have applied.
+    asked_at
+        When the primary was asked for the position.
     """
 
     members: tuple[MemberEntry, ...]
     position: LogPosition
+    asked_at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,7 +110,9 @@
             return None
         position = required_position(sample, demand.own)
         return ReadPlan(
-            members=self._members(route, position), position=position
+            members=self._members(route, position),
+            position=position,
+            asked_at=sample.asked_at,
         )
 
     async def find_primary(
--- a/lavendergate/filters/sessions/single.py
+++ b/lavendergate/filters/sessions/single.py
@@ -109,6 +109,8 @@
             plan = await self._placing.plan_read(demand)
             if plan is None or not plan.members:
                 return last
+            request.position = plan.position
+            request.position_asked_at = plan.asked_at
             for member in plan.members:
                 request.attempts += 1
                 answer = await self._try_read(
@@ -213,6 +215,7 @@
         statement: DataStatement,
         member: MemberEntry,
     ) -> PooledSession:
+        request.served_by = member.upstream_id
         until = waits_for_primary_until(
             request.known_route, self._monotonic(), request.deadline
         )
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -166,6 +166,7 @@
         )
         if pooled is None:
             return lost
+        request.served_by = pooled.link.entry.upstream_id
         if request.access == AccessKind.write:
             transaction.has_written = True
         try:
@@ -298,6 +299,8 @@
         )
         if plan is None or not plan.members:
             return None
+        request.position = plan.position
+        request.position_asked_at = plan.asked_at
         index = (request.attempts - 1) % len(plan.members)
         return plan.members[index], plan.position
 
@@ -309,6 +312,7 @@
         position: LogPosition | None,
     ) -> Refused | None:
         session = request.session
+        request.served_by = member.upstream_id
         now = self._monotonic()
         until = waits_for_primary_until(
             transaction.route, now, request.deadline
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -7,6 +7,7 @@
 
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.core.sessions.statements import (
+    Completed,
     Phase,
     RefusalCode,
     Refused,
@@ -24,6 +25,8 @@
     CallerGoneError,
     CallerRequest,
 )
+from lavendergate.observability.event_type import FieldValue
+from lavendergate.observability.exposition import SessionMetrics
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 
@@ -83,8 +86,8 @@
         Clock of positions, in seconds.
     monotonic
         Monotonic time, in seconds.
-    events
-        Event log.
+    events, metrics
+        Where answers are recorded.
     """
 
     def __init__(
@@ -96,7 +99,9 @@
         clock: Callable[[], float],
         monotonic: Callable[[], float],
         events: EventLog,
+        metrics: SessionMetrics,
     ) -> None:
+        self._metrics = metrics
         self._chain = chain
         self._transactions = transactions
         self._view = view
@@ -167,6 +172,7 @@
     ) -> None:
         session = OpenSession(state=state, opened_at=self._monotonic())
         self._open.add(session)
+        self._metrics.sessions.set(len(self._open))
         try:
             while True:
                 received = await self._receive(channel, session)
@@ -181,6 +187,7 @@
                     return
         finally:
             self._open.discard(session)
+            self._metrics.sessions.set(len(self._open))
             with anyio.CancelScope(shield=True):
                 await self._transactions.end(state)
 
@@ -243,25 +250,73 @@
             deadline=started_at + _DEFAULT_TIMEOUT_S,
         )
         answer = await self._chain(request)
-        self._log(request, answer)
+        self._record(request, answer)
         return answer
 
-    def _log(self, request: SessionRequest, answer: SessionAnswer) -> None:
-        if not isinstance(answer.outcome, Refused):
-            return
+    def _record(self, request: SessionRequest, answer: SessionAnswer) -> None:
         waited_s = self._monotonic() - request.started_at
+        database = request.session.database
+        kind = type(request.statement).__name__
+        metrics = self._metrics
+        metrics.statement_seconds.labels(database, kind).observe(waited_s)
+        outcome = answer.outcome
+        match outcome:
+            case Refused(code=code):
+                metrics.statements.labels(database, kind, code.value).inc()
+                self._log_refusal(request, outcome, waited_s)
+            case Completed():
+                metrics.statements.labels(database, kind, 'done').inc()
+                self._log_delay(request, waited_s)
+
+    def _log_refusal(
+        self, request: SessionRequest, refusal: Refused, waited_s: float
+    ) -> None:
         self._events.emit(
-            SessionEvent.statement_refused,
+            SessionEvent.request_refused,
             request_id=request.request_id,
             kind=type(request.statement).__name__,
-            code=answer.outcome.code.value,
-            reason=answer.outcome.text,
+            code=refusal.code.value,
+            reason=refusal.text,
             waited_ms=round(waited_s * _MS_PER_S),
             attempts=request.attempts,
-            database=request.session.database,
-            routes_version=self._view.routes.version,
+            upstream=request.served_by,
+            **self._inputs(request),
         )
 
+    def _log_delay(self, request: SessionRequest, waited_s: float) -> None:
+        route = request.route
+        waited_ms = round(waited_s * _MS_PER_S)
+        if route is None or waited_ms < route.target_latency_ms:
+            return
+        self._events.emit(
+            SessionEvent.request_delayed,
+            request_id=request.request_id,
+            kind=type(request.statement).__name__,
+            waited_ms=waited_ms,
+            attempts=request.attempts,
+            upstream=request.served_by,
+            **self._inputs(request),
+        )
+
+    def _inputs(self, request: SessionRequest) -> dict[str, FieldValue]:
+        """Return what decided about a statement, with versions and ages."""
+        found: dict[str, FieldValue] = {
+            'database': request.session.database,
+            'routes_version': self._view.routes.version,
+        }
+        route = request.route
+        if route is not None:
+            primary = self._view.primary_of(route.service)
+            found['consistency'] = route.consistency.value
+            found['primary'] = None if primary is None else primary.upstream_id
+            found['term'] = self._view.term_of(route.service)
+        position = request.position
+        if position is not None and request.position_asked_at is not None:
+            age_s = request.arrived_at - request.position_asked_at
+            found['position'] = f'{position.term}.{position.position}'
+            found['position_age_ms'] = round(age_s * _MS_PER_S)
+        return found
+
 
 def _no_database(database: str | None) -> Refused:
     return Refused(
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -4,18 +4,43 @@
 
 from lavendergate.observability.event_type import Event, Level, define
 
+# What decided about a statement, with the version or age of each.
+_REQUEST = (
+    'database',
+    'routes_version',
+    'consistency',
+    'primary',
+    'term',
+    'position',
+    'position_age_ms',
+)
+
 
 @enum.unique
 class SessionEvent(Event):
     """Events of hosts that serve sessions, and of the hosts that steer them."""
 
-    statement_refused = define(
+    request_refused = define(
         8001,
         Level.info,
         'statement {kind} of request {request_id} was refused as {code} after '
         '{waited_ms} ms: {reason}',
         'Nothing for single cases; look at the reason if they repeat.',
-        extra=('attempts', 'database', 'routes_version'),
+        extra=('attempts', 'upstream', *_REQUEST),
+    )
+    request_delayed = define(
+        8002,
+        Level.info,
+        'statement {kind} of request {request_id} took {waited_ms} ms and '
+        '{attempts} attempts, served by {upstream}',
+        'Nothing for single cases; look at the member if they repeat.',
+        extra=_REQUEST,
+    )
+    member_regained = define(
+        8009,
+        Level.info,
+        'member {upstream} of service {service} answers again after '
+        '{failed_ms} ms',
     )
     member_suspected = define(
         8010,
@@ -82,7 +107,7 @@
         'the takeover of service {service} ended: {outcome}',
         extra=('duration_ms',),
     )
-    voters_changed = define(
+    group_changed = define(
         8060,
         Level.info,
         'the control group is to change: {change}',
@@ -91,3 +116,9 @@
     group_formed = define(
         8061, Level.info, 'the control group was formed by {hosts}'
     )
+    log_replaced = define(
+        8062,
+        Level.error,
+        'the control log is damaged and was emptied: {reason}',
+        'Check the disk; the host joins the group again as a new one.',
+    )
--- a/lavendergate/rpc/http.py
+++ b/lavendergate/rpc/http.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 import h11
@@ -18,6 +18,7 @@
 _WRITE_TIMEOUT_S = 5.0
 _BACKLOG = 1024
 _OK = 200
+_JSON = 'application/json'
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
 
@@ -48,7 +49,7 @@
 
     status: int = _OK
     body: bytes = b''
-    headers: Mapping[str, str] = field(default_factory=dict)
+    content_type: str = _JSON
 
 
 class HttpCallError(Exception):
@@ -182,7 +183,9 @@
             return
         head = h11.Response(
             status_code=response.status,
-            headers=_headers(response.headers, response.body),
+            headers=_headers(
+                {'Content-Type': response.content_type}, response.body
+            ),
         )
         sent = self._http.send(head) or b''
         sent += self._http.send(h11.Data(data=response.body)) or b''
@@ -198,7 +201,12 @@
     headers: Mapping[str, str],
 ) -> HttpResponse:
     http = h11.Connection(h11.CLIENT)
-    named = {'Host': address, 'Connection': 'close', **headers}
+    named = {
+        'Host': address,
+        'Connection': 'close',
+        'Content-Type': _JSON,
+        **headers,
+    }
     head = h11.Request(
         method=request.method,
         target=request.path,
@@ -240,6 +248,5 @@
 def _headers(named: Mapping[str, str], body: bytes) -> list[tuple[str, str]]:
     return [
         *named.items(),
-        ('Content-Type', 'application/json'),
         ('Content-Length', str(len(body))),
     ]
--- a/lavendergate/tests/session_fixture.py
+++ b/lavendergate/tests/session_fixture.py
@@ -31,6 +31,8 @@
 from lavendergate.filters.sessions.route import RouteFilter
 from lavendergate.filters.sessions.single import SingleStatementFilter
 from lavendergate.filters.sessions.transaction import TransactionFilter
+from lavendergate.observability.exposition import SessionMetrics
+from lavendergate.observability.log import MemoryEventLog
 from lavendergate.rpc.fleet_service import PrimaryNotice
 from standin.session_group import GroupDialer, SessionGroup
 
@@ -65,6 +67,8 @@
             tasks=tasks,
             clock=anyio.current_time,
             share=self._share,
+            events=MemoryEventLog(),
+            metrics=SessionMetrics(),
         )
         self.positions = Positions(
             view=self.view,
--- a/lavendergate/tests/test_file_storage.py
+++ b/lavendergate/tests/test_file_storage.py
@@ -18,7 +18,9 @@
     StorageError,
     StoredState,
 )
+from lavendergate.storage.directory_file import DirectoryFile
 from lavendergate.storage.files import FileStorage
+from lavendergate.storage.recovery import open_or_replace
 
 _TERM = ConsensusTerm(3)
 
@@ -141,3 +143,33 @@
         self.log.unlink()
         with self.assertRaises(DamagedFileError):
             self.load()
+
+
+class DamagedLogTest(unittest.TestCase):
+    """A log that was damaged beyond a torn end."""
+
+    def test_damaged_log_gives_the_host_a_new_identity(self) -> None:
+        """Guards against a vote or an entry that the host forgot."""
+        with tempfile.TemporaryDirectory() as folder:
+            directory = Path(folder)
+            first, damage = open_or_replace(directory, HostId('c1'))
+            identity = first.load().identity
+            first.close()
+            self.assertIsNone(damage)
+            content = bytearray((directory / 'identity').read_bytes())
+            content[-1] ^= 1
+            (directory / 'identity').write_bytes(content)
+            second, damage = open_or_replace(directory, HostId('c1'))
+            self.assertIsNotNone(damage)
+            renewed = second.load().identity
+            second.close()
+            self.assertNotEqual(renewed.incarnation, identity.incarnation)
+            self.assertEqual(renewed.host_id, 'c1')
+
+    def test_directory_file_is_optional(self) -> None:
+        """Guards against a start that a lost or torn file prevents."""
+        with tempfile.TemporaryDirectory() as folder:
+            file = DirectoryFile(folder=Path(folder))
+            self.assertEqual(file.load(), ())
+            (Path(folder) / 'directory').write_bytes(b'\x93')
+            self.assertEqual(file.load(), ())
--- a/lavendergate/tests/test_session_service.py
+++ b/lavendergate/tests/test_session_service.py
@@ -25,6 +25,7 @@
     CallerRequest,
 )
 from lavendergate.frontend.session_service import SessionService
+from lavendergate.observability.exposition import SessionMetrics
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.tests.session_fixture import OWN, PRIMARY, SessionFixture
 
@@ -102,6 +103,7 @@
             clock=anyio.current_time,
             monotonic=anyio.current_time,
             events=MemoryEventLog(),
+            metrics=SessionMetrics(),
         )
 
 
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+from anyio.abc import TaskGroup
 
 from lavendergate.backends.promotion import OrderOutcome, PromotionOrders
 from lavendergate.backends.sessions import (
@@ -427,10 +428,18 @@
     ----------
     group
         The group.
+    tasks
+        Task group for promotions that take effect later.
+    delay_s
+        Time from the acknowledgement of an order to its effect.
     """
 
-    def __init__(self, *, group: SessionGroup) -> None:
+    def __init__(
+        self, *, group: SessionGroup, tasks: TaskGroup, delay_s: float = 0
+    ) -> None:
         self._group = group
+        self._tasks = tasks
+        self.delay_s = delay_s
         self.newest_token = 0
         self.orders: list[tuple[UpstreamId, int]] = []
         self.unclear = 0
@@ -456,5 +465,11 @@
         if member.is_down:
             return OrderOutcome.refused
         if not member.is_primary:
-            self._group.promote(upstream_id)
+            self._tasks.start_soon(self._promote_later, upstream_id)
+            await anyio.lowlevel.checkpoint()
         return OrderOutcome.done
+
+    async def _promote_later(self, upstream_id: UpstreamId) -> None:
+        await anyio.sleep(self.delay_s)
+        if not self._group.members[upstream_id].is_down:
+            self._group.promote(upstream_id)
--- a/tools/deploy_requirements.py
+++ b/tools/deploy_requirements.py
@@ -24,6 +24,7 @@
     'msgspec',
     'multidict',
     'orjson',
+    'prometheus-client',
     'pyrsistent',
     'result',
     'six',
