--- /dev/null
+++ b/lavendergate/cli/explain_command.py
@@ -0,0 +1,30 @@
+"""Command ``lavendergatectl explain``."""
+
+from pathlib import Path
+
+from lavendergate.cli.outcome import usage
+from lavendergate.cli.tables import write_text
+from lavendergate.observability.explanation import (
+    explain_request,
+    render_explanation,
+)
+from lavendergate.observability.timeline import read_timeline
+
+
+def explain(request_id: str, /, *files: Path) -> None:
+    """Tell how a request ended, and what decided about it.
+
+    Parameters
+    ----------
+    request_id
+        Id that the caller gave the request.
+    files
+        Event files of all processes, or directories that contain them.
+    """
+    if not files:
+        raise usage('no file is given; name event files or directories')
+    try:
+        merged = read_timeline(files)
+    except OSError as error:
+        raise usage(f'{error}') from error
+    write_text(render_explanation(explain_request(merged, request_id)))
--- a/lavendergate/cli/main.py
+++ b/lavendergate/cli/main.py
@@ -13,6 +13,7 @@
 
 from lavendergate.cli import cluster_calls
 from lavendergate.cli.control_client import ControlClient
+from lavendergate.cli.explain_command import explain
 from lavendergate.cli.options import (
     ControlOptions,
     Format,
@@ -54,6 +55,7 @@
 app.command(members_app)
 app.command(cluster_app)
 app.command(timeline)
+app.command(explain)
 
 
 @app.command
--- a/lavendergate/controllers/fleet_hub.py
+++ b/lavendergate/controllers/fleet_hub.py
@@ -6,6 +6,7 @@
 import anyio
 
 from lavendergate.controllers.control_node import ControlNode
+from lavendergate.core.control_records import RoutesRecord
 from lavendergate.core.fleet_directory import (
     FleetDirectory,
     MemberAvailability,
@@ -71,6 +72,7 @@
         self._proxies: dict[HostId, ProxyRecord] = {}
         self._departures: dict[GroupId, float] = {}
         self._changed = anyio.Event()
+        self._restored = RoutesRecord()
 
     @property
     def directory(self) -> FleetDirectory:
@@ -88,6 +90,23 @@
         """Number of the present view."""
         return FleetVersion(source=self._source, version=self._version)
 
+    @property
+    def routes(self) -> RoutesRecord:
+        """Newest committed route table that this host has heard of."""
+        applied = self._node.view.state.routes
+        return max(applied, self._restored, key=lambda record: record.version)
+
+    def restore(
+        self, entries: tuple[MemberEntry, ...], routes: RoutesRecord
+    ) -> None:
+        """Take what the host knew before its restart.
+
+        The route table was committed then. It is told to hosts that have
+        none, until the log is applied again.
+        """
+        self._restored = routes
+        self.merge(entries)
+
     def departed_at(self, service: GroupId) -> float | None:
         """Return when a member of a service left or started again empty."""
         return self._departures.get(service)
@@ -174,6 +193,7 @@
         async for view in self._node.views():
             if view.state.routes.version > version:
                 version = view.state.routes.version
+                self._version += 1
                 self._events.emit(
                     SessionEvent.routes_published, version=version
                 )
@@ -184,7 +204,7 @@
         return (
             known.source != self._source
             or known.version < self._version
-            or request.routes_version < self._node.view.state.routes.version
+            or request.routes_version < self.routes.version
         )
 
     def _reply(self, request: SyncRequest) -> SyncReply:
@@ -192,7 +212,7 @@
         known = request.known.version
         if request.known.source != self._source:
             known = 0
-        routes = view.state.routes
+        routes = self.routes
         is_newer = routes.version > request.routes_version
         addresses = (
             {}
--- a/lavendergate/controllers/member_watch.py
+++ b/lavendergate/controllers/member_watch.py
@@ -38,10 +38,10 @@
 )
 from lavendergate.rpc.fleet_service import PrimaryNotice
 
-_INTERVAL_S = 0.3
+_INTERVAL_S = 0.4
 _RETRY_S = 0.15
 # Replicas matter once the primary fails, and are asked anew then.
-_REPLICA_INTERVAL_S = 0.9
+_REPLICA_INTERVAL_S = 1.5
 _QUESTION_TIMEOUT_S = 0.6
 _UNANSWERED = (
     TimeoutError,
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -59,7 +59,10 @@
 from lavendergate.rpc.peers import PeerCallError, Peers
 from lavendergate.rpc.service import UnaryService
 from lavendergate.rpc.transport import GrpcTransport
-from lavendergate.storage.directory_file import DirectoryFile
+from lavendergate.storage.directory_file import (
+    DirectoryFile,
+    SavedDirectory,
+)
 from lavendergate.storage.recovery import open_or_replace
 
 # Outlasts a round trip between regions and a slow sync several times over.
@@ -200,7 +203,8 @@
         if settings.bind_addrs.control is None:
             raise ValueError('the settings name no address for control')
         await self._tasks.start(self._node.run)
-        self._hub.merge(self._directory_file.load())
+        saved = self._directory_file.load()
+        self._hub.restore(saved.entries, saved.routes)
         server = Server(
             [self._node.service, self._fleet_service()],
             codec=MessagePackCodec(),
@@ -363,8 +367,11 @@
             await anyio.sleep(_SAVE_INTERVAL_S)
             if self._hub.version != saved:
                 saved = self._hub.version
-                entries = tuple(self._hub.directory.entries.values())
-                await run_in_thread(self._directory_file.save, entries)
+                directory = SavedDirectory(
+                    entries=tuple(self._hub.directory.entries.values()),
+                    routes=self._hub.routes,
+                )
+                await run_in_thread(self._directory_file.save, directory)
 
     def _current_routes(self) -> RouteTable:
         record = self._node.view.state.routes
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -307,6 +307,7 @@
         route = request.route
         if route is not None:
             primary = self._view.primary_of(route.service)
+            found['service'] = route.service
             found['consistency'] = route.consistency.value
             found['primary'] = None if primary is None else primary.upstream_id
             found['term'] = self._view.term_of(route.service)
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -8,6 +8,7 @@
 _REQUEST = (
     'database',
     'routes_version',
+    'service',
     'consistency',
     'primary',
     'term',
--- a/lavendergate/storage/directory_file.py
+++ b/lavendergate/storage/directory_file.py
@@ -1,24 +1,42 @@
-"""Keeps the directory of announced members over a restart.
+"""Keeps what a control host tells other hosts over a restart.
 
-Members announce themselves about once a second, so the file only saves that
-time after all hosts were stopped together. It is not synced: what is lost or
-old is replaced by the next announcements.
+Members announce themselves about once a second, and an election takes as
+long, so the file only saves that time after all hosts were stopped together.
+It is not synced: what is lost or old is replaced by the next announcements
+and by the log.
 """
 
 from pathlib import Path
 
 import msgspec
 
+from lavendergate.core.control_records import RoutesRecord
 from lavendergate.core.fleet_directory import MemberEntry
 
 _NAME = 'directory'
 
+
+class SavedDirectory(msgspec.Struct, frozen=True, kw_only=True):
+    """What a control host knew last.
+
+    Parameters
+    ----------
+    entries
+        Announced members.
+    routes
+        Newest committed route table.
+    """
+
+    entries: tuple[MemberEntry, ...] = ()
+    routes: RoutesRecord = RoutesRecord()
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(tuple[MemberEntry, ...])
+_decoder = msgspec.msgpack.Decoder(SavedDirectory)
 
 
 class DirectoryFile:
-    """File with the entries that a host knew last.
+    """File with what a host knew last.
 
     Parameters
     ----------
@@ -29,22 +47,22 @@
     def __init__(self, *, folder: Path) -> None:
         self._path = folder / _NAME
 
-    def load(self) -> tuple[MemberEntry, ...]:
-        """Return the entries; none if the file is missing or damaged."""
+    def load(self) -> SavedDirectory:
+        """Return what was saved; nothing if the file is missing or damaged."""
         try:
             return _decoder.decode(self._path.read_bytes())
         except (OSError, msgspec.MsgspecError):
-            return ()
+            return SavedDirectory()
 
-    def save(self, entries: tuple[MemberEntry, ...]) -> None:
-        """Replace the entries.
+    def save(self, saved: SavedDirectory) -> None:
+        """Replace the file.
 
         Raises
         ------
         OSError
-            If the disk does not take them.
+            If the disk does not take it.
         """
         self._path.parent.mkdir(parents=True, exist_ok=True)
         temporary = self._path.with_suffix('.new')
-        temporary.write_bytes(_encoder.encode(entries))
+        temporary.write_bytes(_encoder.encode(saved))
         temporary.replace(self._path)
--- /dev/null
+++ b/lavendergate/tests/test_explanation.py
@@ -0,0 +1,63 @@
+"""Tests of explanations of single requests."""
+
+import unittest
+
+from lavendergate.observability.event_type import FieldValue
+from lavendergate.observability.explanation import (
+    explain_request,
+    render_explanation,
+)
+from lavendergate.observability.session_events import SessionEvent
+from lavendergate.observability.timeline import Line, Timeline
+
+
+def line(
+    event: SessionEvent,
+    at_ms: int,
+    host: str = 'edge-1',
+    **fields: FieldValue,
+) -> Line:
+    """Return a line of an event file."""
+    return Line(
+        clock=at_ms << 16,
+        host=host,
+        number=event.number,
+        level='info',
+        time=str(at_ms),
+        text=event.name,
+        fields=fields,
+    )
+
+
+class ExplanationTest(unittest.TestCase):
+    """From a request's id to its cause."""
+
+    def test_refusal_is_shown_with_beliefs_and_decisions(self) -> None:
+        """Guards against a cause that is lost among other events."""
+        timeline = Timeline(
+            lines=(
+                line(SessionEvent.member_suspected, 900, service='s'),
+                line(SessionEvent.member_suspected, 950, service='other'),
+                line(SessionEvent.takeover_begun, 980, 'core-1', service='s'),
+                line(
+                    SessionEvent.request_refused,
+                    1000,
+                    request_id='r1',
+                    service='s',
+                    code='busy',
+                ),
+                line(SessionEvent.member_regained, 1100, service='s'),
+            )
+        )
+        found = explain_request(timeline, 'r1')
+        self.assertEqual([one.time for one in found.outcomes], ['1000'])
+        self.assertEqual([one.time for one in found.beliefs], ['900'])
+        self.assertEqual([one.time for one in found.decisions], ['980'])
+        text = render_explanation(found)
+        self.assertIn('code: busy', text)
+        self.assertIn('takeover_begun', text)
+
+    def test_request_without_an_event_is_said_so(self) -> None:
+        """Guards against silence that looks like a result."""
+        found = explain_request(Timeline(lines=()), 'r1')
+        self.assertIn('No event names', render_explanation(found))
--- a/lavendergate/tests/test_file_storage.py
+++ b/lavendergate/tests/test_file_storage.py
@@ -12,13 +12,15 @@
     HardState,
     Snapshot,
 )
+from lavendergate.core.control_records import RoutesRecord
+from lavendergate.core.routes import RoutesVersion
 from lavendergate.core.types import HostId
 from lavendergate.storage.base import (
     DamagedFileError,
     StorageError,
     StoredState,
 )
-from lavendergate.storage.directory_file import DirectoryFile
+from lavendergate.storage.directory_file import DirectoryFile, SavedDirectory
 from lavendergate.storage.files import FileStorage
 from lavendergate.storage.recovery import open_or_replace
 
@@ -170,6 +172,11 @@
         """Guards against a start that a lost or torn file prevents."""
         with tempfile.TemporaryDirectory() as folder:
             file = DirectoryFile(folder=Path(folder))
-            self.assertEqual(file.load(), ())
+            self.assertEqual(file.load(), SavedDirectory())
             (Path(folder) / 'directory').write_bytes(b'\x93')
-            self.assertEqual(file.load(), ())
+            self.assertEqual(file.load(), SavedDirectory())
+            saved = SavedDirectory(
+                routes=RoutesRecord(version=RoutesVersion(3), content=b'x')
+            )
+            file.save(saved)
+            self.assertEqual(file.load(), saved)
