--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -38,6 +38,10 @@
 _SURPLUS_IDLE_S = 1.0
 _TRIM_INTERVAL_S = 0.5
 _PROBE_TIMEOUT_S = 0.8
+# Less time is not enough for any statement, in seconds.
+_SHORTEST_RUN_S = 0.02
+# A member that does not answer within this time is suspected, in seconds.
+_TELLING_TIMEOUT_S = 0.3
 # Weight of the latest answer in the smoothed latency.
 _SMOOTHING = 0.2
 # Assumed before the first answer, in seconds.
@@ -61,6 +65,17 @@
         self.refusal = refusal
 
 
+class NoTimeError(NoConnectionError):
+    """Too little time was left to send a statement, so nothing ran."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            refusal=Refused(
+                code=RefusalCode.busy, text='no time was left to run it'
+            )
+        )
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class PooledSession:
     """A connection and what is set on it.
@@ -95,7 +110,11 @@
         ------
         AnswerLostError
             If no complete answer arrived in time.
+        NoTimeError
+            If the time would not do, so that nothing was sent.
         """
+        if timeout_s < _SHORTEST_RUN_S:
+            raise NoTimeError
         link = self.link
         started_at = link.begin()
         self.is_broken = True
@@ -104,9 +123,15 @@
                 answer = await self.session.run(
                     statement, request_id=request_id, after=after
                 )
-        except (TimeoutError, AnswerLostError) as error:
-            link.fail(_reason(error, timeout_s))
-            raise AnswerLostError(str(error)) from error
+        except TimeoutError as error:
+            # A statement with little time left says nothing about the
+            # member.
+            if timeout_s >= _TELLING_TIMEOUT_S:
+                link.fail(f'no answer within {timeout_s:.2f} s')
+            raise AnswerLostError('no answer in time') from error
+        except AnswerLostError as error:
+            link.fail(str(error))
+            raise
         finally:
             link.end()
         self.is_broken = False
@@ -127,7 +152,7 @@
             with anyio.fail_after(timeout_s):
                 report = await self.session.ask(ReportStatus())
         except (TimeoutError, AnswerLostError) as error:
-            link.fail(_reason(error, timeout_s))
+            link.fail(str(error) or 'no report in time')
             raise AnswerLostError(str(error)) from error
         finally:
             link.end()
@@ -476,10 +501,6 @@
     )
 
 
-def _reason(error: Exception, timeout_s: float) -> str:
-    return str(error) or f'no answer within {timeout_s:.2f} s'
-
-
 def _busy(entry: MemberEntry) -> Refused:
     return Refused(
         code=RefusalCode.busy,
--- a/lavendergate/filters/sessions/preparation.py
+++ b/lavendergate/filters/sessions/preparation.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from lavendergate.backends.sessions import AnswerLostError
-from lavendergate.controllers.session_pools import PooledSession
+from lavendergate.controllers.session_pools import NoTimeError, PooledSession
 from lavendergate.core.sessions.statements import (
     Execute,
     Prepare,
@@ -97,8 +97,8 @@
     pooled: PooledSession, statement: Statement, timeout_s: float
 ) -> None:
     try:
-        answer = await pooled.run(statement, timeout_s=max(0, timeout_s))
-    except AnswerLostError as error:
+        answer = await pooled.run(statement, timeout_s=timeout_s)
+    except (AnswerLostError, NoTimeError) as error:
         raise NotPreparedError(str(error)) from error
     if isinstance(answer.outcome, Refused):
         # What is set on the connection is not certain any more.
--- a/lavendergate/filters/sessions/single.py
+++ b/lavendergate/filters/sessions/single.py
@@ -8,6 +8,7 @@
 from lavendergate.controllers.positions import Positions
 from lavendergate.controllers.session_pools import (
     NoConnectionError,
+    NoTimeError,
     PooledSession,
     SessionPools,
 )
@@ -140,7 +141,7 @@
         try:
             answer = await pooled.run(
                 renamed(request.session, statement),
-                timeout_s=max(0, remaining_s * _FIRST_READ_SHARE),
+                timeout_s=remaining_s * _FIRST_READ_SHARE,
                 request_id=request.request_id,
                 after=position,
             )
@@ -148,6 +149,8 @@
             return refuse(
                 request, RefusalCode.timeout, 'the member did not answer'
             )
+        except NoTimeError as error:
+            return refuse(request, RefusalCode.busy, str(error))
         finally:
             await self._pools.release(pooled)
         self._learn_from_lag(request, answer, member)
@@ -193,7 +196,7 @@
         try:
             answer = await pooled.run(
                 renamed(request.session, statement),
-                timeout_s=max(0, remaining_s),
+                timeout_s=remaining_s,
                 request_id=request.request_id,
             )
         except AnswerLostError:
@@ -202,6 +205,8 @@
                 RefusalCode.unknown,
                 'the member did not answer; the write may have run',
             )
+        except NoTimeError as error:
+            return refuse(request, RefusalCode.busy, str(error))
         finally:
             await self._pools.release(pooled)
         self._placing.note_refusal(primary, answer)
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -8,6 +8,7 @@
 from lavendergate.controllers.positions import Positions
 from lavendergate.controllers.session_pools import (
     NoConnectionError,
+    NoTimeError,
     PooledSession,
     SessionPools,
 )
@@ -178,10 +179,10 @@
             )
             return await pooled.run(
                 renamed(request.session, statement),
-                timeout_s=max(0, request.deadline - self._monotonic()),
+                timeout_s=request.deadline - self._monotonic(),
                 request_id=request.request_id,
             )
-        except (AnswerLostError, NotPreparedError):
+        except (AnswerLostError, NoTimeError, NotPreparedError):
             return SessionAnswer(outcome=lost.outcome, phase=Phase.failed)
 
     async def _commit(
@@ -218,9 +219,11 @@
             try:
                 answer = await pooled.run(
                     Commit(),
-                    timeout_s=max(0, request.deadline - self._monotonic()),
+                    timeout_s=request.deadline - self._monotonic(),
                     request_id=request.request_id,
                 )
+            except NoTimeError as error:
+                return refuse(request, RefusalCode.aborted, str(error))
             except AnswerLostError:
                 break
             again = (
@@ -329,10 +332,10 @@
             # proves that the member still leads.
             answer = await pooled.run(
                 Begin(read_only=position is not None),
-                timeout_s=max(0, request.deadline - self._monotonic()),
+                timeout_s=request.deadline - self._monotonic(),
                 after=position,
             )
-        except (AnswerLostError, NotPreparedError) as error:
+        except (AnswerLostError, NoTimeError, NotPreparedError) as error:
             await self._pools.release(pooled)
             return Refused(code=RefusalCode.busy, text=str(error))
         except BaseException:
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -256,16 +256,15 @@
     def _record(self, request: SessionRequest, answer: SessionAnswer) -> None:
         waited_s = self._monotonic() - request.started_at
         database = request.session.database
-        kind = type(request.statement).__name__
         metrics = self._metrics
-        metrics.statement_seconds.labels(database, kind).observe(waited_s)
+        metrics.statement_seconds.labels(database).observe(waited_s)
         outcome = answer.outcome
         match outcome:
             case Refused(code=code):
-                metrics.statements.labels(database, kind, code.value).inc()
+                metrics.statements.labels(database, code.value).inc()
                 self._log_refusal(request, outcome, waited_s)
             case Completed():
-                metrics.statements.labels(database, kind, 'done').inc()
+                metrics.statements.labels(database, 'done').inc()
                 self._log_delay(request, waited_s)
 
     def _log_refusal(
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -22,13 +22,13 @@
         self.statements = Counter(
             'lavendergate_statements',
             'Answered statements; how do callers fare?',
-            ('database', 'kind', 'outcome'),
+            ('database', 'outcome'),
             registry=registry,
         )
         self.statement_seconds = Histogram(
             'lavendergate_statement_seconds',
             'Arrival to answer; which route is slow?',
-            ('database', 'kind'),
+            ('database',),
             buckets=_BOUNDS_S,
             registry=registry,
         )
--- a/lavendergate/storage/directory_file.py
+++ b/lavendergate/storage/directory_file.py
@@ -2,10 +2,10 @@
 
 Members announce themselves about once a second, and an election takes as
 long, so the file only saves that time after all hosts were stopped together.
-It is not synced: what is lost or old is replaced by the next announcements
-and by the log.
+What is lost or old is replaced by the next announcements and by the log.
 """
 
+import os
 from pathlib import Path
 
 import msgspec
@@ -64,5 +64,13 @@
         """
         self._path.parent.mkdir(parents=True, exist_ok=True)
         temporary = self._path.with_suffix('.new')
-        temporary.write_bytes(_encoder.encode(saved))
+        with temporary.open('wb') as stream:
+            stream.write(_encoder.encode(saved))
+            stream.flush()
+            os.fsync(stream.fileno())
         temporary.replace(self._path)
+        folder = os.open(self._path.parent, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
