--- a/lavendergate/controllers/control_feed.py
+++ b/lavendergate/controllers/control_feed.py
@@ -1,7 +1,7 @@
 """Keeps a host's view like that of the leader of control."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
 
@@ -39,8 +39,15 @@
         """Return how the primaries are reached."""
 
     @abstractmethod
-    def apply(self, reply: SyncReply) -> None:
-        """Take an answer."""
+    def apply(self, reply: SyncReply, sent_at: float) -> None:
+        """Take an answer.
+
+        Parameters
+        ----------
+        sent_at
+            When the request left, on the real clock. Ages in the answer
+            count from then or later.
+        """
 
 
 class ControlFeed:
@@ -58,6 +65,8 @@
         Takes the answers.
     own_address
         Address of this host, if it is a control host itself.
+    real_clock
+        Time that also passes while the host is suspended, in seconds.
     """
 
     def __init__(
@@ -69,8 +78,10 @@
         sink: FeedSink,
         peers: Peers,
         events: EventLog,
+        real_clock: Callable[[], float],
         own_address: str = '',
     ) -> None:
+        self._real_clock = real_clock
         self._own_address = own_address
         self._host_id = host_id
         self._is_proxy = is_proxy
@@ -114,6 +125,7 @@
             reach=self._sink.reach(),
             wait_s=_WAIT_S if address == self._leader else 0,
         )
+        sent_at = self._real_clock()
         try:
             reply = await self._peers.call(
                 address, SYNC, request, timeout_s=_CALL_TIMEOUT_S
@@ -122,7 +134,7 @@
             self._note_failure(address, str(error))
             return None
         self._note_answer(address, reply)
-        self._sink.apply(reply)
+        self._sink.apply(reply, sent_at)
         return reply
 
     def _note_failure(self, address: str, reason: str) -> None:
--- a/lavendergate/controllers/fleet_hub.py
+++ b/lavendergate/controllers/fleet_hub.py
@@ -1,5 +1,6 @@
 """What a control host knows about the fleet, and tells the other hosts."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -13,13 +14,14 @@
     MemberEntry,
     merge,
 )
-from lavendergate.core.types import GroupId, HostId, UpstreamId
+from lavendergate.core.types import GroupId, HostId, LogPosition, UpstreamId
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.fleet_service import (
     FleetVersion,
     MergeReply,
     MergeRequest,
+    PositionNotice,
     PrimaryNotice,
     PrimaryReach,
     SyncReply,
@@ -30,6 +32,7 @@
 # seconds.
 _PROXY_AGE_S = 5.0
 _MAX_WAIT_S = 2.0
+_MS_PER_S = 1000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,6 +54,8 @@
         Name of this host's numbering; another one after each start.
     clock
         Monotonic time, in seconds.
+    real_clock
+        Time that also passes while the host is suspended, in seconds.
     """
 
     def __init__(
@@ -59,8 +64,10 @@
         node: ControlNode,
         source: str,
         clock: Callable[[], float],
+        real_clock: Callable[[], float],
         events: EventLog,
     ) -> None:
+        self._real_clock = real_clock
         self._node = node
         self._source = source
         self._clock = clock
@@ -73,6 +80,7 @@
         self._departures: dict[GroupId, float] = {}
         self._changed = anyio.Event()
         self._restored = RoutesRecord()
+        self._positions: dict[GroupId, tuple[LogPosition, float]] = {}
 
     @property
     def directory(self) -> FleetDirectory:
@@ -164,6 +172,29 @@
         )
         self._notify()
 
+    def note_position(
+        self, service: GroupId, position: LogPosition, asked_at: float
+    ) -> None:
+        """Record what a primary reported, for hosts that cannot ask it.
+
+        Parameters
+        ----------
+        asked_at
+            When the question left, on the real clock.
+        """
+        self._positions[service] = (position, asked_at)
+
+    def _position_notices(self) -> tuple[PositionNotice, ...]:
+        now = self._real_clock()
+        return tuple(
+            PositionNotice(
+                service=service,
+                position=position,
+                age_ms=math.ceil((now - asked_at) * _MS_PER_S),
+            )
+            for service, (position, asked_at) in self._positions.items()
+        )
+
     def take_merge(self, request: MergeRequest) -> MergeReply:
         """Take announcements from another control host."""
         self.merge(request.entries)
@@ -232,6 +263,7 @@
                 if self._entry_versions.get(upstream_id, 0) > known
             ),
             primaries=tuple(self._primaries.values()),
+            positions=self._position_notices(),
             proxies=self._live_proxies(),
         )
 
--- a/lavendergate/controllers/member_watch.py
+++ b/lavendergate/controllers/member_watch.py
@@ -112,6 +112,8 @@
         Opens connections.
     clock
         Monotonic time, in seconds.
+    real_clock
+        Time that also passes while the host is suspended, in seconds.
     """
 
     def __init__(
@@ -120,7 +122,9 @@
         hub: FleetHub,
         dialer: MemberDialer,
         clock: Callable[[], float],
+        real_clock: Callable[[], float],
     ) -> None:
+        self._real_clock = real_clock
         self._hub = hub
         self._dialer = dialer
         self._clock = clock
@@ -187,6 +191,7 @@
         if watched.session is None:
             dialed = await self._dialer.dial(watched.entry)
             watched.session = dialed[0]
+        asked_at = self._real_clock()
         report = await watched.session.ask(question)
         now = self._clock()
         if isinstance(report, Refused):
@@ -196,7 +201,9 @@
         watched.learn(report, now)
         if primary is not None and not report.is_primary:
             watched.compare(primary.received, now)
-        self._notice(watched, report, now)
+        if self._notice(watched, report, now):
+            service = watched.entry.service
+            self._hub.note_position(service, report.received, asked_at)
         return report
 
     def _primary_report(self, service: GroupId) -> MemberReport | None:
@@ -211,13 +218,14 @@
 
     def _notice(
         self, watched: WatchedMember, report: MemberReport, now: float
-    ) -> None:
+    ) -> bool:
+        """Tell the hosts who leads; return whether this member does."""
         if not report.is_primary:
-            return
+            return False
         service = watched.entry.service
         newest = self._primary_report(service)
         if newest is not None and report.term < newest.term:
-            return
+            return False
         self._primary_seen[service] = now
         self._hub.notice_primary(
             PrimaryNotice(
@@ -226,6 +234,7 @@
                 term=report.term,
             )
         )
+        return True
 
     def _start_missing(self, tasks: TaskGroup) -> None:
         entries = self._hub.directory.entries
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -47,8 +47,6 @@
 # Assumed before the first answer, in seconds.
 _FIRST_LATENCY_S = 0.03
 _MS_PER_S = 1000
-# A host may go this far beyond its share while others use less of theirs.
-_BORROWING = 2
 
 
 class NoConnectionError(Exception):
@@ -357,7 +355,7 @@
             await link.wait(max(0, until - now))
 
     def _may_open(self, link: MemberLink) -> bool:
-        limit = _BORROWING * self._share(link.entry)
+        limit = self._share(link.entry)
         return link.opened < limit and self._clock() >= link.dial_after
 
     async def release(self, pooled: PooledSession) -> None:
--- a/lavendergate/core/sessions/freshness.py
+++ b/lavendergate/core/sessions/freshness.py
@@ -47,10 +47,6 @@
         samples = self._samples
         if sample.asked_at < self.newest_asked_at:
             return
-        if samples and sample.position < samples[-1].position:
-            # The log was rolled back by a promotion. Positions of commits
-            # that it lost can never be met.
-            samples.clear()
         samples.append(sample)
         oldest = sample.asked_at - SAMPLE_AGE_LIMIT_S
         while samples[0].asked_at < oldest:
--- a/lavendergate/core/sessions/patience.py
+++ b/lavendergate/core/sessions/patience.py
@@ -9,7 +9,7 @@
 
 # Share of the target latency that a statement may wait for a member. The
 # rest is needed to run it.
-_WAIT_SHARE = 0.5
+_WAIT_SHARE = 0.25
 _MS_PER_S = 1000
 
 
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -106,7 +106,7 @@
         """Control hosts report no primaries."""
         return ()
 
-    def apply(self, reply: SyncReply) -> None:
+    def apply(self, reply: SyncReply, sent_at: float) -> None:
         """Take an answer of the leader."""
         self._hub.merge(reply.entries)
         for notice in reply.primaries:
@@ -156,6 +156,7 @@
             node=self._node,
             source=f'{settings.node_name}/{secrets.token_hex(_SOURCE_BYTES)}',
             clock=anyio.current_time,
+            real_clock=real_time_s,
             events=self._events,
         )
         self._watch = MemberWatch(
@@ -164,6 +165,7 @@
                 host=settings.node_name, timeout_s=lambda: _DIAL_TIMEOUT_S
             ),
             clock=anyio.current_time,
+            real_clock=real_time_s,
         )
         self._takeover = TakeoverController(
             node=self._node,
@@ -192,6 +194,7 @@
             sink=HubSink(hub=self._hub, node=self._node),
             peers=self._peers,
             events=self._events,
+            real_clock=real_time_s,
             own_address=settings.internal_address,
         )
         self._directory_file = DirectoryFile(folder=directory)
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -40,6 +40,7 @@
 _EXIT_MARGIN_S = 0.5
 _POLL_S = 0.05
 _REACH_AGE_S = 1.0
+_MS_PER_S = 1000
 
 
 class ViewSink(FeedSink):
@@ -51,11 +52,19 @@
         The view.
     pools
         Connections; those to members that are gone are closed.
+    positions
+        Takes the positions that control read.
     """
 
     def __init__(
-        self, *, view: FleetView, pools: SessionPools, events: EventLog
+        self,
+        *,
+        view: FleetView,
+        pools: SessionPools,
+        positions: Positions,
+        events: EventLog,
     ) -> None:
+        self._positions = positions
         self._view = view
         self._pools = pools
         self._events = events
@@ -93,7 +102,7 @@
                 )
         return tuple(found)
 
-    def apply(self, reply: SyncReply) -> None:
+    def apply(self, reply: SyncReply, sent_at: float) -> None:
         """Take an answer of control."""
         if reply.is_leader:
             self._view.proxies = reply.proxies
@@ -101,6 +110,10 @@
         for entry in self._view.merge(reply.entries):
             self._note_member(entry)
         self._view.notice_primaries(reply.primaries)
+        for notice in reply.positions:
+            if notice.position.term >= self._view.term_of(notice.service):
+                asked_at = sent_at - notice.age_ms / _MS_PER_S
+                self._positions.add(notice.service, notice.position, asked_at)
 
     def _adopt_routes(self, content: bytes | None) -> None:
         if not content:
@@ -150,15 +163,26 @@
             events=self._events,
             metrics=self._metrics,
         )
+        self._positions = Positions(
+            view=self._view,
+            pools=self._pools,
+            tasks=tasks,
+            clock=real_time_s,
+            monotonic=anyio.current_time,
+        )
         self._feed = ControlFeed(
             host_id=HostId(settings.node_name),
             is_proxy=True,
             seeds=settings.control_hosts,
             sink=ViewSink(
-                view=self._view, pools=self._pools, events=self._events
+                view=self._view,
+                pools=self._pools,
+                positions=self._positions,
+                events=self._events,
             ),
             peers=self._peers,
             events=self._events,
+            real_clock=real_time_s,
         )
         self._service = self._build_service()
         process.observe(self._change_settings)
@@ -210,13 +234,7 @@
             await anyio.sleep(_POLL_S)
 
     def _build_service(self) -> SessionService:
-        positions = Positions(
-            view=self._view,
-            pools=self._pools,
-            tasks=self._tasks,
-            clock=real_time_s,
-            monotonic=anyio.current_time,
-        )
+        positions = self._positions
         placing = Placing(
             view=self._view,
             pools=self._pools,
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -4,7 +4,13 @@
 
 from lavendergate.core.commands import OrderPromotion, PublishRoutes
 from lavendergate.core.fleet_directory import MemberEntry
-from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
+from lavendergate.core.types import (
+    GroupId,
+    HostId,
+    LogPosition,
+    Term,
+    UpstreamId,
+)
 from lavendergate.rpc.consensus_service import ControlHost
 from lavendergate.rpc.service import Method
 
@@ -25,6 +31,21 @@
     is_replacing: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PositionNotice:
+    """Position of a service's primary.
+
+    Parameters
+    ----------
+    age_ms
+        Time from the question to the primary to this notice, rounded up.
+    """
+
+    service: GroupId
+    position: LogPosition
+    age_ms: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PrimaryReach:
     """Whether a proxy reached the primary of a service lately."""
@@ -98,6 +119,7 @@
     routes: bytes | None
     entries: tuple[MemberEntry, ...]
     primaries: tuple[PrimaryNotice, ...]
+    positions: tuple[PositionNotice, ...]
     proxies: int
 
 
--- a/lavendergate/tests/test_session_statements.py
+++ b/lavendergate/tests/test_session_statements.py
@@ -21,6 +21,7 @@
     Shape,
     Write,
 )
+from lavendergate.core.types import LogPosition, Term
 from lavendergate.filters.sessions.base import CallerSession
 from lavendergate.tests.session_fixture import (
     BOUNDED,
@@ -333,3 +334,43 @@
             self.assertFalse(proxy.group.member('a').runs)
 
         play(scenario)
+
+
+class SharedPositionTest(unittest.TestCase):
+    """Positions that control read for all proxies."""
+
+    def test_bounded_read_is_served_without_a_way_to_the_primary(self) -> None:
+        """Guards against refused reads while the primary is full.
+
+        After a loss of power members hold the connections of dead hosts up
+        to their limit, so that most proxies cannot ask the primary
+        (trouble-1 of glasrunde-by, 36 s to 37 s).
+        """
+
+        async def scenario(proxy: SessionFixture) -> None:
+            proxy.group.commit(proxy.group.primary, {'x': '1'})
+            position = proxy.group.primary.received
+            proxy.group.member('a').is_down = True
+            proxy.positions.add(
+                proxy.group.service, position, anyio.current_time()
+            )
+            await anyio.sleep(1)
+            session = CallerSession(database=BOUNDED)
+            answer = await proxy.send(session, Read(item='x'))
+            self.assertEqual(answer.rows, ('1',))
+
+        play(scenario)
+
+    def test_answer_overtaken_by_a_write_keeps_older_positions(self) -> None:
+        """Guards against a history that is dropped without a rollback."""
+
+        async def scenario(proxy: SessionFixture) -> None:
+            service = proxy.group.service
+            for number, asked_at in ((5, 1.0), (4, 1.01)):
+                position = LogPosition(term=Term(1), position=number)
+                proxy.positions.add(service, position, asked_at)
+            found = proxy.positions.history(service).since(0.9)
+            assert found is not None
+            self.assertEqual(found.position.position, 5)
+
+        play(scenario)
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -72,12 +72,14 @@
             node=node,
             source='test',
             clock=anyio.current_time,
+            real_clock=anyio.current_time,
             events=self.events,
         )
         self.watch = MemberWatch(
             hub=self.hub,
             dialer=GroupDialer(groups=(self.group,)),
             clock=anyio.current_time,
+            real_clock=anyio.current_time,
         )
         self.takeover = TakeoverController(
             node=node,
