--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -44,6 +44,10 @@
 _TELLING_TIMEOUT_S = 0.3
 # Weight of the latest answer in the smoothed latency.
 _SMOOTHING = 0.2
+# Transactions that write hold connections to the primary between their
+# statements, so a host may go this far beyond its share there while others
+# use less of theirs.
+_PRIMARY_BORROWING = 2
 # Assumed before the first answer, in seconds.
 _FIRST_LATENCY_S = 0.03
 _MS_PER_S = 1000
@@ -302,7 +306,9 @@
     def link(self, entry: MemberEntry) -> MemberLink:
         """Return the link to a member."""
         link = self._links.get(entry.upstream_id)
-        if link is None or _is_another(link.entry, entry):
+        if link is not None and not _is_another(link.entry, entry):
+            link.entry = entry
+        else:
             if link is not None:
                 self._discard(link)
             link = MemberLink(
@@ -356,6 +362,8 @@
 
     def _may_open(self, link: MemberLink) -> bool:
         limit = self._share(link.entry)
+        if link.entry.is_primary:
+            limit *= _PRIMARY_BORROWING
         return link.opened < limit and self._clock() >= link.dial_after
 
     async def release(self, pooled: PooledSession) -> None:
