Replace a primary that a new leader never saw, and keep departures final

Cause, found by reading: a leader elected while the primary was down saw no member lead and waited; a held-up announcement brought a dead member back, which every later promotion would wait for.

--- a/lavendergate/controllers/fleet_hub.py
+++ b/lavendergate/controllers/fleet_hub.py
@@ -154,6 +154,18 @@
             self._notify()
         return bool(changed)
 
+    def believed_primary(self, service: GroupId) -> UpstreamId | None:
+        """Return who led a service when that was last known."""
+        notice = self._primaries.get(service)
+        if notice is not None:
+            return notice.upstream_id
+        claiming = [
+            entry.upstream_id
+            for entry in self._directory.members_of(service)
+            if entry.is_primary
+        ]
+        return claiming[0] if len(claiming) == 1 else None
+
     def notice_primary(self, notice: PrimaryNotice) -> None:
         """Tell the hosts who leads a service."""
         known = self._primaries.get(notice.service)
--- a/lavendergate/controllers/member_watch.py
+++ b/lavendergate/controllers/member_watch.py
@@ -149,18 +149,26 @@
             for watched in self._watched.values()
             if watched.entry.service == service
         ]
+        primary = _primary_among(members) or self._unseen_primary(service)
         return ServiceObservation(
-            primary=_primary_among(members),
+            primary=primary,
             members=tuple(self._observation(known) for known in members),
             reports=tuple(
                 ReachReport(reported_at=reported_at, reachable=reach.reachable)
                 for reported_at, reach in self._hub.reports_of(service)
-                if reach.upstream_id == _primary_among(members)
+                if reach.upstream_id == primary
             ),
             departed_at=self._hub.departed_at(service),
             primary_seen_at=self._primary_seen.get(service),
         )
 
+    def _unseen_primary(self, service: GroupId) -> UpstreamId | None:
+        """Return the primary that other hosts saw, if it never answered."""
+        believed = self._hub.believed_primary(service)
+        watched = None if believed is None else self._watched.get(believed)
+        is_unseen = watched is not None and watched.report is None
+        return believed if is_unseen else None
+
     def is_complete(self, service: GroupId) -> bool:
         """Return whether all members of a service are being watched."""
         return all(
--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -163,6 +163,9 @@
         if isinstance(judge_primary(observed, self._clock()), Keep):
             self._notice_replacing(service, observed, is_replacing=False)
             return 'the primary serves again'
+        if not self._watch.is_complete(service):
+            self._wait(service, 'a member has just announced itself', None)
+            return None
         proved_at = self._real_clock()
         candidate = choose_candidate(observed, self._ordered(service))
         if candidate is None:
--- a/lavendergate/core/fleet_directory.py
+++ b/lavendergate/core/fleet_directory.py
@@ -11,6 +11,8 @@
 
 from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
 
+_LAST_SEQUENCE = (1 << 63) - 1
+
 
 @enum.unique
 class MemberAvailability(enum.Enum):
@@ -105,9 +107,17 @@
 
 
 def departed(entry: MemberEntry) -> MemberEntry:
-    """Return the entry of a member that has left."""
+    """Return the entry of a member that has left.
+
+    It outranks all announcements of the same start, since one that was held
+    up may arrive later. Without a time of birth a next start cannot be told
+    apart, so only earlier announcements are outranked.
+    """
     return msgspec.structs.replace(
-        entry, availability=MemberAvailability.gone, is_primary=False
+        entry,
+        availability=MemberAvailability.gone,
+        is_primary=False,
+        sequence=_LAST_SEQUENCE if entry.born else entry.sequence,
     )
 
 
--- a/lavendergate/tests/test_fleet_directory.py
+++ b/lavendergate/tests/test_fleet_directory.py
@@ -100,3 +100,12 @@
         self.assertFalse(directory.members_of(SERVICE))
         directory, _ = merge(directory, (entry(born=2),))
         self.assertTrue(directory.members_of(SERVICE))
+
+    def test_late_announcement_does_not_bring_back_who_left(self) -> None:
+        """Guards against a dead member that a promotion waits for."""
+        late = entry(
+            born=1, sequence=9, availability=MemberAvailability.draining
+        )
+        directory, _ = merge(FleetDirectory(), (departed(entry(born=1)),))
+        directory, _ = merge(directory, (late,))
+        self.assertFalse(directory.members_of(SERVICE))
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -340,3 +340,14 @@
                 self.assertEqual(group.primary.content(item), 'kept', item)
 
         play(scenario)
+
+    def test_primary_that_a_new_leader_never_saw_is_replaced(self) -> None:
+        """Guards against a gap that lasts until the lost primary returns."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            control.group.member('a').is_down = True
+            await anyio.sleep(5)
+            self.assertEqual(len(control.orders.orders), 1)
+            self.assertNotEqual(control.group.primary.entry.upstream_id, 'a')
+
+        play(scenario)
