--- a/lavendergate/core/succession.py
+++ b/lavendergate/core/succession.py
@@ -13,7 +13,7 @@
 
 # A primary without an answer for this long is replaced, in seconds. It
 # outlasts a lost packet and one retransmission between regions.
-PRIMARY_SILENCE_S = 1.0
+PRIMARY_SILENCE_S = 0.7
 # Replicas that receive nothing for this long although the primary is ahead
 # are cut off from it, in seconds.
 REPLICATION_STALL_S = 1.5
