--- a/lavendergate/controllers/member_watch.py
+++ b/lavendergate/controllers/member_watch.py
@@ -31,6 +31,7 @@
 )
 from lavendergate.core.types import (
     LOG_START,
+    NO_TERM,
     GroupId,
     LogPosition,
     Term,
@@ -64,6 +65,8 @@
         See `MemberObservation`.
     target
         Position of the primary that the member has to reach next.
+    followed_term
+        Term of that primary.
     """
 
     entry: MemberEntry
@@ -74,20 +77,31 @@
     failing_since: float | None = None
     behind_since: float | None = None
     target: LogPosition | None = None
+    followed_term: Term = NO_TERM
 
     def learn(self, report: MemberReport, now: float) -> None:
         """Record a report."""
         self.report = report
         self.answer(now)
 
-    def compare(self, primary: LogPosition, now: float) -> None:
-        """Set the next target, once the former one is reached."""
-        if self.report is None:
+    def compare(self, primary: MemberReport, now: float) -> None:
+        """Set the next target, once the former one is reached.
+
+        A replica that is paused receives nothing, and one that was resumed
+        or follows another primary has just begun to.
+        """
+        report = self.report
+        if report is None:
+            return
+        if report.paused_term or primary.term != self.followed_term:
+            self.followed_term = primary.term
+            self.target = None
+            self.behind_since = None
+        if report.paused_term:
             return
-        received = self.report.received
-        if self.target is None or received >= self.target:
-            is_behind = received < primary
-            self.target = primary if is_behind else None
+        if self.target is None or report.received >= self.target:
+            is_behind = report.received < primary.received
+            self.target = primary.received if is_behind else None
             self.behind_since = now if is_behind else None
 
     def answer(self, now: float) -> None:
@@ -208,7 +222,7 @@
         primary = self._primary_report(watched.entry.service)
         watched.learn(report, now)
         if primary is not None and not report.is_primary:
-            watched.compare(primary.received, now)
+            watched.compare(primary, now)
         if self._notice(watched, report, now):
             service = watched.entry.service
             self._hub.note_position(service, report.received, asked_at)
