Keep a small share of connections until control has counted the proxies

Cause: a proxy started with the share of one that is alone (14 connections of 16), and a new leader told the first proxies to ask that there are only few of them.

--- a/lavendergate/controllers/fleet_hub.py
+++ b/lavendergate/controllers/fleet_hub.py
@@ -77,6 +77,7 @@
         self._entry_versions: dict[UpstreamId, int] = {}
         self._primaries: dict[GroupId, PrimaryNotice] = {}
         self._proxies: dict[HostId, ProxyRecord] = {}
+        self._counting_since: float | None = None
         self._departures: dict[GroupId, float] = {}
         self._changed = Signal()
         self._restored = RoutesRecord()
@@ -215,6 +216,7 @@
 
     async def sync(self, request: SyncRequest) -> SyncReply:
         """Answer with what changed, or wait for a change."""
+        self._note_leadership()
         if request.is_proxy:
             self._proxies[request.host_id] = ProxyRecord(
                 asked_at=self._clock(), reach=request.reach
@@ -276,8 +278,18 @@
             proxies=self._live_proxies(),
         )
 
+    def _note_leadership(self) -> None:
+        if not self.is_leading:
+            self._counting_since = None
+        elif self._counting_since is None:
+            self._counting_since = self._clock()
+
     def _live_proxies(self) -> int:
+        """Return the number of proxies; 0 until all had time to ask."""
         now = self._clock()
+        since = self._counting_since
+        if since is None or now - since < _PROXY_AGE_S:
+            return 0
         return sum(
             now - record.asked_at <= _PROXY_AGE_S
             for record in self._proxies.values()
--- a/lavendergate/controllers/fleet_view.py
+++ b/lavendergate/controllers/fleet_view.py
@@ -10,6 +10,7 @@
     merge,
 )
 from lavendergate.core.routes import Route, RouteTable
+from lavendergate.core.sessions.shares import ASSUMED_PROXIES
 from lavendergate.core.types import GroupId, Term, UpstreamId
 from lavendergate.rpc.fleet_service import PrimaryNotice
 
@@ -38,7 +39,7 @@
         self._leaving_since: dict[UpstreamId, float] = {}
         self._doubted: dict[GroupId, tuple[UpstreamId, float]] = {}
         self._changed = Signal()
-        self._proxies = 1
+        self._proxies = ASSUMED_PROXIES
 
     @property
     def routes(self) -> RouteTable:
@@ -52,7 +53,8 @@
 
     @proxies.setter
     def proxies(self, number: int) -> None:
-        self._proxies = max(1, number)
+        if number:
+            self._proxies = number
 
     @property
     def directory(self) -> FleetDirectory:
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -101,7 +101,7 @@
     entries
         Members whose entries changed.
     proxies
-        Number of proxies that asked lately.
+        Number of proxies that asked lately; 0 while it is not known.
     """
 
     version: FleetVersion
--- a/lavendergate/tests/test_fleet_hub.py
+++ b/lavendergate/tests/test_fleet_hub.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.core.sessions.shares import ASSUMED_PROXIES
 from lavendergate.core.types import HostId
 from lavendergate.rpc.fleet_service import (
     FleetVersion,
@@ -76,5 +78,48 @@
         play(scenario)
 
 
+class ProxyCountTest(unittest.TestCase):
+    """How many proxies share the connections of a member."""
+
+    def test_new_leader_counts_once_all_proxies_had_time_to_ask(self) -> None:
+        """Guards against a proxy that takes all connections of a member.
+
+        The first proxies to reach a new leader were told that they are
+        alone, and left no connection for the others.
+        """
+
+        async def scenario(control: TakeoverFixture) -> None:
+            self.assertEqual((await ask(control)).proxies, 0)
+            await anyio.sleep(5)
+            await ask(control, 'edge-2')
+            await ask(control, 'edge-3')
+            self.assertEqual((await ask(control)).proxies, 3)
+
+        play(scenario)
+
+    def test_count_starts_anew_with_a_leadership(self) -> None:
+        """Guards against a count of a leader that few proxies can reach."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            await ask(control)
+            await anyio.sleep(5)
+            self.assertEqual((await ask(control)).proxies, 1)
+            control.node.view.is_leader = False
+            await ask(control)
+            control.node.view.is_leader = True
+            self.assertEqual((await ask(control)).proxies, 0)
+
+        play(scenario)
+
+    def test_proxy_keeps_its_number_until_it_is_told_another(self) -> None:
+        """Guards against a large share after each change of the leader."""
+        view = FleetView(clock=lambda: 0)
+        view.proxies = 0
+        self.assertEqual(view.proxies, ASSUMED_PROXIES)
+        view.proxies = 9
+        view.proxies = 0
+        self.assertEqual(view.proxies, 9)
+
+
 if __name__ == '__main__':
     unittest.main()
