Count the proxies 1.5 s after an election

Change: a new leader names their number after 1.5 s; by then all proxies have asked it, as a call to a silent leader ends after 1.1 s.

--- a/lavendergate/controllers/fleet_hub.py
+++ b/lavendergate/controllers/fleet_hub.py
@@ -31,6 +31,9 @@
 # A proxy that asked within this time shares the members' connections, in
 # seconds.
 _PROXY_AGE_S = 5.0
+# A new leader has heard from all proxies after this time, in seconds: they
+# notice the change of the leader when their calls time out.
+_COUNTING_S = 1.5
 _MAX_WAIT_S = 2.0
 _MS_PER_S = 1000
 
@@ -288,7 +291,7 @@
         """Return the number of proxies; 0 until all had time to ask."""
         now = self._clock()
         since = self._counting_since
-        if since is None or now - since < _PROXY_AGE_S:
+        if since is None or now - since < _COUNTING_S:
             return 0
         return sum(
             now - record.asked_at <= _PROXY_AGE_S
--- a/lavendergate/tests/test_fleet_hub.py
+++ b/lavendergate/tests/test_fleet_hub.py
@@ -90,7 +90,7 @@
 
         async def scenario(control: TakeoverFixture) -> None:
             self.assertEqual((await ask(control)).proxies, 0)
-            await anyio.sleep(5)
+            await anyio.sleep(1.5)
             await ask(control, 'edge-2')
             await ask(control, 'edge-3')
             self.assertEqual((await ask(control)).proxies, 3)
