Answer proxies before the rest of control is imported

Cause: control hosts answer last after a loss of power. About a tenth of the imports was for the door before MySQL (rpc.messages, core.reports), a third for the HTTP server, metrics and takeovers, which proxies do not need to get routes. Ruled out: reading the log and the directory (0.05 s), and the collector of garbage (no change without it).

Change: methods and messages of the other daemon stand in modules of their own (rpc.methods, rpc.proposals, rpc.announcement_signature). Control starts the log, the directory and the questions to members first, and imports calls, takeovers and metrics (daemon.control_duties) after it answers. Messages of the fleet and consensus services are structs without field names, which are quicker to define and shorter.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -48,18 +48,19 @@
     UpstreamId,
 )
 from lavendergate.core.watchers import watchers_of
-from lavendergate.rpc.codec import (
-    MessagePackCodec,
+from lavendergate.rpc.announcement_signature import (
     sign_announcement,
     verify_announcement,
 )
+from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import (
     HeartbeatReply,
     HeartbeatRequest,
     ShareDemand,
     ShareGrant,
 )
-from lavendergate.rpc.service import HEARTBEAT, UnaryService, call
+from lavendergate.rpc.methods import HEARTBEAT
+from lavendergate.rpc.service import UnaryService, call
 
 _KEY = b'capacity'
 _US = 1_000_000
--- a/benchmarks/settings_propagation.py
+++ b/benchmarks/settings_propagation.py
@@ -40,7 +40,8 @@
 from lavendergate.core.commands import SettingChange
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import StatusReply, StatusRequest
-from lavendergate.rpc.service import STATUS, call
+from lavendergate.rpc.methods import STATUS
+from lavendergate.rpc.service import call
 
 GROUP = SCHEMAS[0]
 _PATHS = ('/', '/franken', f'/franken/{GROUP}', f'/franken/{GROUP}/planner')
--- a/lavendergate/cli/control_client.py
+++ b/lavendergate/cli/control_client.py
@@ -8,7 +8,8 @@
 from lavendergate.cli.options import ControlOptions
 from lavendergate.cli.outcome import refused, unreachable
 from lavendergate.rpc.messages import StatusReply, StatusRequest
-from lavendergate.rpc.service import STATUS, Method, call, open_channel
+from lavendergate.rpc.methods import STATUS
+from lavendergate.rpc.service import Method, call, open_channel
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
--- a/lavendergate/cli/main.py
+++ b/lavendergate/cli/main.py
@@ -33,12 +33,9 @@
 from lavendergate.cli.timeline_command import timeline
 from lavendergate.core.commands import RemoveMember
 from lavendergate.core.types import GroupId, UpstreamId
-from lavendergate.rpc.messages import (
-    ProposeRequest,
-    StatusReply,
-    SwitchoverRequest,
-)
-from lavendergate.rpc.service import PROPOSE, SWITCHOVER
+from lavendergate.rpc.messages import StatusReply, SwitchoverRequest
+from lavendergate.rpc.methods import PROPOSE, SWITCHOVER
+from lavendergate.rpc.proposals import ProposeRequest
 
 _CONTROL = ControlOptions()
 _SWITCHOVER_TIMEOUT_S = 15
--- a/lavendergate/cli/settings_change.py
+++ b/lavendergate/cli/settings_change.py
@@ -17,8 +17,9 @@
 from lavendergate.cli.tables import show, write_json, write_note, write_text
 from lavendergate.core.commands import ChangeSettings, SettingChange
 from lavendergate.core.settings.tree import affected, risk, validate_change
-from lavendergate.rpc.messages import ProposeReply, ProposeRequest, StatusReply
-from lavendergate.rpc.service import PROPOSE
+from lavendergate.rpc.messages import StatusReply
+from lavendergate.rpc.methods import PROPOSE
+from lavendergate.rpc.proposals import ProposeReply, ProposeRequest
 
 
 @Parameter(name='*')
--- a/lavendergate/controllers/control_log.py
+++ b/lavendergate/controllers/control_log.py
@@ -13,7 +13,8 @@
 from lavendergate.core.control_state import ControlState
 from lavendergate.core.records import GroupRecord, HostRecord
 from lavendergate.core.types import GroupId, HostId
-from lavendergate.rpc.messages import ControlHostStatus, ProposeReply
+from lavendergate.rpc.messages import ControlHostStatus
+from lavendergate.rpc.proposals import ProposeReply
 
 LEADER_ROLE = 'leader'
 MEMBER_ROLE = 'member'
--- a/lavendergate/controllers/control_node.py
+++ b/lavendergate/controllers/control_node.py
@@ -33,7 +33,7 @@
     HostIdentityRequest,
     consensus_service,
 )
-from lavendergate.rpc.messages import ProposeReply, ProposeRequest
+from lavendergate.rpc.proposals import ProposeReply, ProposeRequest
 from lavendergate.rpc.service import UnaryService
 from lavendergate.rpc.transport import Transport
 from lavendergate.storage.base import LogStorage
--- a/lavendergate/controllers/failover_reports.py
+++ b/lavendergate/controllers/failover_reports.py
@@ -9,7 +9,7 @@
 from lavendergate.observability.consensus_events import ConsensusEvent
 from lavendergate.observability.failover_events import FailoverEvent
 from lavendergate.observability.log import EventLog
-from lavendergate.rpc.messages import ProposeReply
+from lavendergate.rpc.proposals import ProposeReply
 
 
 class ReportingControlLog(ControlLog):
--- a/lavendergate/controllers/heartbeat.py
+++ b/lavendergate/controllers/heartbeat.py
@@ -31,7 +31,8 @@
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.settings_events import SettingsEvent
 from lavendergate.rpc.messages import HeartbeatReply, HeartbeatRequest
-from lavendergate.rpc.service import HEARTBEAT, call, open_channel
+from lavendergate.rpc.methods import HEARTBEAT
+from lavendergate.rpc.service import call, open_channel
 
 CALL_TIMEOUT_S = 1.5
 # The long poll returns at once while things change; the pause bounds the
--- a/lavendergate/controllers/log_memory.py
+++ b/lavendergate/controllers/log_memory.py
@@ -17,7 +17,8 @@
 )
 from lavendergate.core.records import GroupRecord, HostRecord
 from lavendergate.core.types import GroupId, TermStart
-from lavendergate.rpc.messages import ControlHostStatus, ProposeReply
+from lavendergate.rpc.messages import ControlHostStatus
+from lavendergate.rpc.proposals import ProposeReply
 
 
 class MemoryLog(LogPort):
--- a/lavendergate/controllers/log_port.py
+++ b/lavendergate/controllers/log_port.py
@@ -8,7 +8,8 @@
 from lavendergate.core.records import GroupRecord, HostRecord
 from lavendergate.core.settings.document import SettingsDocument
 from lavendergate.core.types import GroupId, HostId
-from lavendergate.rpc.messages import ControlHostStatus, ProposeReply
+from lavendergate.rpc.messages import ControlHostStatus
+from lavendergate.rpc.proposals import ProposeReply
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lavendergate/controllers/membership.py
+++ b/lavendergate/controllers/membership.py
@@ -11,7 +11,7 @@
 from lavendergate.controllers.share_source import ShareSource
 from lavendergate.core.reports import Announcement
 from lavendergate.core.types import HostId, UpstreamId
-from lavendergate.rpc.codec import verify_announcement
+from lavendergate.rpc.announcement_signature import verify_announcement
 from lavendergate.rpc.messages import (
     AnnounceReply,
     AnnounceRequest,
--- a/lavendergate/controllers/proxy_shares.py
+++ b/lavendergate/controllers/proxy_shares.py
@@ -4,11 +4,7 @@
 
 from lavendergate.controllers.connections import ConnectionPools, MemberPool
 from lavendergate.core.types import UpstreamId
-from lavendergate.rpc.messages import (
-    RetiredConnection,
-    ShareDemand,
-    ShareGrant,
-)
+from lavendergate.rpc.messages import RetiredConnection, ShareDemand, ShareGrant
 
 REOPEN_LIMIT_S = 1.0
 
--- a/lavendergate/controllers/settings.py
+++ b/lavendergate/controllers/settings.py
@@ -6,7 +6,7 @@
 from lavendergate.core.settings.tree import change_problem
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.settings_events import SettingsEvent
-from lavendergate.rpc.messages import ProposeReply, ProposeRequest
+from lavendergate.rpc.proposals import ProposeReply, ProposeRequest
 from lavendergate.rpc.settings_service import (
     SettingsHistoryReply,
     SettingsHistoryRequest,
--- a/lavendergate/controllers/shares.py
+++ b/lavendergate/controllers/shares.py
@@ -23,11 +23,7 @@
     remove,
 )
 from lavendergate.core.types import HostId, UpstreamId
-from lavendergate.rpc.messages import (
-    HeartbeatRequest,
-    ShareDemand,
-    ShareGrant,
-)
+from lavendergate.rpc.messages import HeartbeatRequest, ShareDemand, ShareGrant
 
 TICK_S = 0.25
 
--- a/lavendergate/daemon/control.py
+++ b/lavendergate/daemon/control.py
@@ -20,16 +20,14 @@
 from lavendergate.core.types import HostId
 from lavendergate.daemon.context import ProcessContext
 from lavendergate.rpc.messages import AnnounceReply, AnnounceRequest
-from lavendergate.rpc.service import (
+from lavendergate.rpc.methods import (
     ANNOUNCE,
     HEARTBEAT,
     PROPOSE,
     STATUS,
     SWITCHOVER,
-    UnaryService,
-    call,
-    open_channel,
 )
+from lavendergate.rpc.service import UnaryService, call, open_channel
 from lavendergate.rpc.settings_service import SETTINGS_HISTORY
 from lavendergate.rpc.transport import GrpcTransport
 
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -1,7 +1,7 @@
 """The control role on the users' platform."""
 
-import secrets
-from functools import partial
+import os
+from importlib import import_module
 from pathlib import Path
 from typing import TypeVar
 
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 from anyio.to_thread import run_sync as run_in_thread
 from grpclib.server import Server
-from result import Err, Ok
+from result import Ok
 
 from lavendergate.controllers.control_feed import ControlFeed, FeedSink
 from lavendergate.controllers.control_node import ControlNode
@@ -17,26 +17,14 @@
 from lavendergate.controllers.fleet_hub import FleetHub
 from lavendergate.controllers.group_formation import GroupFormation
 from lavendergate.controllers.member_watch import MemberWatch
-from lavendergate.controllers.takeover import TakeoverController
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
-from lavendergate.core.control_routes import pack_routes, unpack_routes
-from lavendergate.core.fleet_directory import MemberEntry, departed
-from lavendergate.core.routes import RoutesVersion, RouteTable
-from lavendergate.core.types import HostId, UpstreamId
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted import HostedProcess, real_time_s
 from lavendergate.daemon.supervision import keep_running
-from lavendergate.observability.exposition import SessionMetrics
 from lavendergate.observability.session_events import SessionEvent
-from lavendergate.platform.control_calls import (
-    MAX_BODY_BYTES,
-    ControlCalls,
-    ControlHttp,
-)
-from lavendergate.platform.documents import decode_routes
 from lavendergate.platform.members import LineMemberDialer
-from lavendergate.platform.promotion_calls import PlatformPromotions
-from lavendergate.platform.readiness import serve_metrics
 from lavendergate.platform.settings_file import HostSettings
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.fleet_service import (
@@ -56,7 +44,6 @@
     RoutesRequest,
     SyncReply,
 )
-from lavendergate.rpc.http import serve_http
 from lavendergate.rpc.peers import PeerCallError, Peers
 from lavendergate.rpc.service import Method, UnaryService
 from lavendergate.rpc.transport import GrpcTransport
@@ -88,6 +75,16 @@
 _SOURCE_BYTES = 8
 # Above all versions, so that no answer carries a route table.
 _NEWEST_ROUTES = 1 << 62
+# What proxies do not need at once is imported after the first answers to
+# them: imports take most of a start.
+_LATER_MODULES = (
+    'lavendergate.controllers.takeover',
+    'lavendergate.platform.control_calls',
+    'lavendergate.observability.exposition',
+    'lavendergate.daemon.control_duties',
+)
+# Pause between imports, in which waiting calls are answered, in seconds.
+_IMPORT_PAUSE_S = 0.004
 
 
 class HubSink(FeedSink):
@@ -118,8 +115,8 @@
             self._hub.notice_primary(notice)
 
 
-class HostedControl(ControlCalls):
-    """Decides, together with the other control hosts.
+class HostedControl:
+    """Keeps the log and the directory, together with the other hosts.
 
     Parameters
     ----------
@@ -136,8 +133,6 @@
         self._events = process.events
         self._host_id = HostId(settings.node_name)
         self._peers = Peers()
-        self._metrics = SessionMetrics()
-        self._routes = RouteTable()
         directory = Path(settings.data_dir or '/tmp/control')  # noqa: S108
         storage, damage = open_or_replace(directory / 'log', self._host_id)
         if damage is not None:
@@ -159,7 +154,7 @@
         )
         self._hub = FleetHub(
             node=self._node,
-            source=f'{settings.node_name}/{secrets.token_hex(_SOURCE_BYTES)}',
+            source=f'{settings.node_name}/{os.urandom(_SOURCE_BYTES).hex()}',
             clock=anyio.current_time,
             real_clock=real_time_s,
             events=self._events,
@@ -172,18 +167,6 @@
             clock=anyio.current_time,
             real_clock=real_time_s,
         )
-        self._takeover = TakeoverController(
-            node=self._node,
-            hub=self._hub,
-            watch=self._watch,
-            orders=PlatformPromotions(address=settings.cloud_api.address),
-            routes=self._current_routes,
-            host_id=self._host_id,
-            clock=anyio.current_time,
-            real_clock=real_time_s,
-            events=self._events,
-            metrics=self._metrics,
-        )
         self._formation = GroupFormation(
             node=self._node,
             address=settings.internal_address,
@@ -205,11 +188,24 @@
         self._directory_file = DirectoryFile(folder=directory)
         process.observe(self._change_settings)
 
+    @property
+    def node(self) -> ControlNode:
+        """Node of the replicated log."""
+        return self._node
+
+    @property
+    def hub(self) -> FleetHub:
+        """Directory of the members."""
+        return self._hub
+
+    @property
+    def watch(self) -> MemberWatch:
+        """Questions to the members."""
+        return self._watch
+
     async def run(self) -> None:
         """Serve until the process is told to stop."""
         settings = self._process.settings
-        if settings.bind_addrs.control is None:
-            raise ValueError('the settings name no address for control')
         await self._tasks.start(self._node.run)
         saved = self._directory_file.load()
         self._hub.restore(saved.entries, saved.routes)
@@ -218,118 +214,43 @@
             codec=MessagePackCodec(),
         )
         await server.start(settings.ip, settings.internal_ports[0])
-        http = ControlHttp(calls=self)
-
-        await self._tasks.start(
-            partial(
-                serve_http,
-                settings.bind_addrs.control,
-                http.handle,
-                max_body_bytes=MAX_BODY_BYTES,
-            )
-        )
-        self._metrics.is_leader.set_function(lambda: int(self._hub.is_leading))
-        self._metrics.routes_version.set_function(
-            lambda: self._node.view.state.routes.version
-        )
-        await self._tasks.start(serve_metrics, settings.ip, self._metrics.text)
         for name, run in (
             ('formation', self._formation.run),
             ('hub', self._hub.watch_log),
             ('feed', self._feed.run),
             ('watch', self._watch.run),
-            ('takeover', self._takeover.run),
             ('handover', self._push_to_leaders),
             ('directory', self._save_directory),
         ):
             self._tasks.start_soon(keep_running, name, run, self._events)
+        await self._start_duties()
         await self._process.wait_for_stop()
         await anyio.sleep(_STOP_DELAY_S)
         server.close()
 
-    async def announce(self, entry: MemberEntry) -> bool:
-        """Take an announcement; see the port."""
-        is_changed = self._hub.merge((entry,))
-        if self._hub.is_leading:
-            return True
-        if not is_changed and self._node.view.has_quorum:
-            return True
-        return await self._push((entry,))
-
-    async def depart(self, upstream_id: UpstreamId) -> bool:
-        """Take a departure; see the port."""
-        entry = self._hub.directory.entries.get(upstream_id)
-        if entry is None:
-            return True
-        gone = departed(entry)
-        self._hub.merge((gone,))
-        return self._hub.is_leading or await self._push((gone,))
-
-    async def publish(self, version: RoutesVersion, content: bytes) -> bool:
-        """Publish a route table; see the port."""
-        if version <= self._node.view.state.routes.version:
-            # What is applied is committed, so the version is overtaken.
-            return True
-        command = PublishRoutes(version=version, content=pack_routes(content))
-        if self._node.view.is_leader:
-            return await self._propose(command)
-        reply = await self._ask_leader(
-            PROPOSE_FLEET, FleetProposal(command=command)
+    async def push(self, entries: tuple[MemberEntry, ...]) -> bool:
+        """Tell the leader what this host heard; return whether it took it."""
+        reply = await self.ask_leader(
+            MERGE, MergeRequest(entries=entries), timeout_s=_MERGE_TIMEOUT_S
         )
         return reply is not None and reply.accepted
 
-    async def published(self) -> bytes | None:
-        """Return the newest route table; see the port."""
-        request = RoutesRequest()
-        if self._node.view.is_leader:
-            reply = await self._answer_routes(request)
-        else:
-            asked = await self._ask_leader(READ_ROUTES, request)
-            reply = asked or RoutesReply(content=None)
-        return None if reply.content is None else unpack_routes(reply.content)
-
-    def _fleet_service(self) -> UnaryService:
-        return UnaryService(
-            implementations={
-                SYNC: self._hub.sync,
-                MERGE: self._answer_merge,
-                PROPOSE_FLEET: self._answer_proposal,
-                READ_ROUTES: self._answer_routes,
-                JOIN: self._answer_join,
-            }
-        )
-
-    async def _answer_merge(self, request: MergeRequest) -> MergeReply:
-        return self._hub.take_merge(request)
-
-    async def _answer_join(self, request: JoinRequest) -> JoinReply:
-        return self._formation.join(request)
-
-    async def _answer_proposal(
-        self, request: FleetProposal
-    ) -> FleetProposalReply:
-        return FleetProposalReply(accepted=await self._propose(request.command))
+    async def propose(self, command: PublishRoutes) -> bool:
+        """Propose a route table; return whether it is committed."""
+        with anyio.move_on_after(_FORWARD_TIMEOUT_S):
+            proposed = await self._node.propose(command)
+            return isinstance(proposed, Ok)
+        return False
 
-    async def _answer_routes(self, request: RoutesRequest) -> RoutesReply:
+    async def answer_routes(self, request: RoutesRequest) -> RoutesReply:
+        """Return the newest route table, confirmed by a majority."""
         with anyio.move_on_after(_FORWARD_TIMEOUT_S):
             read = await self._node.read_state()
             if isinstance(read, Ok) and read.ok_value.routes.version:
                 return RoutesReply(content=read.ok_value.routes.content)
         return RoutesReply(content=None)
 
-    async def _propose(self, command: PublishRoutes) -> bool:
-        with anyio.move_on_after(_FORWARD_TIMEOUT_S):
-            proposed = await self._node.propose(command)
-            return isinstance(proposed, Ok)
-        return False
-
-    async def _push(self, entries: tuple[MemberEntry, ...]) -> bool:
-        reply = await self._ask_leader(
-            MERGE, MergeRequest(entries=entries), timeout_s=_MERGE_TIMEOUT_S
-        )
-        return reply is not None and reply.accepted
-
-    async def _ask_leader(
+    async def ask_leader(
         self,
         method: Method[RequestT, ReplyT],
         request: RequestT,
@@ -347,6 +268,41 @@
         except PeerCallError:
             return None
 
+    async def _start_duties(self) -> None:
+        for name in _LATER_MODULES:
+            import_module(name)
+            await anyio.sleep(_IMPORT_PAUSE_S)
+        from lavendergate.daemon.control_duties import (  # noqa: WPS433
+            ControlDuties,
+        )
+
+        duties = ControlDuties(
+            control=self, process=self._process, tasks=self._tasks
+        )
+        await duties.start()
+
+    def _fleet_service(self) -> UnaryService:
+        return UnaryService(
+            implementations={
+                SYNC: self._hub.sync,
+                MERGE: self._answer_merge,
+                PROPOSE_FLEET: self._answer_proposal,
+                READ_ROUTES: self.answer_routes,
+                JOIN: self._answer_join,
+            }
+        )
+
+    async def _answer_merge(self, request: MergeRequest) -> MergeReply:
+        return self._hub.take_merge(request)
+
+    async def _answer_join(self, request: JoinRequest) -> JoinReply:
+        return self._formation.join(request)
+
+    async def _answer_proposal(
+        self, request: FleetProposal
+    ) -> FleetProposalReply:
+        return FleetProposalReply(accepted=await self.propose(request.command))
+
     async def _push_to_leaders(self) -> None:
         """Tell each new leader what this host heard from members."""
         told: tuple[str | None, int] = (None, 0)
@@ -357,7 +313,7 @@
             if view.is_leader or current == told or current[0] is None:
                 continue
             entries = tuple(self._hub.directory.entries.values())
-            if await self._push(entries):
+            if await self.push(entries):
                 told = current
 
     async def _save_directory(self) -> None:
@@ -373,14 +329,6 @@
                 )
                 await run_in_thread(self._directory_file.save, directory)
 
-    def _current_routes(self) -> RouteTable:
-        record = self._node.view.state.routes
-        if record.version != self._routes.version:
-            decoded = decode_routes(unpack_routes(record.content))
-            if not isinstance(decoded, Err):
-                self._routes = decoded.ok_value
-        return self._routes
-
     def _change_settings(self, settings: HostSettings) -> None:
         self._feed.change_seeds(settings.control_hosts)
         self._formation.change_seeds(settings.control_hosts)
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -25,7 +25,8 @@
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.rpc.codec import MessagePackCodec
-from lavendergate.rpc.service import ANNOUNCE, UnaryService
+from lavendergate.rpc.methods import ANNOUNCE
+from lavendergate.rpc.service import UnaryService
 from lavendergate.rpc.tls import Certificate, TlsContexts
 
 INCARNATION_BYTES = 8
--- a/lavendergate/rpc/consensus_service.py
+++ b/lavendergate/rpc/consensus_service.py
@@ -1,34 +1,37 @@
 """Messages and methods between control hosts, and for their first start."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+
+import msgspec
 
 from lavendergate.core.consensus.messages import Envelope
 from lavendergate.core.types import HostId
 from lavendergate.rpc.service import Method, UnaryService
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ExchangeRequest:
+class ExchangeRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """A message of the replicated log."""
 
     envelope: Envelope
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ExchangeReply:
+class ExchangeReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The answer to a message, or None if it was dropped."""
 
     envelope: Envelope | None
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class HostIdentityRequest:
+class HostIdentityRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Asks a control host who it is."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class HostIdentityReply:
+class HostIdentityReply(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Identity of a control host.
 
     Parameters
@@ -44,8 +47,7 @@
     initialised: bool
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ControlHost:
+class ControlHost(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A control host as operators name it for a configuration."""
 
     host_id: HostId
@@ -53,23 +55,24 @@
     address: str
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ClusterInitRequest:
+class ClusterInitRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """First configuration; every host in it gets the same request."""
 
     voters: tuple[ControlHost, ...]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ClusterReplaceRequest:
+class ClusterReplaceRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Replaces a voter by a host that is not in the configuration."""
 
     old_host_id: HostId
     new_host: ControlHost
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ClusterReply:
+class ClusterReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Result of a change of the configuration.
 
     Parameters
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -1,6 +1,6 @@
 """Messages that keep the view of all hosts of a fleet alike."""
 
-from dataclasses import dataclass
+import msgspec
 
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.fleet_directory import MemberEntry
@@ -15,8 +15,7 @@
 from lavendergate.rpc.service import Method
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PrimaryNotice:
+class PrimaryNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Member that leads a service."""
 
     service: GroupId
@@ -24,8 +23,9 @@
     term: Term
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PositionNotice:
+class PositionNotice(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Position of a service's primary.
 
     Parameters
@@ -39,8 +39,7 @@
     age_ms: int
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PrimaryReach:
+class PrimaryReach(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Whether a proxy reached the primary of a service lately."""
 
     service: GroupId
@@ -48,8 +47,7 @@
     reachable: bool
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FleetVersion:
+class FleetVersion(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """How much of a control host's view the asker holds.
 
     Parameters
@@ -64,8 +62,7 @@
     version: int = 0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SyncRequest:
+class SyncRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Asks for what changed since a version.
 
     Parameters
@@ -86,8 +83,7 @@
     wait_s: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SyncReply:
+class SyncReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What changed.
 
     Parameters
@@ -116,55 +112,49 @@
     proxies: int
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MergeRequest:
+class MergeRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Announcements that reached another control host."""
 
     entries: tuple[MemberEntry, ...]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MergeReply:
+class MergeReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Whether the receiver leads and took the announcements."""
 
     accepted: bool
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FleetProposal:
+class FleetProposal(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A route table for the replicated log."""
 
     command: PublishRoutes
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FleetProposalReply:
+class FleetProposalReply(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """Whether the command is committed; if not, it may be later."""
 
     accepted: bool
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RoutesRequest:
+class RoutesRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Asks the leader for the newest route table."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RoutesReply:
+class RoutesReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The newest route table, packed; None if that is not certain."""
 
     content: bytes | None
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class JoinRequest:
+class JoinRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Asks the leader to let a control host into the group."""
 
     host: ControlHost
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class JoinReply:
+class JoinReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Where the request has to go, if the receiver does not lead."""
 
     accepted: bool
--- a/lavendergate/rpc/service.py
+++ b/lavendergate/rpc/service.py
@@ -9,7 +9,6 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Stream
 
-from lavendergate.rpc import messages
 from lavendergate.rpc.codec import MessagePackCodec
 
 RequestT = TypeVar('RequestT')
@@ -25,33 +24,6 @@
     reply_type: type[ReplyT]
 
 
-ANNOUNCE = Method(
-    path='/lavendergate.Membership/Announce',
-    request_type=messages.AnnounceRequest,
-    reply_type=messages.AnnounceReply,
-)
-HEARTBEAT = Method(
-    path='/lavendergate.Membership/Heartbeat',
-    request_type=messages.HeartbeatRequest,
-    reply_type=messages.HeartbeatReply,
-)
-PROPOSE = Method(
-    path='/lavendergate.Control/Propose',
-    request_type=messages.ProposeRequest,
-    reply_type=messages.ProposeReply,
-)
-SWITCHOVER = Method(
-    path='/lavendergate.Control/Switchover',
-    request_type=messages.SwitchoverRequest,
-    reply_type=messages.SwitchoverReply,
-)
-STATUS = Method(
-    path='/lavendergate.Control/Status',
-    request_type=messages.StatusRequest,
-    reply_type=messages.StatusReply,
-)
-
-
 class UnaryService:
     """Collection of unary methods that a grpclib server can serve.
 
--- a/lavendergate/tests/control_fixture.py
+++ b/lavendergate/tests/control_fixture.py
@@ -28,7 +28,7 @@
     SettingsVersion,
     UpstreamId,
 )
-from lavendergate.rpc.codec import sign_announcement
+from lavendergate.rpc.announcement_signature import sign_announcement
 from lavendergate.rpc.messages import (
     AnnounceReply,
     AnnounceRequest,
--- a/lavendergate/tests/test_command_line.py
+++ b/lavendergate/tests/test_command_line.py
@@ -32,12 +32,9 @@
 )
 from lavendergate.rpc import messages
 from lavendergate.rpc.codec import MessagePackCodec
-from lavendergate.rpc.service import (
-    PROPOSE,
-    STATUS,
-    SWITCHOVER,
-    UnaryService,
-)
+from lavendergate.rpc.methods import PROPOSE, STATUS, SWITCHOVER
+from lavendergate.rpc.proposals import ProposeReply, ProposeRequest
+from lavendergate.rpc.service import UnaryService
 from lavendergate.rpc.settings_service import (
     SETTINGS_HISTORY,
     SettingsHistoryReply,
@@ -129,18 +126,16 @@
             problems=self.problems,
         )
 
-    async def propose(
-        self, request: messages.ProposeRequest
-    ) -> messages.ProposeReply:
+    async def propose(self, request: ProposeRequest) -> ProposeReply:
         """Apply a command; some answers are lost after that."""
         if self.leader != self.address:
-            return messages.ProposeReply(accepted=False, leader=self.leader)
+            return ProposeReply(accepted=False, leader=self.leader)
         match request.command:
             case ChangeSettings() as change:
                 reply = self.change(change)
             case RemoveMember() as command:
                 self.removed.append(command)
-                reply = messages.ProposeReply(accepted=True)
+                reply = ProposeReply(accepted=True)
             case _:
                 raise AssertionError(request)
         if self.lost_answers:
@@ -148,17 +143,17 @@
             raise ConnectionError
         return reply
 
-    def change(self, change: ChangeSettings) -> messages.ProposeReply:
+    def change(self, change: ChangeSettings) -> ProposeReply:
         """Compare and set, with operation ids."""
         if change.operation_id in self.answers:
             first, version = self.answers[change.operation_id]
-            return messages.ProposeReply(
+            return ProposeReply(
                 accepted=first == change,
                 problem='other change',
                 settings_version=SettingsVersion(version),
             )
         if change.base_version != self.document.version:
-            return messages.ProposeReply(accepted=False, problem='conflict')
+            return ProposeReply(accepted=False, problem='conflict')
         self.document = apply_changes(self.document, change.changes)
         version = self.document.version
         self.answers[change.operation_id] = (change, version)
@@ -170,7 +165,7 @@
                 changes=change.changes,
             )
         )
-        return messages.ProposeReply(accepted=True, settings_version=version)
+        return ProposeReply(accepted=True, settings_version=version)
 
     async def switchover(
         self, request: messages.SwitchoverRequest
--- a/lavendergate/tests/test_settings_events.py
+++ b/lavendergate/tests/test_settings_events.py
@@ -12,7 +12,7 @@
 from lavendergate.core.types import SettingsVersion
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.observability.settings_events import SettingsEvent
-from lavendergate.rpc.messages import ProposeReply, ProposeRequest
+from lavendergate.rpc.proposals import ProposeReply, ProposeRequest
 
 
 class _Node:
--- a/standin/announcer.py
+++ b/standin/announcer.py
@@ -13,9 +13,11 @@
     Region,
     UpstreamId,
 )
-from lavendergate.rpc.codec import MessagePackCodec, sign_announcement
+from lavendergate.rpc.announcement_signature import sign_announcement
+from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.messages import AnnounceRequest
-from lavendergate.rpc.service import ANNOUNCE, call
+from lavendergate.rpc.methods import ANNOUNCE
+from lavendergate.rpc.service import call
 from standin.faults import Faults
 from standin.group import GroupMember
 from standin.options import MemberOptions
