Ignore a reload signal until the daemon can handle it

Cause: found by reading: SIGHUP ends a process that has not installed its handler yet, which is for the first 0.4 s of a start on the users' platform, while roles are imported.

Change: the signal is ignored from the start of main. The settings are compared with the file every second, so no change is missed.

--- a/lavendergate/daemon/hosted.py
+++ b/lavendergate/daemon/hosted.py
@@ -119,6 +119,9 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run a role: ``proxy`` or ``control``."""
+    # The signal ends a process that has no handler yet. The settings are
+    # compared with the file every second, so that no change is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     named = sys.argv[1:] if arguments is None else arguments
     role = named[0] if len(named) == 1 else ''
     if role not in {'proxy', 'control'}:
