Explain requests whose host ended before it answered

Change: without an event of the request, the command names the third reason and shows the starts of hosts and the counts of dropped lines.

--- a/lavendergate/observability/explanation.py
+++ b/lavendergate/observability/explanation.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from lavendergate.observability.event_type import Event
+from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.observability.timeline import Line, Timeline
 
@@ -33,6 +34,11 @@
         SessionEvent.takeover_ended,
     )
 )
+# Why a request may have no event.
+_GAPS = frozenset(
+    event.number
+    for event in (ProcessEvent.process_started, ProcessEvent.events_dropped)
+)
 _OUTCOMES: tuple[Event, ...] = (
     SessionEvent.request_refused,
     SessionEvent.request_delayed,
@@ -51,11 +57,14 @@
         What the serving host learned shortly before, oldest first.
     decisions
         What control decided about the service at that time.
+    gaps
+        Starts of hosts and dropped lines, if no event names the request.
     """
 
     outcomes: tuple[Line, ...]
     beliefs: tuple[Line, ...] = ()
     decisions: tuple[Line, ...] = ()
+    gaps: tuple[Line, ...] = ()
 
 
 def explain_request(timeline: Timeline, request_id: str) -> Explanation:
@@ -76,7 +85,8 @@
         and line.fields.get('request_id') == request_id
     )
     if not outcomes:
-        return Explanation(outcomes=())
+        gaps = tuple(line for line in timeline.lines if line.number in _GAPS)
+        return Explanation(outcomes=(), gaps=gaps)
     last = outcomes[-1]
     service = last.fields.get('service')
     return Explanation(
@@ -112,9 +122,11 @@
 def _paragraphs(explanation: Explanation) -> Iterator[str]:
     if not explanation.outcomes:
         yield (
-            'No event names this request: it was answered in time, or its '
-            'line was dropped (event 7032 counts these).'
+            'No event names this request: it was answered in time, its host '
+            'ended before it answered, or its line was dropped.'
         )
+        yield 'Starts of hosts and dropped lines'
+        yield from _shown(explanation.gaps)
         return
     last = explanation.outcomes[-1]
     yield 'Outcome'
--- a/lavendergate/tests/test_explanation.py
+++ b/lavendergate/tests/test_explanation.py
@@ -2,17 +2,18 @@
 
 import unittest
 
-from lavendergate.observability.event_type import FieldValue
+from lavendergate.observability.event_type import Event, FieldValue
 from lavendergate.observability.explanation import (
     explain_request,
     render_explanation,
 )
+from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.observability.timeline import Line, Timeline
 
 
 def line(
-    event: SessionEvent,
+    event: Event,
     at_ms: int,
     host: str = 'edge-1',
     **fields: FieldValue,
@@ -61,3 +62,22 @@
         """Guards against silence that looks like a result."""
         found = explain_request(Timeline(lines=()), 'r1')
         self.assertIn('No event names', render_explanation(found))
+
+    def test_start_of_a_host_is_shown_for_a_request_without_an_event(
+        self,
+    ) -> None:
+        """Guards against a request whose host ended before it answered.
+
+        On scale-2 of glasrunde-by the page led to nothing for a request that
+        was sent 0.4 s before a loss of power.
+        """
+        timeline = Timeline(
+            lines=(
+                line(SessionEvent.member_suspected, 900, service='s'),
+                line(ProcessEvent.process_started, 1000),
+                line(ProcessEvent.events_dropped, 1100),
+            )
+        )
+        found = explain_request(timeline, 'r1')
+        self.assertEqual([one.time for one in found.gaps], ['1000', '1100'])
+        self.assertIn('process_started', render_explanation(found))
