Leave scarce connections to the other proxies

Cause: each proxy kept one connection to each member.

How many connections are kept and for how long is decided in core (connection shares); the pools look every 0.05 s in place of 0.15 s.

--- a/lavendergate/controllers/fleet_view.py
+++ b/lavendergate/controllers/fleet_view.py
@@ -10,7 +10,6 @@
     merge,
 )
 from lavendergate.core.routes import Route, RouteTable
-from lavendergate.core.sessions.shares import ASSUMED_PROXIES
 from lavendergate.core.types import GroupId, Term, UpstreamId
 from lavendergate.rpc.fleet_service import PrimaryNotice
 
@@ -39,7 +38,7 @@
         self._leaving_since: dict[UpstreamId, float] = {}
         self._doubted: dict[GroupId, tuple[UpstreamId, float]] = {}
         self._changed = Signal()
-        self._proxies = ASSUMED_PROXIES
+        self._proxies: int | None = None
 
     @property
     def routes(self) -> RouteTable:
@@ -47,12 +46,12 @@
         return self._routes
 
     @property
-    def proxies(self) -> int:
-        """Number of proxies that share the members' connections."""
+    def proxies(self) -> int | None:
+        """Number of proxies that share the members' connections, if known."""
         return self._proxies
 
     @proxies.setter
-    def proxies(self, number: int) -> None:
+    def proxies(self, number: int | None) -> None:
         if number:
             self._proxies = number
 
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -17,6 +17,7 @@
     PooledSession,
 )
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.shares import ConnectionShare
 from lavendergate.core.sessions.statements import (
     Phase,
     RefusalCode,
@@ -29,12 +30,7 @@
 # Pause after a member refused a connection because of its limit, and
 # between attempts to reach a member that failed, in seconds.
 _REDIAL_S = 0.25
-# Connections beyond this number are closed when unused this long, in
-# seconds. Members hold connections of hosts that lost power for a while, so
-# some of their limit must stay free for a restart.
-_KEPT_IDLE = 1
-_SURPLUS_IDLE_S = 0.3
-_TRIM_INTERVAL_S = 0.15
+_TRIM_INTERVAL_S = 0.05
 _PROBE_TIMEOUT_S = 0.8
 # Transactions that write hold connections to the primary between their
 # statements, so a host may go this far beyond its share there while others
@@ -65,7 +61,7 @@
         dialer: MemberDialer,
         tasks: TaskGroup,
         clock: Callable[[], float],
-        share: Callable[[MemberEntry], int],
+        share: Callable[[MemberEntry], ConnectionShare],
         events: EventLog,
         metrics: SessionMetrics,
     ) -> None:
@@ -141,7 +137,7 @@
             await link.wait(max(0, until - now))
 
     def _may_open(self, link: MemberLink) -> bool:
-        limit = self._share(link.entry)
+        limit = self._share(link.entry).limit
         if link.entry.is_primary:
             limit *= _PRIMARY_BORROWING
         return link.opened < limit and self._clock() >= link.dial_after
@@ -250,9 +246,10 @@
 
     async def _trim(self, link: MemberLink) -> None:
         now = self._clock()
+        share = self._share(link.entry)
         for pooled in tuple(link.idle):
-            is_surplus = link.opened > _KEPT_IDLE
-            if is_surplus and now - pooled.used_at >= _SURPLUS_IDLE_S:
+            is_surplus = link.opened > share.kept
+            if is_surplus and now - pooled.used_at >= share.idle_s:
                 link.idle.remove(pooled)
                 await self.drop(pooled)
 
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -10,7 +10,10 @@
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.control_routes import unpack_routes
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
-from lavendergate.core.sessions.shares import connection_share
+from lavendergate.core.sessions.shares import (
+    ConnectionShare,
+    connection_share,
+)
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted import HostedProcess, real_time_s
 from lavendergate.daemon.supervision import keep_running, report_failure
@@ -270,7 +273,7 @@
             metrics=self._metrics,
         )
 
-    def _share(self, entry: MemberEntry) -> int:
+    def _share(self, entry: MemberEntry) -> ConnectionShare:
         limits = self._view.routes.services.get(entry.service)
         return connection_share(limits, self._view.proxies)
 
