Serve repeated logic from one place, and leave idle work out of the loops

Found by reading the whole change once more; no decision changes.

- The filters of single statements and of transactions shared one constructor, line by line: PlacingFilter holds it.
- An answer to a host scanned the directory and the primaries even if the host knows all: most answers do not scan any more.
- FleetHub.has_leader repeated is_leading, which its only caller checks as well: knows_leader.
The list of modules to import later named one that the next line imports.

--- a/lavendergate/controllers/fleet_hub.py
+++ b/lavendergate/controllers/fleet_hub.py
@@ -99,9 +99,9 @@
         return view.is_leader and view.has_quorum
 
     @property
-    def has_leader(self) -> bool:
-        """Whether this host leads, or follows a leader."""
-        return self.is_leading or self._node.view.leader_address is not None
+    def knows_leader(self) -> bool:
+        """Whether this host was told who leads."""
+        return self._node.view.leader_address is not None
 
     @property
     def version(self) -> FleetVersion:
@@ -273,20 +273,31 @@
             control_hosts=tuple(sorted(addresses.values())),
             routes_version=routes.version,
             routes=routes.content if is_newer else None,
-            entries=tuple(
-                entry
-                for upstream_id, entry in self._directory.entries.items()
-                if self._entry_versions.get(upstream_id, 0) > known
-            ),
-            primaries=tuple(
-                notice
-                for service, notice in self._primaries.items()
-                if self._primary_versions[service] > known
-            ),
+            entries=self._entries_since(known),
+            primaries=self._primaries_since(known),
             positions=self._position_notices(),
             proxies=self._live_proxies(),
         )
 
+    def _entries_since(self, known: int) -> tuple[MemberEntry, ...]:
+        if known >= self._version:
+            # Most answers carry nothing new, and need no search.
+            return ()
+        return tuple(
+            entry
+            for upstream_id, entry in self._directory.entries.items()
+            if self._entry_versions.get(upstream_id, 0) > known
+        )
+
+    def _primaries_since(self, known: int) -> tuple[PrimaryNotice, ...]:
+        if known >= self._version:
+            return ()
+        return tuple(
+            notice
+            for service, notice in self._primaries.items()
+            if self._primary_versions[service] > known
+        )
+
     def _note_leadership(self) -> None:
         if not self.is_leading:
             self._counting_since = None
--- a/lavendergate/controllers/member_watch.py
+++ b/lavendergate/controllers/member_watch.py
@@ -153,7 +153,7 @@
         """Watch until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                if self._hub.is_leading or not self._hub.has_leader:
+                if self._hub.is_leading or not self._hub.knows_leader:
                     self._start_missing(tasks)
                 else:
                     self._watched = {}
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -168,7 +168,8 @@
         while True:
             await anyio.sleep(_TRIM_INTERVAL_S)
             for link in tuple(self._links.values()):
-                await self._trim(link)
+                if link.idle:
+                    await self._trim(link)
 
     def forget(self, upstream_id: UpstreamId) -> None:
         """Close the idle connections to a member that is gone."""
--- a/lavendergate/core/sessions/shares.py
+++ b/lavendergate/core/sessions/shares.py
@@ -11,8 +11,6 @@
 # members hold the connections of before for seconds, and a proxy that takes
 # more than a small share of the rest leaves none for the others.
 _ASSUMED_PROXIES = 16
-
-
 # A connection that is not needed is closed after this time, in seconds.
 # Members hold connections of hosts that lost power for a while, so some of
 # their limit must stay free for a restart.
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -81,7 +81,6 @@
     'lavendergate.controllers.takeover',
     'lavendergate.platform.control_calls',
     'lavendergate.observability.exposition',
-    'lavendergate.daemon.control_duties',
 )
 # Pause between imports, in which waiting calls are answered, in seconds.
 _IMPORT_PAUSE_S = 0.004
--- a/lavendergate/filters/sessions/placing.py
+++ b/lavendergate/filters/sessions/placing.py
@@ -24,7 +24,7 @@
     SessionAnswer,
 )
 from lavendergate.core.types import GroupId, LogPosition, UpstreamId
-from lavendergate.filters.sessions.base import SessionRequest
+from lavendergate.filters.sessions.base import SessionFilter, SessionRequest
 
 # Share of a staleness bound after which a position is read again in the
 # background, before a read has to wait for it. Positions that control hosts
@@ -219,3 +219,28 @@
             applied_age_s=self._monotonic() - link.applied_at,
             is_suspect=link.is_suspect,
         )
+
+
+class PlacingFilter(SessionFilter):
+    """Base of the filters that run statements at members.
+
+    Parameters
+    ----------
+    placing, pools, positions
+        Where statements may run.
+    monotonic
+        Monotonic time, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        placing: Placing,
+        pools: SessionPools,
+        positions: Positions,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self._placing = placing
+        self._pools = pools
+        self._positions = positions
+        self._monotonic = monotonic
--- a/lavendergate/filters/sessions/single.py
+++ b/lavendergate/filters/sessions/single.py
@@ -1,7 +1,5 @@
 """Runs statements outside of transactions."""
 
-from collections.abc import Callable
-
 import anyio
 
 from lavendergate.backends.sessions import AnswerLostError
@@ -10,8 +8,6 @@
     NoTimeError,
     PooledSession,
 )
-from lavendergate.controllers.positions import Positions
-from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.sessions.patience import waits_for_primary_until
 from lavendergate.core.sessions.statements import (
@@ -29,11 +25,10 @@
 from lavendergate.filters.sessions.base import (
     DataStatement,
     ForwardRequest,
-    SessionFilter,
     SessionRequest,
     refuse,
 )
-from lavendergate.filters.sessions.placing import Placing, ReadDemand
+from lavendergate.filters.sessions.placing import PlacingFilter, ReadDemand
 from lavendergate.filters.sessions.preparation import (
     NotPreparedError,
     prepare_connection,
@@ -52,29 +47,8 @@
 _READ_RETRY_CODES = NOT_RUN_CODES | {RefusalCode.failed, RefusalCode.timeout}
 
 
-class SingleStatementFilter(SessionFilter):
-    """Places reads and writes, again if they provably did not run.
-
-    Parameters
-    ----------
-    placing, pools, positions
-        Where statements may run.
-    monotonic
-        Monotonic time, in seconds.
-    """
-
-    def __init__(
-        self,
-        *,
-        placing: Placing,
-        pools: SessionPools,
-        positions: Positions,
-        monotonic: Callable[[], float],
-    ) -> None:
-        self._placing = placing
-        self._pools = pools
-        self._positions = positions
-        self._monotonic = monotonic
+class SingleStatementFilter(PlacingFilter):
+    """Places reads and writes, again if they provably did not run."""
 
     async def handle(
         self, request: SessionRequest, forward: ForwardRequest
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -1,7 +1,5 @@
 """Runs transactions, each on one connection."""
 
-from collections.abc import Callable
-
 import anyio
 
 from lavendergate.backends.sessions import AnswerLostError
@@ -10,8 +8,6 @@
     NoTimeError,
     PooledSession,
 )
-from lavendergate.controllers.positions import Positions
-from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.routes import Consistency
 from lavendergate.core.sessions.patience import waits_for_primary_until
@@ -35,13 +31,12 @@
     CallerSession,
     DataStatement,
     ForwardRequest,
-    SessionFilter,
     SessionRequest,
     SessionTransaction,
     complete,
     refuse,
 )
-from lavendergate.filters.sessions.placing import Placing, ReadDemand
+from lavendergate.filters.sessions.placing import PlacingFilter, ReadDemand
 from lavendergate.filters.sessions.preparation import (
     NotPreparedError,
     prepare_connection,
@@ -52,29 +47,8 @@
 _ROLLBACK_TIMEOUT_S = 0.5
 
 
-class TransactionFilter(SessionFilter):
-    """Begins, continues and ends transactions.
-
-    Parameters
-    ----------
-    placing, pools, positions
-        Where transactions may run.
-    monotonic
-        Monotonic time, in seconds.
-    """
-
-    def __init__(
-        self,
-        *,
-        placing: Placing,
-        pools: SessionPools,
-        positions: Positions,
-        monotonic: Callable[[], float],
-    ) -> None:
-        self._placing = placing
-        self._pools = pools
-        self._positions = positions
-        self._monotonic = monotonic
+class TransactionFilter(PlacingFilter):
+    """Begins, continues and ends transactions."""
 
     async def handle(
         self, request: SessionRequest, forward: ForwardRequest
