Log which control host a proxy follows, and disks that stall the control log

A host now logs the control host that it follows (8032) and the source of each route table (8020). A control host logs a write that takes longer than an election timeout (8063) and its end (8064), and serves the time that the present write has taken as a metric.

--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -95,6 +95,7 @@
         )
         self._node: NodeState | None = None
         self._is_snapshotting = False
+        self._write_began_at: float | None = None
         self.publisher = ViewPublisher()
 
     @property
@@ -110,6 +111,15 @@
             raise RuntimeError('the node has not started: run the driver')
         return self._node
 
+    @property
+    def storage_wait_s(self) -> float:
+        """Time that the present write has taken so far, in seconds.
+
+        No event is handled meanwhile; 0 if nothing is being written.
+        """
+        began_at = self._write_began_at
+        return 0 if began_at is None else anyio.current_time() - began_at
+
     async def start(self) -> None:
         """Load the node from the storage.
 
@@ -239,7 +249,9 @@
             if isinstance(effect, events.PersistEffect)
         ]
         if writes:
+            self._write_began_at = now
             await self._call_blocking(partial(persist, self._storage, writes))
+            self._write_began_at = None
         for item, effects in stepped:
             for effect in effects:
                 self._execute_effect(effect, item, tasks)
--- a/lavendergate/controllers/control_node.py
+++ b/lavendergate/controllers/control_node.py
@@ -117,6 +117,11 @@
         """Current view of the node; available once `run` has started."""
         return self._driver.publisher.view
 
+    @property
+    def storage_wait_s(self) -> float:
+        """Time that the present write to the log has taken, in seconds."""
+        return self._driver.storage_wait_s
+
     def views(self) -> AsyncIterator[ControlView]:
         """Iterate over the current view and each later one."""
         return self._driver.publisher.views()
--- a/lavendergate/controllers/control_sync.py
+++ b/lavendergate/controllers/control_sync.py
@@ -125,6 +125,7 @@
         self._events = events
         self._known_versions: dict[str, FleetVersion] = {}
         self._leader: str | None = None
+        self._followed: str | None = None
         self._skipped_until: dict[str, float] = {}
         self._is_lost = False
         self._answered_at = float('-inf')
@@ -209,6 +210,14 @@
         self._known_versions[address] = reply.version
         self._control_hosts = list(reply.control_hosts)
         self._leader = address if reply.is_leader else reply.leader
+        if reply.is_leader and address != self._followed:
+            self._events.emit(
+                SessionEvent.control_followed,
+                address=address,
+                former=self._followed,
+                routes_version=reply.routes_version,
+            )
+            self._followed = address
 
     def _next_addresses(self) -> Sequence[str]:
         now = anyio.current_time()
--- /dev/null
+++ b/lavendergate/controllers/log_storage/__init__.py
@@ -0,0 +1,1 @@
+"""Observation of the storage below the replicated log."""
--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -97,6 +97,9 @@
         self._metrics.routes_version.set_function(
             lambda: self._node.view.state.routes.version
         )
+        self._metrics.log_storage_wait.set_function(
+            lambda: self._node.storage_wait_s
+        )
         await self._tasks.start(
             serve_metrics, settings.ip, self._metrics.render
         )
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -127,7 +127,7 @@
         """Apply a sync reply of a control host."""
         if reply.is_leader:
             self._view.proxies = reply.proxies
-        self._adopt_routes(reply.routes)
+        self._adopt_routes(reply.routes, reply.version.source)
         for entry in self._view.merge(reply.entries):
             self._forget_departed(entry)
         self._view.record_primaries(reply.primaries)
@@ -208,7 +208,7 @@
                 sent_at + reply.lease_ms / _MS_PER_S,
             )
 
-    def _adopt_routes(self, content: bytes | None) -> None:
+    def _adopt_routes(self, content: bytes | None, source: str) -> None:
         if not content:
             return
         table = decode_routes(unpack_routes(content))
@@ -218,7 +218,9 @@
             return
         if self._view.adopt_routes(table.ok_value):
             self._events.emit(
-                SessionEvent.routes_in_force, version=table.ok_value.version
+                SessionEvent.routes_in_force,
+                version=table.ok_value.version,
+                source=source,
             )
 
     def _forget_departed(self, entry: MemberEntry) -> None:
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -20,6 +20,7 @@
 from lavendergate.controllers.fleet_state import FleetState
 from lavendergate.controllers.group_formation import GroupFormation
 from lavendergate.controllers.leases.grants import LeaseGrants
+from lavendergate.controllers.log_storage.watch import StorageWatch
 from lavendergate.controllers.member_poller import MemberPoller
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
@@ -194,6 +195,11 @@
             real_clock=boottime_s,
             own_address=settings.internal_address,
         )
+        self._storage_watch = StorageWatch(
+            wait_s=lambda: self._node.storage_wait_s,
+            limit_s=_ELECTION_TIMEOUT_S,
+            events=self._events,
+        )
         self._state_file = FleetStateFile(data_directory=directory)
         process.observe(self._change_settings)
 
@@ -237,6 +243,7 @@
             ('leases', self._leases.run),
             ('handover', self._forward_to_new_leaders),
             ('directory', self._save_fleet_state),
+            ('storage', self._storage_watch.run),
         ):
             self._tasks.start_soon(keep_running, name, run, self._events)
         await self._start_operations()
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -68,6 +68,11 @@
             '1 on the leader of the control hosts, 0 on the others',
             registry=registry,
         )
+        self.log_storage_wait = Gauge(
+            'lavendergate_log_storage_wait_seconds',
+            'Time that a write to the control log has taken; shows stuck disks',
+            registry=registry,
+        )
         self.promotion_orders = Counter(
             'lavendergate_promotion_orders',
             'Orders to promote a member by outcome; shows failed promotions',
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -62,7 +62,10 @@
         'member {upstream} is primary of service {service} in term {term}',
     )
     routes_in_force = define(
-        8020, Level.info, 'route table {version} is in force'
+        8020,
+        Level.info,
+        'route table {version} is in force',
+        extra=('source',),
     )
     routes_published = define(
         8021, Level.info, 'route table {version} is committed'
@@ -77,6 +80,12 @@
     control_regained = define(
         8031, Level.info, 'control host {address} answers again'
     )
+    control_followed = define(
+        8032,
+        Level.info,
+        'this host takes changes from control host {address}',
+        extra=('former', 'routes_version'),
+    )
     settings_reloaded = define(
         8040, Level.info, 'reload of the settings file: {outcome}'
     )
@@ -158,3 +167,14 @@
         'the damaged control log of this host was deleted: {reason}',
         'Check the disk; the host rejoins the group with a new identity.',
     )
+    log_storage_stalled = define(
+        8063,
+        Level.warning,
+        'the control log of this host has waited {waited_ms} ms for its disk',
+        'Check the disk; until it answers, the host neither leads nor follows.',
+    )
+    log_storage_regained = define(
+        8064,
+        Level.info,
+        'the disk of the control log answers again after {waited_ms} ms',
+    )
--- /dev/null
+++ b/lavendergate/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control hosts as their callers see them."""
