--- a/lavendergate/tests/test_control_node.py
+++ b/lavendergate/tests/test_control_node.py
@@ -8,11 +8,9 @@
 
 import anyio
 import looptime
-from anyio.abc import TaskGroup, TaskStatus
 from result import Err, Ok
 
 from lavendergate.controllers.control_node import ControlNode
-from lavendergate.controllers.driver_options import DriverOptions
 from lavendergate.core.commands import (
     BeginTerm,
     ChangeSettings,
@@ -20,7 +18,6 @@
     SettingChange,
 )
 from lavendergate.core.consensus.errors import NoQuorum, NotLeader
-from lavendergate.core.consensus.messages import Envelope
 from lavendergate.core.consensus.types import NodeId
 from lavendergate.core.types import (
     GroupId,
@@ -32,8 +29,6 @@
 from lavendergate.rpc.consensus_service import (
     ClusterInitRequest,
     ClusterReplaceRequest,
-    ControlHost,
-    ExchangeRequest,
 )
 from lavendergate.rpc.memory_transport import (
     LinkFaults,
@@ -42,90 +37,11 @@
 )
 from lavendergate.storage.base import StorageError
 from lavendergate.storage.memory import MemoryStorage
+from lavendergate.tests.control.cluster_fixture import Cluster, host
 
 _GROUP = GroupId('dispatch-db-1')
 
 
-class Cluster:
-    """Control nodes in one process; each host's address is its id."""
-
-    def __init__(self, tasks: TaskGroup) -> None:
-        self.random = Random(11)
-        self.network = MemoryNetwork(random=self.random)
-        self.nodes: dict[str, ControlNode] = {}
-        self._storages: dict[str, MemoryStorage] = {}
-        self._scopes: dict[str, anyio.CancelScope] = {}
-        self._tasks = tasks
-
-    async def start(self, host_id: str, *, incarnation: str = '1') -> None:
-        key = f'{host_id}/{incarnation}'
-        identity = NodeId(host_id=HostId(host_id), incarnation=incarnation)
-        storage = self._storages.setdefault(
-            key, MemoryStorage(identity=identity)
-        )
-        node = ControlNode(
-            host_id=HostId(host_id),
-            address=host_id,
-            transport=MemoryTransport(network=self.network, address=host_id),
-            storage=storage,
-            options=DriverOptions(entries_per_snapshot=20, retained_entries=5),
-            random=self.random.random,
-        )
-
-        async def handle(envelope: Envelope) -> Envelope | None:
-            request = ExchangeRequest(envelope=envelope)
-            return (await node.exchange(request)).envelope
-
-        async def run(*, task_status: TaskStatus[None]) -> None:
-            with anyio.CancelScope() as scope:
-                self._scopes[host_id] = scope
-                await node.run(task_status=task_status)
-
-        await self._tasks.start(run)
-        self.nodes[host_id] = node
-        self.network.handlers[host_id] = handle
-
-    async def stop(self, host_id: str) -> None:
-        self._scopes[host_id].cancel()
-        self.network.handlers.pop(host_id)
-        self.nodes.pop(host_id)
-        await anyio.sleep(0)
-
-    def isolate(self, host_id: str) -> None:
-        for other in self.nodes:
-            self.network.blocked_links |= {(host_id, other), (other, host_id)}
-
-    async def cut_outgoing(self, node: ControlNode) -> None:
-        """Drop all messages of a node until it has stepped down."""
-        host_id = node.view.identity.host_id
-        cut = {(str(host_id), other) for other in self.nodes}
-        self.network.blocked_links |= cut
-        while node.view.is_leader:
-            await anyio.sleep(0.05)
-        self.network.blocked_links -= cut
-
-    async def initialise(self, *host_ids: str) -> None:
-        voters = tuple(host(host_id) for host_id in host_ids)
-        for host_id in host_ids:
-            request = ClusterInitRequest(voters=voters)
-            reply = await self.nodes[host_id].initialise(request)
-            assert reply.accepted, reply.problem
-
-    async def leader(self, *, apart_from: str = '') -> ControlNode:
-        while True:
-            for host_id, node in self.nodes.items():
-                if node.view.is_leader and host_id != apart_from:
-                    return node
-            await anyio.sleep(0.05)
-
-
-def host(host_id: str, incarnation: str = '1') -> ControlHost:
-    """Return a host of a configuration."""
-    return ControlHost(
-        host_id=HostId(host_id), incarnation=incarnation, address=host_id
-    )
-
-
 def register(upstream_id: str) -> RegisterMember:
     """Return a command that adds a member to the test's group."""
     return RegisterMember(group_id=_GROUP, upstream_id=UpstreamId(upstream_id))
