Name no leader for longer than its messages show it

Callers saw routes that a change had replaced 5 s and, in longer stalls, 25 s before, though the change was acknowledged.

The driver of the control log handles no event while it waits for its disk, so a leader whose disk stalls never steps down, and the view that it published last still said that it leads. It went on to answer sync requests as the leader, and every proxy kept polling it for routes, while the other hosts had elected a successor that acknowledged changes. A follower in the same state named its former leader to everyone who asked.

A view now carries the time until which the messages behind it show who leads: an election timeout after the answers of a majority on a leader, the end of the election timer on a follower. After that time the view names no leader, whether the driver runs or not. Leases, merges of announcements, proposals and takeovers use the same view.

--- a/lavendergate/controllers/view.py
+++ b/lavendergate/controllers/view.py
@@ -1,11 +1,11 @@
 """Views of a control host on the replicated log, published to readers."""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import anyio
 
-from lavendergate.core.consensus.quorum import has_quorum
+from lavendergate.core.consensus.quorum import has_quorum, quorum_until
 from lavendergate.core.consensus.state import Leader, NodeState
 from lavendergate.core.consensus.types import (
     Configuration,
@@ -35,6 +35,9 @@
         Address of the leader, ``ip:port``, if known.
     initialised
         Whether the host belongs to an initialised cluster.
+    leader_known_until
+        Monotonic time until which the messages so far show who leads, in
+        seconds.
     """
 
     version: int
@@ -47,6 +50,7 @@
     commit_index: int
     initialised: bool
     configuration: Configuration | None
+    leader_known_until: float = field(compare=False)
 
 
 class ViewPublisher:
@@ -61,7 +65,10 @@
 
     @property
     def view(self) -> ControlView:
-        """Latest view.
+        """Latest view; it names no leader longer than its messages show.
+
+        The node handles no event while its disk does not answer, so it can
+        neither step down nor miss its leader then.
 
         Raises
         ------
@@ -73,15 +80,20 @@
                 'the control node has not read its storage yet: start `run` '
                 'and wait until it has started'
             )
-        return self._view
+        if anyio.current_time() <= self._view.leader_known_until:
+            return self._view
+        return replace(
+            self._view, is_leader=False, has_quorum=False, leader_address=None
+        )
 
     def publish(self, node: NodeState, state: ControlState, now: float) -> None:
-        """Publish the current view, if it differs from the last one."""
+        """Replace the view, and wake the readers if more than times changed."""
         version = self._view.version if self._view else 0
         view = _view_of(node, state, now, version)
         if self._view is not None and _is_same(view, self._view):
+            self._view = view
             return
-        self._view = _view_of(node, state, now, version + 1)
+        self._view = replace(view, version=version + 1)
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -122,6 +134,7 @@
         commit_index=node.commit_index,
         initialised=bool(node.hard_state.cluster_id),
         configuration=node.configuration,
+        leader_known_until=_leader_known_until(node),
     )
 
 
@@ -136,3 +149,9 @@
     if isinstance(node.role, Leader):
         return has_quorum(node, node.role, now)
     return node.leader is not None
+
+
+def _leader_known_until(node: NodeState) -> float:
+    if isinstance(node.role, Leader):
+        return quorum_until(node, node.role)
+    return node.election_at
--- a/lavendergate/core/consensus/quorum.py
+++ b/lavendergate/core/consensus/quorum.py
@@ -10,18 +10,34 @@
 )
 
 
-def has_quorum(state: NodeState, role: Leader, now: float) -> bool:
-    """Return whether a majority answered within an election timeout."""
+def quorum_until(state: NodeState, role: Leader) -> float:
+    """Return until when the answers so far prove a majority.
+
+    Returns
+    -------
+    float
+        Monotonic time in seconds, an election timeout after the oldest answer
+        that the majority needs.
+    """
     current = state.configuration
     if current is None:
-        return False
-    oldest_answer_at = now - state.options.election_timeout_s
-    answered = frozenset(
-        node
-        for node, peer in role.progress.items()
-        if peer.answered_at >= oldest_answer_at
+        return float('-inf')
+    answered_at = sorted(
+        (
+            float('inf')
+            if voter == state.identity
+            else role.progress[voter].answered_at
+            for voter in current.voters
+        ),
+        reverse=True,
     )
-    return current.has_majority(answered | {state.identity})
+    oldest = answered_at[current.majority - 1]
+    return oldest + state.options.election_timeout_s
+
+
+def has_quorum(state: NodeState, role: Leader, now: float) -> bool:
+    """Return whether a majority answered within an election timeout."""
+    return now <= quorum_until(state, role)
 
 
 def check_quorum(state: NodeState, role: Leader, now: float) -> Transition:
