Let a former control leader follow its successor

A control host that had led kept itself as the leader to poll and so asked nobody any more: its members and primaries stayed as they were when its term ended, but for what members announced to it directly, until it restarted.

The client now asks whether this host leads at the moment, in place of remembering it. The test failed before.

--- a/lavendergate/controllers/control_sync.py
+++ b/lavendergate/controllers/control_sync.py
@@ -46,6 +46,11 @@
     def routes_version(self) -> int:
         """Version of the route table that this host has."""
 
+    @property
+    def is_leader(self) -> bool:
+        """Whether this host is the leader itself; False on proxies."""
+        return False
+
     @property
     def withheld_leases(self) -> tuple[GroupId, ...]:
         """Services that the leader did not lease in its last answer."""
@@ -220,11 +225,11 @@
             self._followed = address
 
     def _next_addresses(self) -> Sequence[str]:
-        now = anyio.current_time()
-        leader = self._leader
-        if leader == self._own_address:
-            # This host is the leader; there is nothing to poll.
+        if self._receiver.is_leader:
             return ()
+        now = anyio.current_time()
+        # Other hosts may still name this one after it stopped leading.
+        leader = None if self._leader == self._own_address else self._leader
         if leader is not None and self._skipped_until.get(leader, 0) <= now:
             return (leader,)
         addresses = sorted(
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -109,6 +109,11 @@
         """Maximum, so that no table is sent; tables arrive by the log."""
         return _ROUTES_VERSION_ABOVE_ALL
 
+    @property
+    def is_leader(self) -> bool:
+        """Whether this host leads."""
+        return self._fleet.is_leading
+
     def primary_reach(self) -> tuple[PrimaryReachability, ...]:
         """Return nothing; only proxies report reachability."""
         return ()
--- a/lavendergate/tests/test_control_sync.py
+++ b/lavendergate/tests/test_control_sync.py
@@ -63,6 +63,12 @@
 
     def __init__(self) -> None:
         self.answered_at: list[float] = []
+        self.leads = False
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this host leads."""
+        return self.leads
 
     @property
     def routes_version(self) -> int:
@@ -81,7 +87,7 @@
 class _Fixture:
     """Sync client of a proxy, with its control hosts."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, own_address: str = '') -> None:
         self.hosts = _Hosts()
         self.receiver = _Receiver()
         self.events = MemoryEventLog()
@@ -93,14 +99,17 @@
             peers=cast(PeerClient, self.hosts),
             events=self.events,
             real_clock=anyio.current_time,
+            own_address=own_address,
         )
 
 
-def run_scenario(scenario: Callable[[_Fixture], Awaitable[None]]) -> None:
+def run_scenario(
+    scenario: Callable[[_Fixture], Awaitable[None]], *, own_address: str = ''
+) -> None:
     """Run a scenario in virtual time, in which waits end at once."""
 
     async def run() -> None:
-        await scenario(_Fixture())
+        await scenario(_Fixture(own_address=own_address))
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
 
@@ -178,3 +187,39 @@
             self.assertEqual(late, {_SEEDS[0]})
 
         run_scenario(scenario)
+
+    def test_former_leader_follows_its_successor(self) -> None:
+        """Guards against a control host whose members stay as they were.
+
+        A host that had led asked nobody any more until its next restart.
+        """
+
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.hosts.leader = _SEEDS[0]
+            fixture.receiver.leads = True
+            with anyio.move_on_after(2):
+                await fixture.client.run()
+            fixture.hosts.leader = _SEEDS[1]
+            fixture.receiver.leads = False
+            with anyio.move_on_after(2):
+                await fixture.client.run()
+            last_addresses = [address for _, address in fixture.hosts.calls][
+                -2:
+            ]
+            self.assertEqual(last_addresses, [_SEEDS[1], _SEEDS[1]])
+
+        run_scenario(scenario, own_address=_SEEDS[0])
+
+    def test_leader_asks_nobody(self) -> None:
+        """Guards against control hosts that poll each other for nothing."""
+
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.hosts.leader = _SEEDS[0]
+            fixture.receiver.leads = True
+            with anyio.move_on_after(10):
+                await fixture.client.run()
+            self.assertEqual(
+                [at for at, _ in fixture.hosts.calls if at > 1], []
+            )
+
+        run_scenario(scenario, own_address=_SEEDS[0])
