Answer a statement within the time limit of its route

Callers were answered after the time limit that their route sets: up to 0.16 s after it when a member refused to the end, because the last pause before a repeat was slept through although no time for the repeat was left; up to 0.25 s when a transaction had waited for a connection, because its preparation got the time limit from before the wait; and for longer when several session values had to be set, because each step got the whole limit.

A change of a time limit is a tenth on the users' deployments, so an answer that is late by that much looks as if an older route table were in force.

A statement that cannot be repeated in time is now refused at once, and all steps before a statement share what is left of its time.

--- a/lavendergate/core/sessions/member_wait.py
+++ b/lavendergate/core/sessions/member_wait.py
@@ -10,6 +10,8 @@
 # Fraction of the target latency that a statement may wait for a member. The
 # rest is needed to run it.
 _WAIT_FRACTION = 0.25
+# Least time in which a repeated statement can still be answered, in seconds.
+_RETRY_TIME_S = 0.02
 _MS_PER_S = 1000
 
 
@@ -26,3 +28,19 @@
     """
     wait_s = _WAIT_FRACTION * route.target_latency_ms / _MS_PER_S
     return min(deadline, started_at + wait_s)
+
+
+def has_time_for_retry(pause_s: float, now: float, deadline: float) -> bool:
+    """Return whether a statement may be sent again after a pause.
+
+    If not, it is refused at once, since a later refusal tells nothing more.
+
+    Parameters
+    ----------
+    pause_s
+        Pause before the statement is sent again, in seconds.
+    now, deadline
+        Current time and the time by which the statement must be answered, in
+        seconds.
+    """
+    return now + pause_s + _RETRY_TIME_S < deadline
--- a/lavendergate/filters/sessions/preparation.py
+++ b/lavendergate/filters/sessions/preparation.py
@@ -62,29 +62,35 @@
     Each step is confirmed before the next one is sent, because a statement
     that ran with the values of another session cannot be undone.
 
+    Parameters
+    ----------
+    timeout_s
+        Time limit of all steps together, in seconds.
+
     Raises
     ------
     NotPreparedError
         If the member did not confirm a step.
     """
+    deadline = connection.link.now() + timeout_s
     if connection.values.keys() - session.values.keys():
-        await _run(connection, ResetSession(), timeout_s)
+        await _run(connection, ResetSession(), deadline)
         connection.values = {}
         connection.prepared = set()
     for name, value in _values_to_set(connection, session.values).items():
-        await _run(connection, SetValue(name=name, value=value), timeout_s)
+        await _run(connection, SetValue(name=name, value=value), deadline)
         connection.values[name] = value
     if isinstance(statement, Execute):
         shape = session.prepared[statement.name]
-        await _prepare_shape(connection, shape, timeout_s)
+        await _prepare_shape(connection, shape, deadline)
 
 
 async def _prepare_shape(
-    connection: PooledSession, shape: Shape, timeout_s: float
+    connection: PooledSession, shape: Shape, deadline: float
 ) -> None:
     name = shared_statement_name(shape)
     if name not in connection.prepared:
-        await _run(connection, Prepare(name=name, shape=shape), timeout_s)
+        await _run(connection, Prepare(name=name, shape=shape), deadline)
         connection.prepared.add(name)
 
 
@@ -99,8 +105,9 @@
 
 
 async def _run(
-    connection: PooledSession, statement: Statement, timeout_s: float
+    connection: PooledSession, statement: Statement, deadline: float
 ) -> None:
+    timeout_s = deadline - connection.link.now()
     try:
         answer = await connection.run(statement, timeout_s=timeout_s)
     except (AnswerLostError, NoTimeError) as error:
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -9,7 +9,10 @@
     PooledSession,
 )
 from lavendergate.core.fleet_directory import MemberEntry
-from lavendergate.core.sessions.member_wait import member_wait_deadline
+from lavendergate.core.sessions.member_wait import (
+    has_time_for_retry,
+    member_wait_deadline,
+)
 from lavendergate.core.sessions.statements import (
     NOT_RUN_CODES,
     AccessKind,
@@ -110,10 +113,17 @@
                 last_answer = answer
                 if self._monotonic() >= request.deadline:
                     return last_answer
+            if not self._has_time_for_retry(request, pause_s):
+                return last_answer
             await anyio.sleep(pause_s)
             pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
         return last_answer
 
+    def _has_time_for_retry(
+        self, request: SessionRequest, pause_s: float
+    ) -> bool:
+        return has_time_for_retry(pause_s, self._monotonic(), request.deadline)
+
     async def _try_read(
         self,
         request: SessionRequest,
@@ -174,6 +184,8 @@
             if not _did_not_run(answer):
                 return answer
             last_answer = answer
+            if not self._has_time_for_retry(request, pause_s):
+                return last_answer
             await anyio.sleep(pause_s)
             pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
         return last_answer
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -11,7 +11,10 @@
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.routes import Consistency
 from lavendergate.core.sessions.freshness import earliest_sample_time
-from lavendergate.core.sessions.member_wait import member_wait_deadline
+from lavendergate.core.sessions.member_wait import (
+    has_time_for_retry,
+    member_wait_deadline,
+)
 from lavendergate.core.sessions.statements import (
     NOT_RUN_CODES,
     AccessKind,
@@ -129,7 +132,7 @@
                 refusal.code in NOT_RUN_CODES
                 and refusal.code != RefusalCode.read_only
                 and answer.phase == Phase.in_transaction
-                and self._monotonic() < request.deadline
+                and self._has_time_for_retry(request)
             )
             if not can_retry:
                 code = _code_without_commit(refusal.code)
@@ -215,7 +218,7 @@
                 isinstance(answer.outcome, Refused)
                 and answer.outcome.code == RefusalCode.busy
                 and answer.phase == Phase.in_transaction
-                and self._monotonic() < request.deadline
+                and self._has_time_for_retry(request)
             )
             if not can_retry:
                 return answer
@@ -248,9 +251,16 @@
             if refusal is None:
                 return None
             last_refusal = refusal
+            if not self._has_time_for_retry(request):
+                break
             await anyio.sleep(_RETRY_PAUSE_S)
         return last_refusal
 
+    def _has_time_for_retry(self, request: SessionRequest) -> bool:
+        return has_time_for_retry(
+            _RETRY_PAUSE_S, self._monotonic(), request.deadline
+        )
+
     async def _select_member(
         self, request: SessionRequest, transaction: SessionTransaction
     ) -> tuple[MemberEntry, LogPosition | None] | None:
@@ -296,9 +306,8 @@
     ) -> Refused | None:
         session = request.session
         request.served_by = member.upstream_id
-        now = self._monotonic()
         give_up_at = member_wait_deadline(
-            transaction.route, now, request.deadline
+            transaction.route, self._monotonic(), request.deadline
         )
         try:
             connection = await self._pools.acquire(
@@ -308,7 +317,10 @@
             return Refused(code=RefusalCode.busy, text=str(error))
         try:
             await prepare_connection(
-                connection, session, None, timeout_s=request.deadline - now
+                connection,
+                session,
+                None,
+                timeout_s=request.deadline - self._monotonic(),
             )
             # All members but the primary refuse a read-write transaction, so
             # acceptance proves that the member is still the primary.
--- /dev/null
+++ b/lavendergate/tests/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of statements of callers' sessions."""
