Give up the view of the leader only while the disk stalls

The view named no leader as soon as an election timeout had passed since the last answers of a majority that the node had handled. The node itself decides that a moment later, at its next tick, and on a host with little processor time answers may wait to be handled at that moment: leases and takeovers would have been given up although the host still led.

The view is given up only while a write has lasted for an election timeout. The new test failed before.

--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -19,7 +19,11 @@
     ProposalResult,
     StateReadResult,
 )
-from lavendergate.controllers.view import ViewPublisher, leader_address
+from lavendergate.controllers.view import (
+    ControlView,
+    ViewPublisher,
+    leader_address,
+)
 from lavendergate.controllers.waiters import Waiter
 from lavendergate.core.commands import ChangeVoters, Command
 from lavendergate.core.consensus import events
@@ -111,6 +115,20 @@
             raise RuntimeError('the node has not started: run the driver')
         return self._node
 
+    @property
+    def view(self) -> ControlView:
+        """Latest view, without a leader while a write takes too long.
+
+        The node handles no event during a write, so it can neither step down
+        nor miss its leader then, and the others elect a successor.
+        """
+        view = self.publisher.view
+        if self.storage_wait_s <= self._options.node.election_timeout_s:
+            return view
+        if anyio.current_time() <= view.leader_known_until:
+            return view
+        return view.without_leader()
+
     @property
     def storage_wait_s(self) -> float:
         """Time that the present write has taken so far, in seconds.
--- a/lavendergate/controllers/control_node.py
+++ b/lavendergate/controllers/control_node.py
@@ -115,7 +115,7 @@
     @property
     def view(self) -> ControlView:
         """Current view of the node; available once `run` has started."""
-        return self._driver.publisher.view
+        return self._driver.view
 
     @property
     def storage_wait_s(self) -> float:
--- a/lavendergate/controllers/view.py
+++ b/lavendergate/controllers/view.py
@@ -52,6 +52,12 @@
     configuration: Configuration | None
     leader_known_until: float = field(compare=False)
 
+    def without_leader(self) -> 'ControlView':
+        """Return this view for a time when nothing shows who leads."""
+        return replace(
+            self, is_leader=False, has_quorum=False, leader_address=None
+        )
+
 
 class ViewPublisher:
     """Publishes views to any number of readers.
@@ -65,10 +71,7 @@
 
     @property
     def view(self) -> ControlView:
-        """Latest view; it names no leader longer than its messages show.
-
-        The node handles no event while its disk does not answer, so it can
-        neither step down nor miss its leader then.
+        """Latest view.
 
         Raises
         ------
@@ -80,11 +83,7 @@
                 'the control node has not read its storage yet: start `run` '
                 'and wait until it has started'
             )
-        if anyio.current_time() <= self._view.leader_known_until:
-            return self._view
-        return replace(
-            self._view, is_leader=False, has_quorum=False, leader_address=None
-        )
+        return self._view
 
     def publish(self, node: NodeState, state: ControlState, now: float) -> None:
         """Replace the view, and wake the readers if more than times changed."""
--- a/lavendergate/tests/control/test_stalled_leader.py
+++ b/lavendergate/tests/control/test_stalled_leader.py
@@ -138,6 +138,24 @@
 
         self.run_cluster(scenario)
 
+    def test_leader_whose_disk_answers_leads_until_it_steps_down(self) -> None:
+        """Guards against a view that disagrees with the node on a busy host.
+
+        Without a wait for the disk, answers that were not handled yet may
+        renew the leadership.
+        """
+
+        async def scenario(cluster: Cluster, tasks: TaskGroup) -> None:
+            leader = await cluster.leader()
+            cluster.isolate(_address(leader))
+            # Only a node that considers itself the leader has progress.
+            while leader.node_progress():
+                self.assertTrue(leader.view.is_leader)
+                await anyio.sleep(0.01)
+            self.assertFalse(leader.view.is_leader)
+
+        self.run_cluster(scenario)
+
     def test_stalled_follower_names_no_leader(self) -> None:
         """Guards against a follower that sends callers to a former leader."""
 
