Let the candidate catch up with a primary whose replica left

A primary was cut off together with a leaving replica, which confirmed its commits and then left with its log. The takeover waited for a sign of the primary, as it should. When the cut ended the primary reported its position, and the check took the report itself for the proof: it never compared it with the position of the candidate, which had not received the commits. The order went out 0.5 s after the end of the cut.

The test failed before.

--- a/lavendergate/core/primary_replacement.py
+++ b/lavendergate/core/primary_replacement.py
@@ -343,18 +343,30 @@
                 ),
                 more_advanced=replica.upstream_id,
             )
-    if _may_lack_commits_of_departed(observed, now):
+    if not _departed_recently(observed, now):
+        return Promotable(upstream_id=evidence.candidate)
+    if not _seen_since_departure(observed):
         return NotPromotable(
             reason='a replica left and the primary has not been seen since'
         )
+    primary = observed.member(observed.primary)
+    if primary is not None and primary.received > evidence.candidate_received:
+        # The departed replica may have been the only one to confirm it.
+        return NotPromotable(
+            reason='a replica left and the candidate lacks commits of the '
+            'primary'
+        )
     return Promotable(upstream_id=evidence.candidate)
 
 
-def _may_lack_commits_of_departed(
-    observed: ServiceObservation, now: float
-) -> bool:
+def _departed_recently(observed: ServiceObservation, now: float) -> bool:
+    departed_at = observed.departed_at
+    return departed_at is not None and now - departed_at < DEPARTURE_GRACE_S
+
+
+def _seen_since_departure(observed: ServiceObservation) -> bool:
     departed_at = observed.departed_at
-    if departed_at is None or now - departed_at >= DEPARTURE_GRACE_S:
-        return False
     seen_at = observed.primary_seen_at
-    return seen_at is None or seen_at <= departed_at
+    if departed_at is None or seen_at is None:
+        return False
+    return seen_at > departed_at
--- a/lavendergate/tests/test_primary_replacement.py
+++ b/lavendergate/tests/test_primary_replacement.py
@@ -189,6 +189,27 @@
         )
         self.assertIsInstance(check, Promotable)
 
+    def test_departed_replica_delays_until_the_candidate_caught_up(
+        self,
+    ) -> None:
+        """Guards against losing a commit that only the departed one had.
+
+        The primary was seen again, but its commits had not arrived yet.
+        """
+        observed = replace(
+            service(silent(member(A, received=8)), member(B), member(C)),
+            departed_at=NOW - 1,
+            primary_seen_at=NOW - 0.5,
+        )
+        behind = check_promotion(
+            observed, evidence(7, 7), NOW, synchronous_replicas=1
+        )
+        self.assertIsInstance(behind, NotPromotable)
+        caught_up = check_promotion(
+            observed, evidence(8, 7), NOW, synchronous_replicas=1
+        )
+        self.assertIsInstance(caught_up, Promotable)
+
 
 class ChooseCandidateTest(unittest.TestCase):
     """Choice of the candidate."""
