Carry customers and priorities with each statement

Cause: a caller's key, the customers of a route document and the priorities of its routes were read and thrown away, so no later step could name a customer at a member, count its operations or order statements.

Change: the route table holds customers with their limits and digests of their keys; a statement carries its customer and both priorities to the pools, to dialers and to homes. Nothing identifies callers yet, so the behaviour is unchanged.

--- a/lavendergate/backends/sessions.py
+++ b/lavendergate/backends/sessions.py
@@ -7,6 +7,10 @@
 import abc
 
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.context import (
+    SYSTEM_CONTEXT,
+    StatementContext,
+)
 from lavendergate.core.sessions.statements import (
     DemotePrimary,
     MemberReport,
@@ -65,6 +69,13 @@
     def home(self) -> str | None:
         """Address of the home proxy that ran the last statement, if any."""
 
+    def use_for(self, context: StatementContext) -> None:
+        """Run the next statements for a caller.
+
+        Only sessions that are relayed carry the context; a connection to a
+        member belongs to the customer for which it was opened.
+        """
+
     @abc.abstractmethod
     async def run(
         self,
@@ -116,17 +127,26 @@
         return False
 
     async def dial_directly(
-        self, member: MemberEntry
+        self,
+        member: MemberEntry,
+        context: StatementContext = SYSTEM_CONTEXT,
     ) -> tuple[MemberSession, LogPosition | None]:
         """Open a connection of this host, whatever `is_relayed` says."""
-        return await self.dial(member)
+        return await self.dial(member, context)
 
     @abc.abstractmethod
     async def dial(
-        self, member: MemberEntry
+        self,
+        member: MemberEntry,
+        context: StatementContext = SYSTEM_CONTEXT,
     ) -> tuple[MemberSession, LogPosition | None]:
         """Open a connection to a member.
 
+        Parameters
+        ----------
+        context
+            Caller for whose statements the connection is opened.
+
         Returns
         -------
         The connection, and the log position that the member has applied.
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -13,6 +13,10 @@
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.relays.link import RelayLink
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.context import (
+    SYSTEM_CONTEXT,
+    StatementContext,
+)
 from lavendergate.core.sessions.statements import (
     AccessKind,
     Begin,
@@ -81,19 +85,23 @@
         return self._relays.link_for(member) is not None
 
     async def dial_directly(
-        self, member: MemberEntry
+        self,
+        member: MemberEntry,
+        context: StatementContext = SYSTEM_CONTEXT,
     ) -> tuple[MemberSession, LogPosition | None]:
         """Open a connection of this host; see the base class."""
-        return await self._direct.dial(member)
+        return await self._direct.dial(member, context)
 
     async def dial(
-        self, member: MemberEntry
+        self,
+        member: MemberEntry,
+        context: StatementContext = SYSTEM_CONTEXT,
     ) -> tuple[MemberSession, LogPosition | None]:
         """Open a session; see the base class."""
         if self.is_relayed(member):
             await anyio.lowlevel.checkpoint()
             return RelayedSession(relays=self._relays, member=member), None
-        return await self._direct.dial(member)
+        return await self._direct.dial(member, context)
 
 
 class RelayedSession(MemberSession):
@@ -116,6 +124,7 @@
         self._phase = Phase.idle
         self._transaction: tuple[RelayLink, int] | None = None
         self._home: str | None = None
+        self._context = SYSTEM_CONTEXT
 
     @property
     def home(self) -> str | None:
@@ -127,6 +136,10 @@
         """Whether the session needs no connection of this host."""
         return True
 
+    def use_for(self, context: StatementContext) -> None:
+        """Run the next statements for a caller; see the base class."""
+        self._context = context
+
     async def run(
         self,
         statement: Statement,
@@ -218,6 +231,9 @@
                 after=after,
                 transaction=transaction,
                 expires_at_ms=link.expires_at_ms(_remaining_s()),
+                customer=self._context.customer,
+                customer_priority=self._context.customer_priority,
+                route_priority=self._context.route_priority,
             )
 
         self._home = None
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -17,6 +17,10 @@
 )
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.context import (
+    SYSTEM_CONTEXT,
+    StatementContext,
+)
 from lavendergate.core.sessions.shares import ConnectionShare
 from lavendergate.core.sessions.statements import (
     Phase,
@@ -109,6 +113,7 @@
         values: Mapping[str, str],
         deadline: float,
         *,
+        context: StatementContext = SYSTEM_CONTEXT,
         for_other_proxy: bool = False,
     ) -> PooledSession:
         """Return a connection to a member.
@@ -120,6 +125,8 @@
             preferred.
         deadline
             Time at which waiting ends, on the clock of the pools.
+        context
+            Customer and priorities of the statement.
         for_other_proxy
             Whether another proxy passed the statement on. It then runs on a
             connection of this host and is not passed on again, even if this
@@ -140,6 +147,7 @@
                 link,
                 values,
                 deadline,
+                context,
                 share if for_other_proxy else None,
             )
 
@@ -148,13 +156,15 @@
         link: MemberLink,
         values: Mapping[str, str],
         deadline: float,
+        context: StatementContext,
         home_share: ConnectionShare | None,
     ) -> PooledSession:
         while True:
             pooled = await self._take_or_open(
-                link, values, deadline, home_share
+                link, values, deadline, context, home_share
             )
             if pooled is not None:
+                pooled.session.use_for(context)
                 return pooled
             now = self._clock()
             if now >= deadline or link.is_closed:
@@ -171,6 +181,7 @@
         link: MemberLink,
         values: Mapping[str, str],
         deadline: float,
+        context: StatementContext,
         home_share: ConnectionShare | None,
     ) -> PooledSession | None:
         """Wait for a turn at the member, then return a connection.
@@ -187,7 +198,7 @@
             share = home_share or self._share(link.entry)
             if pooled is None and self._may_open(link, share):
                 pooled = await self._open(
-                    link, deadline, directly=home_share is not None
+                    link, deadline, context, directly=home_share is not None
                 )
         finally:
             if pooled is None:
@@ -240,12 +251,17 @@
             self._close_link(link)
 
     async def _open(
-        self, link: MemberLink, deadline: float, *, directly: bool
+        self,
+        link: MemberLink,
+        deadline: float,
+        context: StatementContext,
+        *,
+        directly: bool,
     ) -> PooledSession | None:
         link.opened += 1
         dial = self._dialer.dial_directly if directly else self._dialer.dial
         try:
-            session, position = await dial(link.entry)
+            session, position = await dial(link.entry, context)
         except MemberRefusedError as error:
             link.opened -= 1
             self._handle_refusal(link, error.refusal, deadline)
--- a/lavendergate/core/routes.py
+++ b/lavendergate/core/routes.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import NewType
 
+from lavendergate.core.customers.table import CustomerTable
 from lavendergate.core.types import GroupId
 
 RoutesVersion = NewType('RoutesVersion', int)
@@ -42,6 +43,8 @@
     max_staleness_ms
         Maximum age in milliseconds of commits that a read may miss; 0 on
         primary routes.
+    is_public
+        Whether callers without a key of a customer may use the route.
     """
 
     name: str
@@ -52,6 +55,7 @@
     target_latency_ms: int
     priority: int
     max_staleness_ms: int = 0
+    is_public: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,9 +86,12 @@
         Route by name of the database.
     transaction_idle_ms
         Time after which an idle transaction may be ended, in milliseconds.
+    customers
+        Customers and their keys; None if callers are not identified.
     """
 
     version: RoutesVersion = NO_ROUTES
     routes: Mapping[str, Route] = field(default_factory=dict)
     services: Mapping[GroupId, ServiceLimits] = field(default_factory=dict)
     transaction_idle_ms: int = DEFAULT_TRANSACTION_IDLE_MS
+    customers: CustomerTable | None = None
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -196,6 +196,7 @@
                 member,
                 request.values,
                 deadline - _MIN_TIME_S,
+                context=request.context,
                 for_other_proxy=True,
             )
         except NoConnectionError as error:
--- a/lavendergate/filters/sessions/base.py
+++ b/lavendergate/filters/sessions/base.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 
 from lavendergate.controllers.member_link import PooledSession
+from lavendergate.core.customers.table import Customer, KeyDigest
 from lavendergate.core.routes import Route
+from lavendergate.core.sessions.context import StatementContext
 from lavendergate.core.sessions.statements import (
     AccessKind,
     CallerStatement,
@@ -63,6 +65,11 @@
     is_expired
         Whether the transaction was rolled back because it was idle for too
         long, and the caller has not been told yet.
+    customer
+        Customer that the caller's key belongs to, as of the last statement;
+        None if callers are not identified or the route is public.
+    key_digest
+        Digest of the caller's key; None if it sent none.
     """
 
     database: str
@@ -73,6 +80,8 @@
     own_written_at: float = float('-inf')
     transaction: SessionTransaction | None = None
     is_expired: bool = False
+    customer: Customer | None = None
+    key_digest: KeyDigest | None = None
 
     def record_write(self, position: LogPosition, sent_at: float) -> None:
         """Record the position of an acknowledged write."""
@@ -129,6 +138,17 @@
             case _:
                 return AccessKind.write
 
+    @property
+    def context(self) -> StatementContext:
+        """Customer and priorities of the statement."""
+        customer = self.session.customer
+        route = self.route
+        return StatementContext(
+            customer=None if customer is None else customer.name,
+            customer_priority=0 if customer is None else customer.priority,
+            route_priority=0 if route is None else route.priority,
+        )
+
     @property
     def known_route(self) -> Route:
         """Route of the statement, for filters after the routing filter."""
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -236,7 +236,10 @@
         )
         session = request.session
         connection = await self._pools.acquire(
-            member, session.values, give_up_at
+            member,
+            session.values,
+            give_up_at,
+            context=request.context,
         )
         try:
             await prepare_connection(
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -311,7 +311,10 @@
         )
         try:
             connection = await self._pools.acquire(
-                member, session.values, give_up_at
+                member,
+                session.values,
+                give_up_at,
+                context=request.context,
             )
         except NoConnectionError as error:
             return Refused(code=RefusalCode.busy, text=str(error))
--- a/lavendergate/platform/documents.py
+++ b/lavendergate/platform/documents.py
@@ -5,6 +5,13 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lavendergate.core.customers.table import (
+    Customer,
+    CustomerName,
+    CustomerTable,
+    OperationLimit,
+    build_customer_table,
+)
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
 from lavendergate.core.routes import (
     DEFAULT_TRANSACTION_IDLE_MS,
@@ -29,6 +36,17 @@
     target_latency_ms: int = 1000
     priority: int = 0
     max_staleness_ms: int = 0
+    public: bool = False
+
+
+class _CustomerDocument(
+    msgspec.Struct, frozen=True, kw_only=True, rename='camel'
+):
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int = 0
+    rate_per_s: float | None = None
+    burst: float = 0
 
 
 class _ServiceDocument(
@@ -52,6 +70,7 @@
     routes: tuple[_RouteDocument, ...]
     services: tuple[_ServiceDocument, ...]
     limits: _LimitsDocument = _LimitsDocument()
+    tenants: tuple[_CustomerDocument, ...] | None = None
 
 
 class _AnnouncementDocument(
@@ -106,6 +125,7 @@
                 for service in document.services
             },
             transaction_idle_ms=document.limits.txn_idle_ms,
+            customers=_build_customers(document.tenants),
         )
     )
 
@@ -176,4 +196,28 @@
         target_latency_ms=route.target_latency_ms,
         priority=route.priority,
         max_staleness_ms=route.max_staleness_ms,
+        is_public=route.public,
+    )
+
+
+def _build_customers(
+    documents: tuple[_CustomerDocument, ...] | None,
+) -> CustomerTable | None:
+    if documents is None:
+        return None
+    return build_customer_table(
+        (_build_customer(document), document.api_keys) for document in documents
+    )
+
+
+def _build_customer(document: _CustomerDocument) -> Customer:
+    limit = None
+    if document.rate_per_s is not None:
+        limit = OperationLimit(
+            rate_per_s=document.rate_per_s, burst=document.burst
+        )
+    return Customer(
+        name=CustomerName(document.name),
+        priority=document.priority,
+        limit=limit,
     )
--- a/lavendergate/platform/members.py
+++ b/lavendergate/platform/members.py
@@ -11,6 +11,10 @@
     ReportRequest,
 )
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.context import (
+    SYSTEM_CONTEXT,
+    StatementContext,
+)
 from lavendergate.core.sessions.statements import (
     Completed,
     MemberReport,
@@ -113,7 +117,8 @@
     Parameters
     ----------
     host
-        Name by which members identify this host.
+        Name by which members know the connections of this host that serve no
+        customer.
     timeout_s
         Time limit for opening a connection, in seconds.
     """
@@ -123,12 +128,14 @@
         self._timeout_s = timeout_s
 
     async def dial(
-        self, member: MemberEntry
+        self,
+        member: MemberEntry,
+        context: StatementContext = SYSTEM_CONTEXT,
     ) -> tuple[MemberSession, LogPosition | None]:
         """Open a connection; see the base class."""
         try:
             with anyio.fail_after(self._timeout_s):
-                return await self._open(member)
+                return await self._open(member, context)
         except LOST_OR_TIMEOUT_ERRORS as error:
             raise MemberUnreachableError(
                 f'no connection to {member.upstream_id} at '
@@ -136,22 +143,26 @@
             ) from error
 
     async def _open(
-        self, member: MemberEntry
+        self, member: MemberEntry, context: StatementContext
     ) -> tuple[MemberSession, LogPosition | None]:
         ip, _, port = member.address.rpartition(':')
         stream = LineStream(stream=await anyio.connect_tcp(ip, int(port)))
         try:
-            return await self._start(stream, member)
+            return await self._start(stream, member, context)
         except BaseException:
             await stream.close()
             raise
 
     async def _start(
-        self, stream: LineStream, member: MemberEntry
+        self,
+        stream: LineStream,
+        member: MemberEntry,
+        context: StatementContext,
     ) -> tuple[MemberSession, LogPosition | None]:
         # The address may have been reassigned to another member. The id is
         # sent so that such a member refuses the connection.
-        start_line = f'START {member.service} {self._host} {member.upstream_id}'
+        name = context.customer or self._host
+        start_line = f'START {member.service} {name} {member.upstream_id}'
         await stream.write(start_line.encode() + LINE_END)
         word, rest = await stream.read()
         if word == 'ERR':
--- a/lavendergate/platform/settings_file.py
+++ b/lavendergate/platform/settings_file.py
@@ -18,11 +18,26 @@
         seconds.
     drain_timeout_ms, config_apply_ms
         Not used.
+    strict_revoke
+        Whether a key that was taken away must stop working on every proxy,
+        also on one without contact to the control hosts.
+    revoke_ms
+        Time for that after the acknowledgement, in milliseconds.
+    quota_window_s
+        Length of the sliding window of a customer's limit, in seconds.
+    quota_overage, quota_slack
+        Tolerated excess over a limit: a fraction of it, and a number of
+        operations.
     """
 
     grace_s: float = 6
     drain_timeout_ms: int = 7000
     config_apply_ms: int = 4000
+    strict_revoke: bool = False
+    revoke_ms: int = 5000
+    quota_window_s: float = 5
+    quota_overage: float = 0
+    quota_slack: float = 0
 
 
 class ListenAddresses(msgspec.Struct, frozen=True, kw_only=True):
--- a/lavendergate/rpc/relay_service.py
+++ b/lavendergate/rpc/relay_service.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from lavendergate.core.customers.table import CustomerName
+from lavendergate.core.sessions.context import StatementContext
 from lavendergate.core.sessions.statements import (
     MemberReport,
     Phase,
@@ -93,6 +95,8 @@
         Time on the home's clock, in milliseconds, after which the home must
         not send the statement. A home that was frozen would otherwise send
         it after the proxy has given up.
+    customer, customer_priority, route_priority
+        Context of the statement; see `StatementContext`.
     """
 
     upstream_id: UpstreamId
@@ -103,6 +107,18 @@
     after: LogPosition | None
     transaction: int | None
     expires_at_ms: int
+    customer: CustomerName | None = None
+    customer_priority: int = 0
+    route_priority: int = 0
+
+    @property
+    def context(self) -> StatementContext:
+        """Customer and priorities of the statement."""
+        return StatementContext(
+            customer=self.customer,
+            customer_priority=self.customer_priority,
+            route_priority=self.route_priority,
+        )
 
 
 @enum.unique
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -19,6 +19,10 @@
     ReportRequest,
 )
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
+from lavendergate.core.sessions.context import (
+    SYSTEM_CONTEXT,
+    StatementContext,
+)
 from lavendergate.core.sessions.statements import (
     AccessKind,
     Begin,
@@ -283,7 +287,9 @@
         self.dial_count = 0
 
     async def dial(
-        self, member: MemberEntry
+        self,
+        member: MemberEntry,
+        context: StatementContext = SYSTEM_CONTEXT,
     ) -> tuple[MemberSession, LogPosition | None]:
         """Open a connection and return it with the applied position."""
         await anyio.lowlevel.checkpoint()
