Check a configuration before it is sent

Cause: operators learn only from a refusal, or from refused callers, that a route document has an error, an entry that never applies or limits that contradict each other.

--- a/lavendergate/cli/main.py
+++ b/lavendergate/cli/main.py
@@ -21,6 +21,7 @@
     Format,
     parse_addresses,
 )
+from lavendergate.cli.route_commands import routes_app
 from lavendergate.cli.settings_commands import settings_app
 from lavendergate.cli.status_views import (
     connection_rows,
@@ -65,6 +66,7 @@
     name='cluster', help='Initialise and repair the cluster of control hosts.'
 )
 app.command(settings_app)
+app.command(routes_app)
 app.command(members_app)
 app.command(cluster_app)
 app.command(timeline)
--- a/lavendergate/cli/settings_commands.py
+++ b/lavendergate/cli/settings_commands.py
@@ -122,6 +122,23 @@
     await change_settings(ControlClient(options), options, change, changes)
 
 
+@settings_app.command(name='check')
+async def check(file: Path, /, *, options: ControlOptions = _CONTROL) -> None:
+    """Check the changes in a JSON file without sending them.
+
+    Reports errors, and which groups and callers the changes concern.
+
+    Parameters
+    ----------
+    file
+        File as for ``settings apply``.
+    """
+    changes = read_changes(file)
+    await change_settings(
+        ControlClient(options), options, ChangeOptions(dry_run=True), changes
+    )
+
+
 @settings_app.command(name='history')
 async def history(
     *, limit: int = 20, options: ControlOptions = _CONTROL
--- a/lavendergate/core/customers/table.py
+++ b/lavendergate/core/customers/table.py
@@ -66,6 +66,18 @@
         """Return whether a customer still holds the key with this digest."""
         return self._owners.get(digest) == customer
 
+    def has_key(self, customer: CustomerName) -> bool:
+        """Return whether a customer holds any key."""
+        return customer in self._owners.values()
+
+    def digests_of(self, customer: CustomerName) -> frozenset[KeyDigest]:
+        """Return the digests of a customer's keys."""
+        return frozenset(
+            digest
+            for digest, owner in self._owners.items()
+            if owner == customer
+        )
+
 
 def build_customer_table(
     customers: Iterable[tuple[Customer, Iterable[str]]],
--- /dev/null
+++ b/lavendergate/core/route_checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a route table before it is published."""
--- a/lavendergate/platform/documents.py
+++ b/lavendergate/platform/documents.py
@@ -130,6 +130,20 @@
     )
 
 
+def decode_route_list(content: bytes) -> tuple[Route, ...]:
+    """Decode all routes of a valid route document, in its order.
+
+    A route table keeps one route for each database.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the document is invalid; see `decode_routes`.
+    """
+    document = msgspec.json.decode(content, type=_RouteTableDocument)
+    return tuple(_build_route(route) for route in document.routes)
+
+
 def decode_announcement(
     upstream_id: str, content: bytes
 ) -> Result[MemberEntry, str]:
