Give the hosted process object a module of its own

Cause: `daemon/hosted.py`, the entry point, was imported by the roles that it imports itself, so the module was loaded twice: as the program and under its name.

Change: settings, signals and the event log of a process stand in `daemon/hosted_process.py`, which the entry point and the roles import.

--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -12,8 +12,8 @@
 from lavendergate.core.fleet_directory import MemberEntry, departed_entry
 from lavendergate.core.routes import RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
-from lavendergate.daemon.hosted import HostedProcess, boottime_s
 from lavendergate.daemon.hosted_control import HostedControl
+from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.supervision import keep_running
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.platform.control_calls import (
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -26,7 +26,7 @@
 from lavendergate.core.consensus.types import NodeOptions
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.types import HostId
-from lavendergate.daemon.hosted import HostedProcess, boottime_s
+from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.supervision import keep_running
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -19,7 +19,7 @@
 )
 from lavendergate.core.types import FailureDomain, HostId
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
-from lavendergate.daemon.hosted import HostedProcess, boottime_s
+from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.supervision import (
     GuardedTasks,
     keep_running,
