Identify callers by their keys and open connections by customer

Cause: nothing identified callers. Unknown keys ran, withdrawn keys ran on, and members were told the name of the proxy instead of the customer.

Change: the second word of START is digested in the adapter. A filter checks the digest against the route table in force before each statement, and again when a statement has waited for its connection. A connection to a member serves one customer for its life; at the limit, the one that was idle longest makes room. The homes of a member divide the customers among themselves. A lease on the route table, renewed by each confirmed answer of the control leader, bounds how long a cut-off proxy admits keys; a proxy without it reports that it is not ready. Documents with shared keys, repeated names, negative figures or words that cannot stand in a line are refused with the name of the customer.

--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -12,6 +12,7 @@
     MemberUnreachableError,
 )
 from lavendergate.controllers.waiters import Signal
+from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.relays.turns import Ticket, TurnQueue
 from lavendergate.core.sessions.statements import (
@@ -87,6 +88,9 @@
     holds_turn
         Whether its next statement may be sent without waiting. A transaction
         gives its turn back between its statements.
+    customer
+        Customer for which the connection was opened; None for statements
+        without one.
     """
 
     session: MemberSession
@@ -97,6 +101,7 @@
     is_broken: bool = False
     used_at: float = 0
     holds_turn: bool = False
+    customer: CustomerName | None = None
 
     async def run(
         self,
--- a/lavendergate/controllers/relays/client.py
+++ b/lavendergate/controllers/relays/client.py
@@ -8,6 +8,7 @@
 )
 from lavendergate.controllers.relays.link import RelayLink
 from lavendergate.controllers.waiters import TaskStarter
+from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.relays.homes import (
     HomeDirectory,
@@ -71,15 +72,17 @@
         """Return whether this proxy is one of the homes of a member."""
         return self._own_address in self._directory.homes_of(member)
 
-    def link_for(self, member: MemberEntry) -> RelayLink | None:
-        """Return the link to the member's home.
+    def link_for(
+        self, member: MemberEntry, customer: CustomerName | None = None
+    ) -> RelayLink | None:
+        """Return the link to the member's home for a customer.
 
         None if this proxy connects to the member itself: because it is the
         home, no home can be used, or every proxy may connect.
         """
         if not self._is_scarce(member):
             return None
-        home = self._first_usable(member)
+        home = self._first_usable(member, customer)
         if home is None or home == self._own_address:
             return None
         return self._link(home)
@@ -88,9 +91,13 @@
         self,
         member: MemberEntry,
         make_request: Callable[[RelayLink], RelayRequest],
+        customer: CustomerName | None = None,
     ) -> tuple[RelayLink, RelayReply]:
         """Have the first home run a statement that does not decline it.
 
+        The homes divide the customers among themselves, so that a home finds
+        an open connection for most statements.
+
         Raises
         ------
         MemberUnreachableError
@@ -99,7 +106,7 @@
             If a home took it and did not answer.
         """
         while True:
-            link = self.link_for(member)
+            link = self.link_for(member, customer)
             if link is None:
                 raise MemberUnreachableError(
                     f'no home passes statements on to {member.upstream_id}'
@@ -115,11 +122,13 @@
                 return link, reply
             link.record_declined()
 
-    def _first_usable(self, member: MemberEntry) -> str | None:
+    def _first_usable(
+        self, member: MemberEntry, customer: CustomerName | None
+    ) -> str | None:
         homes = self._directory.homes_of(member)
         if self._own_address in homes:
             return self._own_address
-        for home in order_homes(homes, self._own_address):
+        for home in order_homes(homes, customer or self._own_address):
             if self._link(home).is_usable:
                 return home
         return None
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -239,7 +239,9 @@
         self._home = None
         if self._transaction is None:
             transaction = None
-            link, reply = await self._relays.run(self._member, make_request)
+            link, reply = await self._relays.run(
+                self._member, make_request, self._context.customer
+            )
         else:
             link, transaction = self._transaction
             reply = await _run_in_transaction(link, make_request(link))
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -16,6 +16,11 @@
     PooledSession,
 )
 from lavendergate.controllers.waiters import TaskStarter
+from lavendergate.core.customers.connections import (
+    IdleConnection,
+    find_replaceable,
+    find_reusable,
+)
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.sessions.context import (
     SYSTEM_CONTEXT,
@@ -193,9 +198,11 @@
         pooled: PooledSession | None = None
         try:
             pooled = _take_idle(
-                link, values, direct_only=home_share is not None
+                link, context, values, direct_only=home_share is not None
             )
             share = home_share or self._share(link.entry)
+            if pooled is None:
+                await self._make_room(link, share)
             if pooled is None and self._may_open(link, share):
                 pooled = await self._open(
                     link, deadline, context, directly=home_share is not None
@@ -207,11 +214,19 @@
             pooled.holds_turn = True
         return pooled
 
+    async def _make_room(
+        self, link: MemberLink, share: ConnectionShare
+    ) -> None:
+        """Close an idle connection of another customer at the limit."""
+        may_connect = self._clock() >= link.next_connect_at
+        if may_connect and link.opened >= _limit(link, share):
+            index = find_replaceable(_describe_idle(link))
+            if index is not None:
+                await self.drop(link.idle.pop(index))
+
     def _may_open(self, link: MemberLink, share: ConnectionShare) -> bool:
-        limit = share.limit
-        if link.entry.is_primary and not share.is_home:
-            limit *= _PRIMARY_SHARE_FACTOR
-        return link.opened < limit and self._clock() >= link.next_connect_at
+        may_connect = self._clock() >= link.next_connect_at
+        return may_connect and link.opened < _limit(link, share)
 
     async def release(self, pooled: PooledSession) -> None:
         """Return a connection to the pool; an unusable one is closed."""
@@ -280,7 +295,13 @@
         if position is not None:
             link.applied = position
             link.applied_at = self._clock()
-        return PooledSession(session=session, link=link, used_at=self._clock())
+        self._metrics.opened_connections.labels(link.entry.upstream_id).inc()
+        return PooledSession(
+            session=session,
+            link=link,
+            used_at=self._clock(),
+            customer=context.customer,
+        )
 
     def _handle_refusal(
         self, link: MemberLink, refusal: Refused, deadline: float
@@ -344,21 +365,34 @@
         link.notify()
 
 
+def _limit(link: MemberLink, share: ConnectionShare) -> int:
+    if link.entry.is_primary and not share.is_home:
+        return share.limit * _PRIMARY_SHARE_FACTOR
+    return share.limit
+
+
 def _take_idle(
-    link: MemberLink, values: Mapping[str, str], *, direct_only: bool
+    link: MemberLink,
+    context: StatementContext,
+    values: Mapping[str, str],
+    *,
+    direct_only: bool,
 ) -> PooledSession | None:
-    usable = [
-        pooled
-        for pooled in reversed(link.idle)
-        if not (direct_only and pooled.session.is_relayed)
-    ]
-    if not usable:
-        return None
-    chosen = next(
-        (pooled for pooled in usable if pooled.values == values), usable[0]
+    index = find_reusable(
+        _describe_idle(link), context, values, direct_only=direct_only
+    )
+    return None if index is None else link.idle.pop(index)
+
+
+def _describe_idle(link: MemberLink) -> tuple[IdleConnection, ...]:
+    return tuple(
+        IdleConnection(
+            customer=pooled.customer,
+            values=pooled.values,
+            is_relayed=pooled.session.is_relayed,
+        )
+        for pooled in link.idle
     )
-    link.idle.remove(chosen)
-    return chosen
 
 
 def _no_connection_refusal(entry: MemberEntry) -> Refused:
--- a/lavendergate/core/customers/table.py
+++ b/lavendergate/core/customers/table.py
@@ -58,8 +58,11 @@
 
     def find(self, key: str) -> Customer | None:
         """Return the customer that holds a key; None if nobody does."""
-        wanted = digest_key(key)
-        owner = self._owners.get(wanted)
+        return self.owner(digest_key(key))
+
+    def owner(self, digest: KeyDigest) -> Customer | None:
+        """Return the customer that holds the key with this digest, if any."""
+        owner = self._owners.get(digest)
         return None if owner is None else self.customers.get(owner)
 
     def holds(self, customer: CustomerName, digest: KeyDigest) -> bool:
--- a/lavendergate/core/relays/homes.py
+++ b/lavendergate/core/relays/homes.py
@@ -82,14 +82,19 @@
     return tuple(proxy.address for proxy in ranked[:HOMES_PER_MEMBER])
 
 
-def order_homes(homes: tuple[str, ...], own_address: str) -> tuple[str, ...]:
+def order_homes(homes: tuple[str, ...], divided_by: str) -> tuple[str, ...]:
     """Return the homes in the order in which a proxy tries them.
 
-    The proxies divide themselves among the homes.
+    Parameters
+    ----------
+    divided_by
+        What the homes divide among themselves: the name of the statement's
+        customer, so that each home keeps connections for a part of the
+        customers; without a customer, the address of the proxy.
     """
     if not homes:
         return ()
-    first = xxhash.xxh3_64_intdigest(own_address.encode()) % len(homes)
+    first = xxhash.xxh3_64_intdigest(divided_by.encode()) % len(homes)
     return homes[first:] + homes[:first]
 
 
--- a/lavendergate/core/sessions/statements.py
+++ b/lavendergate/core/sessions/statements.py
@@ -175,6 +175,7 @@
     misrouted = 'misrouted'
     no_database = 'no_database'
     no_statement = 'no_statement'
+    not_authorized = 'not_authorized'
     read_only = 'read_only'
     timeout = 'timeout'
     unknown = 'unknown'
@@ -190,6 +191,7 @@
         RefusalCode.misrouted,
         RefusalCode.no_database,
         RefusalCode.no_statement,
+        RefusalCode.not_authorized,
         RefusalCode.read_only,
     )
 )
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -7,12 +7,15 @@
 from result import Err
 
 from lavendergate.controllers.control_sync import SyncReceiver
+from lavendergate.controllers.customers.registry import CustomerRegistry
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.control_routes import unpack_routes
+from lavendergate.core.customers.lease import confirmation_time
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
+from lavendergate.core.leases.granting import LEASE_S
 from lavendergate.core.relays.homes import ProxyAddress
 from lavendergate.core.types import FailureDomain, GroupId
 from lavendergate.daemon.supervision import report_failure
@@ -57,6 +60,9 @@
     offer
         Returns this host's offer to be a home, for the known version of the
         live proxies.
+    customers
+        Receives the proof that the customers of the route table are up to
+        date; None if callers are not identified.
     """
 
     def __init__(
@@ -67,8 +73,10 @@
         positions: PrimaryPositions,
         relays: RelayClient | None = None,
         offer: Callable[[int], RelayOffer] | None = None,
+        customers: CustomerRegistry | None = None,
         events: EventLog,
     ) -> None:
+        self._customers = customers
         self._relays = relays
         self._offer = offer
         self._proxies: dict[str, _KnownProxies] = {}
@@ -146,6 +154,7 @@
         if reply.is_leader:
             self._apply_leases(reply, sent_at, published)
             self._apply_proxies(reply)
+            self._renew_keys(reply, sent_at)
 
     def _published_by(self, source: str) -> dict[GroupId, PrimaryNotice]:
         """Return the primaries that a control host has published.
@@ -208,6 +217,18 @@
                 sent_at + reply.lease_ms / _MS_PER_S,
             )
 
+    def _renew_keys(self, reply: SyncReply, sent_at: float) -> None:
+        """Renew the lease on the keys.
+
+        The leader's table is at least as new as its confirmation by a
+        majority. A table that could not be decoded proves nothing.
+        """
+        has_routes = self._view.routes.version >= reply.routes_version
+        if self._customers is not None and reply.lease_ms and has_routes:
+            self._customers.renew(
+                confirmation_time(sent_at, reply.lease_ms / _MS_PER_S, LEASE_S)
+            )
+
     def _adopt_routes(self, content: bytes | None, source: str) -> None:
         if not content:
             return
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -4,6 +4,7 @@
 from anyio.abc import TaskGroup
 
 from lavendergate.controllers.control_sync import ControlSyncClient
+from lavendergate.controllers.customers.registry import CustomerRegistry
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.relays.client import RelayClient
@@ -26,6 +27,7 @@
     report_failure,
 )
 from lavendergate.filters.chain import compose
+from lavendergate.filters.customers.identification import IdentificationFilter
 from lavendergate.filters.relays.home import RelayHome
 from lavendergate.filters.sessions.local import LocalFilter
 from lavendergate.filters.sessions.member_selection import MemberSelector
@@ -51,6 +53,7 @@
 _BALANCER_NOTICE_S = 2.3
 _EXIT_MARGIN_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.05
+_MS_PER_S = 1000
 
 
 class HostedProxy:
@@ -73,6 +76,15 @@
         self._peers = PeerClient()
         self._metrics = HttpMetrics()
         self._view = FleetView(clock=anyio.current_time)
+        bounds = settings.bounds
+        self._customers = CustomerRegistry(
+            view=self._view,
+            lease_s=(
+                bounds.revoke_ms / _MS_PER_S if bounds.strict_revoke else None
+            ),
+            real_clock=boottime_s,
+            events=self._events,
+        )
         guarded = GuardedTasks(tasks=tasks, events=self._events)
         self._relays = RelayClient(
             own_address=settings.internal_address,
@@ -121,6 +133,7 @@
                 positions=self._positions,
                 relays=self._relays,
                 offer=self._offer,
+                customers=self._customers,
                 events=self._events,
             ),
             peers=self._peers,
@@ -133,7 +146,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent to this host."""
-        return not self._is_draining and bool(self._view.routes.version)
+        if self._is_draining or not self._view.routes.version:
+            return False
+        return self._customers.can_admit_keys
 
     async def run(self) -> None:
         """Serve until the process receives a stop signal, then drain."""
@@ -203,6 +218,12 @@
         )
         chain = compose(
             (
+                IdentificationFilter(
+                    view=self._view,
+                    customers=self._customers,
+                    transactions=transactions,
+                    events=self._events,
+                ),
                 LocalFilter(),
                 RouteFilter(view=self._view),
                 SingleStatementFilter(
@@ -222,6 +243,7 @@
             monotonic=anyio.current_time,
             events=self._events,
             metrics=self._metrics,
+            customers=self._customers,
         )
 
     def _share_of(self, entry: MemberEntry) -> ConnectionShare:
--- /dev/null
+++ b/lavendergate/filters/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that identify the customers of sessions."""
--- a/lavendergate/filters/sessions/base.py
+++ b/lavendergate/filters/sessions/base.py
@@ -26,6 +26,13 @@
 DataStatement = Read | Write | Execute
 
 
+class KeyWithdrawnError(Exception):
+    """The key of a session was taken away while its statement waited.
+
+    The statement did not run.
+    """
+
+
 @dataclass(kw_only=True, slots=True)
 class SessionTransaction:
     """A caller's transaction.
@@ -81,7 +88,7 @@
     transaction: SessionTransaction | None = None
     is_expired: bool = False
     customer: Customer | None = None
-    key_digest: KeyDigest | None = None
+    key_digest: KeyDigest | None = field(default=None, repr=False)
 
     def record_write(self, position: LogPosition, sent_at: float) -> None:
         """Record the position of an acknowledged write."""
@@ -112,6 +119,9 @@
         Log position that the member must have applied before a read, and
         when the primary was asked for it, on the clock of
         `PrimaryPositions`.
+    holds_key
+        Returns whether the customer still holds the session's key; None if
+        callers are not identified.
     """
 
     session: CallerSession
@@ -126,6 +136,7 @@
     home: str | None = None
     position: LogPosition | None = None
     position_asked_at: float | None = None
+    holds_key: Callable[[], bool] | None = None
 
     @property
     def access(self) -> AccessKind:
@@ -156,6 +167,17 @@
             raise RuntimeError('the routing filter must run before this one')
         return self.route
 
+    def check_key(self) -> None:
+        """Check the key again, at the last moment before a member is used.
+
+        Raises
+        ------
+        KeyWithdrawnError
+            If the customer no longer holds it.
+        """
+        if self.holds_key is not None and not self.holds_key():
+            raise KeyWithdrawnError
+
 
 class SessionFilter(ChainStep[SessionRequest, SessionAnswer]):
     """One filter on the statement path of sessions."""
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -28,6 +28,7 @@
 from lavendergate.filters.sessions.base import (
     DataStatement,
     ForwardRequest,
+    KeyWithdrawnError,
     SessionRequest,
     refusal_answer,
 )
@@ -241,6 +242,11 @@
             give_up_at,
             context=request.context,
         )
+        try:
+            request.check_key()
+        except KeyWithdrawnError:
+            await self._pools.release(connection)
+            raise
         try:
             await prepare_connection(
                 connection,
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -35,6 +35,7 @@
     CallerSession,
     DataStatement,
     ForwardRequest,
+    KeyWithdrawnError,
     SessionRequest,
     SessionTransaction,
     refusal_answer,
@@ -318,6 +319,11 @@
             )
         except NoConnectionError as error:
             return Refused(code=RefusalCode.busy, text=str(error))
+        try:
+            request.check_key()
+        except KeyWithdrawnError:
+            await self._pools.release(connection)
+            raise
         try:
             await prepare_connection(
                 connection,
--- a/lavendergate/frontend/caller_channel.py
+++ b/lavendergate/frontend/caller_channel.py
@@ -1,8 +1,9 @@
 """Interface to callers that use the session protocol."""
 
 import abc
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from lavendergate.core.customers.table import KeyDigest
 from lavendergate.core.sessions.statements import (
     CallerStatement,
     Refused,
@@ -14,6 +15,21 @@
     """The connection was closed by the caller, or it broke."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SessionStart:
+    """A request of a caller to open a session.
+
+    Parameters
+    ----------
+    key_digest
+        Digest of the caller's key; None if it sent none. The key itself does
+        not leave the adapter of the protocol.
+    """
+
+    database: str
+    key_digest: KeyDigest | None = field(default=None, repr=False)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerRequest:
     """A caller's statement.
@@ -40,8 +56,8 @@
     """
 
     @abc.abstractmethod
-    async def receive_database(self) -> str | None:
-        """Return the requested database; None if it could not be parsed."""
+    async def receive_start(self) -> SessionStart | None:
+        """Return the request for a session; None if it cannot be parsed."""
 
     @abc.abstractmethod
     async def accept(self) -> None:
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -5,7 +5,13 @@
 
 import anyio
 
+from lavendergate.controllers.customers.registry import CustomerRegistry
 from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.core.customers.identity import (
+    Admitted,
+    UnknownKey,
+    UnprovenKey,
+)
 from lavendergate.core.sessions.statements import (
     Completed,
     Phase,
@@ -13,6 +19,10 @@
     Refused,
     SessionAnswer,
 )
+from lavendergate.filters.customers.identification import (
+    not_authorized,
+    unproven_key,
+)
 from lavendergate.filters.sessions.base import (
     CallerSession,
     ForwardRequest,
@@ -24,6 +34,7 @@
     CallerDisconnectedError,
     CallerRequest,
     SessionEndRequest,
+    SessionStart,
 )
 from lavendergate.observability.event_type import FieldValue
 from lavendergate.observability.exposition import HttpMetrics
@@ -40,6 +51,13 @@
 # seconds, because a statement may be on its way.
 _CLOSE_GRACE_S = 0.02
 _MS_PER_S = 1000
+# Interval at which a waiting session checks whether it can be opened, in
+# seconds. Renewals of the lease on the keys change no route.
+_ROUTES_CHECK_INTERVAL_S = 0.05
+# Refusals after which a session ends.
+_SESSION_END_CODES = frozenset(
+    (RefusalCode.no_database, RefusalCode.not_authorized)
+)
 # Time limit of a statement until its route sets one, in seconds.
 _DEFAULT_TIMEOUT_S = 1.0
 
@@ -96,6 +114,8 @@
         Monotonic time, in seconds.
     events, metrics
         Receive the outcome and duration of statements.
+    customers
+        Identifies callers; None if they are not identified.
     """
 
     def __init__(
@@ -108,7 +128,9 @@
         monotonic: Callable[[], float],
         events: EventLog,
         metrics: HttpMetrics,
+        customers: CustomerRegistry | None = None,
     ) -> None:
+        self._customers = customers
         self._metrics = metrics
         self._chain = chain
         self._transactions = transactions
@@ -143,37 +165,71 @@
     async def serve(self, channel: CallerChannel) -> None:
         """Serve a caller until its session ends."""
         try:
-            database = await channel.receive_database()
-            refusal = await self._check_database(database)
-            if refusal is not None:
-                await channel.refuse(refusal)
+            start = await channel.receive_start()
+            opened = await self._open_session(start)
+            if isinstance(opened, Refused):
+                await channel.refuse(opened)
                 return
             await channel.accept()
-            await self._serve_session(
-                channel, CallerSession(database=database or '')
-            )
+            await self._serve_session(channel, opened)
         except CallerDisconnectedError:
             # Nobody is left to answer, and `_serve_session` has rolled back the
             # transaction.
             return
 
-    async def _check_database(self, database: str | None) -> Refused | None:
-        """Return why a session with a database cannot be opened."""
+    async def _open_session(
+        self, start: SessionStart | None
+    ) -> CallerSession | Refused:
+        """Return a new session, or why it cannot be opened."""
         give_up_at = self._monotonic() + _ROUTES_TIMEOUT_S
-        while not self._view.routes.version:
+        while not self._has_routes:
             remaining_s = give_up_at - self._monotonic()
             if remaining_s <= 0:
                 break
-            await self._view.wait_for_change(remaining_s)
+            await self._view.wait_for_change(
+                min(remaining_s, _ROUTES_CHECK_INTERVAL_S)
+            )
         if not self._view.routes.version:
             # Without routes, it is not known whether the database exists.
             return Refused(
                 code=RefusalCode.busy,
                 text='the host has not received routes yet; retry in 500 ms',
             )
-        if database is None or self._view.route(database) is None:
-            return _no_database_refusal(database)
-        return None
+        route = None if start is None else self._view.route(start.database)
+        if start is None or route is None:
+            return _no_database_refusal(start)
+        session = CallerSession(
+            database=start.database, key_digest=start.key_digest
+        )
+        if self._customers is None:
+            return session
+        found = self._customers.identify(start.key_digest, route, self._clock())
+        match found:
+            case Admitted(customer=customer):
+                session.customer = customer
+                return session
+            case UnknownKey():
+                return self._refuse_key(session, not_authorized())
+            case UnprovenKey():
+                return self._refuse_key(session, unproven_key())
+
+    @property
+    def _has_routes(self) -> bool:
+        """Whether sessions can be opened, as far as the routes are needed."""
+        if not self._view.routes.version:
+            return False
+        customers = self._customers
+        if customers is None or self._view.routes.customers is None:
+            return True
+        return customers.has_proof
+
+    def _refuse_key(self, session: CallerSession, refusal: Refused) -> Refused:
+        database = session.database
+        self._metrics.statements.labels(database, refusal.code.value).inc()
+        self._events.emit(
+            SessionEvent.key_refused, database=database, reason=refusal.text
+        )
+        return refusal
 
     async def _serve_session(
         self, channel: CallerChannel, state: CallerSession
@@ -316,6 +372,7 @@
             'home': request.home,
             'database': request.session.database,
             'routes_version': self._view.routes.version,
+            'customer': request.context.customer,
         }
         route = request.route
         if route is not None:
@@ -334,7 +391,8 @@
         return routing_fields
 
 
-def _no_database_refusal(database: str | None) -> Refused:
+def _no_database_refusal(start: SessionStart | None) -> Refused:
+    database = None if start is None else start.database
     return Refused(
         code=RefusalCode.no_database,
         text=f'no route serves database {database!r}',
@@ -343,6 +401,4 @@
 
 def _ends_session(answer: SessionAnswer) -> bool:
     outcome = answer.outcome
-    return (
-        isinstance(outcome, Refused) and outcome.code == RefusalCode.no_database
-    )
+    return isinstance(outcome, Refused) and outcome.code in _SESSION_END_CODES
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -53,6 +53,12 @@
             ('member',),
             registry=registry,
         )
+        self.opened_connections = Counter(
+            'lavendergate_opened_connections',
+            'Opened sessions to members; shows how rarely they are reused',
+            ('member',),
+            registry=registry,
+        )
         self.sessions = Gauge(
             'lavendergate_sessions',
             'Open sessions; shows whether the load is spread evenly',
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -15,6 +15,7 @@
     'term',
     'position',
     'position_age_ms',
+    'customer',
 )
 
 
@@ -178,3 +179,31 @@
         Level.info,
         'the disk of the control log answers again after {waited_ms} ms',
     )
+    key_refused = define(
+        8101,
+        Level.info,
+        'a session on database {database} was refused: {reason}',
+        'Nothing for single cases; if they repeat after a change of keys, '
+        'check that the callers have the new ones.',
+    )
+    key_withdrawn = define(
+        8102,
+        Level.info,
+        'a session of customer {customer} on database {database} ended: its '
+        'key was taken away',
+        extra=('phase', 'request_id'),
+    )
+    key_lease_lost = define(
+        8103,
+        Level.warning,
+        'callers with keys are refused: no control leader has confirmed route '
+        'table {version} in time',
+        'Check the control hosts and the network between them and this host; '
+        'the host admits keys again when the leader answers.',
+    )
+    key_lease_regained = define(
+        8104,
+        Level.info,
+        'callers with keys are served again with route table {version}, after '
+        '{lost_ms} ms',
+    )
--- a/lavendergate/platform/callers.py
+++ b/lavendergate/platform/callers.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import SocketStream, TaskStatus
 
+from lavendergate.core.customers.table import digest_key
 from lavendergate.core.sessions.statements import (
     Completed,
     Refused,
@@ -15,6 +16,7 @@
     CallerDisconnectedError,
     CallerRequest,
     SessionEndRequest,
+    SessionStart,
 )
 from lavendergate.platform.line_codec import (
     encode_answer,
@@ -50,15 +52,19 @@
     def __init__(self, *, stream: LineStream) -> None:
         self._stream = stream
 
-    async def receive_database(self) -> str | None:
-        """Read the START line; return the database, None if invalid."""
+    async def receive_start(self) -> SessionStart | None:
+        """Read the START line; return its fields, None if invalid."""
         try:
             with anyio.fail_after(_START_TIMEOUT_S):
                 word, rest = await self._stream.read()
         except LOST_OR_TIMEOUT_ERRORS as error:
             raise CallerDisconnectedError(repr(error)) from error
-        database = rest.partition(' ')[0]
-        return database if word == 'START' and database else None
+        database, _, key = rest.partition(' ')
+        if word != 'START' or not database:
+            return None
+        return SessionStart(
+            database=database, key_digest=digest_key(key) if key else None
+        )
 
     async def accept(self) -> None:
         """Send the READY line that confirms the start of the session."""
--- a/lavendergate/platform/documents.py
+++ b/lavendergate/platform/documents.py
@@ -22,6 +22,11 @@
     ServiceLimits,
 )
 from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
+from lavendergate.platform.customer_documents import (
+    CustomerDocument,
+    describe_entry,
+    find_customer_problem,
+)
 
 _DEFAULT_CONNECTIONS = 16
 
@@ -39,16 +44,6 @@
     public: bool = False
 
 
-class _CustomerDocument(
-    msgspec.Struct, frozen=True, kw_only=True, rename='camel'
-):
-    name: str
-    api_keys: tuple[str, ...]
-    priority: int = 0
-    rate_per_s: float | None = None
-    burst: float = 0
-
-
 class _ServiceDocument(
     msgspec.Struct, frozen=True, kw_only=True, rename='camel'
 ):
@@ -70,7 +65,7 @@
     routes: tuple[_RouteDocument, ...]
     services: tuple[_ServiceDocument, ...]
     limits: _LimitsDocument = _LimitsDocument()
-    tenants: tuple[_CustomerDocument, ...] | None = None
+    tenants: tuple[CustomerDocument, ...] | None = None
 
 
 class _AnnouncementDocument(
@@ -106,7 +101,10 @@
     try:
         document = msgspec.json.decode(content, type=_RouteTableDocument)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(f'cannot decode the route document: {error}')
+        return Err(
+            f'cannot decode the route document: {error}'
+            f'{describe_entry(content, error)}'
+        )
     problem = _find_problem(document)
     if problem is not None:
         return Err(problem)
@@ -183,7 +181,7 @@
         served.add(target)
     if document.version <= 0:
         return f'version {document.version} is not above 0'
-    return None
+    return find_customer_problem(document.tenants or ())
 
 
 def _build_route(route: _RouteDocument) -> Route:
@@ -201,7 +199,7 @@
 
 
 def _build_customers(
-    documents: tuple[_CustomerDocument, ...] | None,
+    documents: tuple[CustomerDocument, ...] | None,
 ) -> CustomerTable | None:
     if documents is None:
         return None
@@ -210,7 +208,7 @@
     )
 
 
-def _build_customer(document: _CustomerDocument) -> Customer:
+def _build_customer(document: CustomerDocument) -> Customer:
     limit = None
     if document.rate_per_s is not None:
         limit = OperationLimit(
--- a/lavendergate/platform/line_codec.py
+++ b/lavendergate/platform/line_codec.py
@@ -52,6 +52,7 @@
     RefusalCode.misrouted: 'MISROUTED',
     RefusalCode.no_database: 'NODB',
     RefusalCode.no_statement: 'NOSTMT',
+    RefusalCode.not_authorized: 'NOAUTH',
     RefusalCode.read_only: 'READONLY',
     RefusalCode.timeout: 'TIMEOUT',
     RefusalCode.unknown: 'UNKNOWN',
--- a/lavendergate/rpc/relay_service.py
+++ b/lavendergate/rpc/relay_service.py
@@ -118,6 +118,7 @@
             customer=self.customer,
             customer_priority=self.customer_priority,
             route_priority=self.route_priority,
+            is_system=isinstance(self.statement, RelayedStatus),
         )
 
 
--- a/lavendergate/tests/session_fixture.py
+++ b/lavendergate/tests/session_fixture.py
@@ -9,9 +9,11 @@
 from trio.testing import MockClock
 
 from lavendergate.backends.sessions import MemberDialer
+from lavendergate.controllers.customers.registry import CustomerRegistry
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.session_pools import SessionPools
+from lavendergate.core.customers.table import CustomerTable
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.routes import (
     Consistency,
@@ -27,6 +29,7 @@
 )
 from lavendergate.core.types import Term
 from lavendergate.filters.chain import compose
+from lavendergate.filters.customers.identification import IdentificationFilter
 from lavendergate.filters.sessions.base import CallerSession, SessionRequest
 from lavendergate.filters.sessions.local import LocalFilter
 from lavendergate.filters.sessions.member_selection import MemberSelector
@@ -62,6 +65,9 @@
         Group that the proxy serves, if other proxies share it.
     make_dialer
         Returns the dialer of the proxy, given the one of the group.
+    key_lease_s
+        Time for which keys are admitted without a renewal, in seconds; None
+        for no limit.
     """
 
     def __init__(
@@ -71,7 +77,11 @@
         lease_s: float = 60,
         group: SessionGroup | None = None,
         make_dialer: Callable[[MemberDialer], MemberDialer] | None = None,
+        key_lease_s: float | None = None,
     ) -> None:
+        self.customers: CustomerTable | None = None
+        self.public = frozenset[str]()
+        self.events = MemoryEventLog()
         self.tasks = tasks
         self.synchronous_replicas = 1
         self.timeout_ms = _TIMEOUT_MS
@@ -87,9 +97,15 @@
             clock=anyio.current_time,
             share=self._share,
             home_share=self._home_share,
-            events=MemoryEventLog(),
+            events=self.events,
             metrics=HttpMetrics(),
         )
+        self.registry = CustomerRegistry(
+            view=self.view,
+            lease_s=key_lease_s,
+            real_clock=anyio.current_time,
+            events=self.events,
+        )
         self.positions = PrimaryPositions(
             view=self.view,
             pools=self.pools,
@@ -111,6 +127,12 @@
         )
         self.chain = compose(
             (
+                IdentificationFilter(
+                    view=self.view,
+                    customers=self.registry,
+                    transactions=self.transactions,
+                    events=self.events,
+                ),
                 LocalFilter(),
                 RouteFilter(view=self.view),
                 SingleStatementFilter(
@@ -143,6 +165,7 @@
                         target_latency_ms=1000,
                         priority=1,
                         max_staleness_ms=staleness_ms,
+                        is_public=database in self.public,
                     )
                     for database, (
                         consistency,
@@ -157,6 +180,7 @@
                         synchronous_replicas=self.synchronous_replicas,
                     )
                 },
+                customers=self.customers,
             )
         )
 
--- a/lavendergate/tests/test_platform_sockets.py
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -137,8 +137,8 @@
 
 async def echo(channel: CallerChannel) -> None:
     """Answer each statement with the name of its type."""
-    database = await channel.receive_database()
-    if database != 'known':
+    start = await channel.receive_start()
+    if start is None or start.database != 'known':
         await channel.refuse(Refused(code=RefusalCode.no_database))
         return
     await channel.accept()
--- a/lavendergate/tests/test_session_service.py
+++ b/lavendergate/tests/test_session_service.py
@@ -7,6 +7,7 @@
 import trio
 from trio.testing import MockClock
 
+from lavendergate.core.customers.table import digest_key
 from lavendergate.core.sessions.statements import (
     Begin,
     CallerStatement,
@@ -23,18 +24,21 @@
     CallerDisconnectedError,
     CallerRequest,
     SessionEndRequest,
+    SessionStart,
 )
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
-from lavendergate.observability.log import MemoryEventLog
 from lavendergate.tests.session_fixture import OWN, PRIMARY, SessionFixture
 
 
 class FakeCaller(CallerChannel):
     """A caller channel whose requests are supplied by a test."""
 
-    def __init__(self, *, database: str) -> None:
-        self._database = database
+    def __init__(self, *, database: str, key: str | None = None) -> None:
+        self._start = SessionStart(
+            database=database,
+            key_digest=None if key is None else digest_key(key),
+        )
         send, receive = anyio.create_memory_object_stream[
             CallerRequest | SessionEndRequest
         ](10)
@@ -57,8 +61,8 @@
         """Break the connection without ending the session."""
         self._send.close()
 
-    async def receive_database(self) -> str | None:
-        return self._database
+    async def receive_start(self) -> SessionStart | None:
+        return self._start
 
     async def accept(self) -> None:
         self.is_open = True
@@ -84,9 +88,9 @@
 class ServiceFixture(SessionFixture):
     """A proxy that serves fake callers."""
 
-    def connect(self, database: str) -> FakeCaller:
+    def connect(self, database: str, key: str | None = None) -> FakeCaller:
         """Open a session; it runs in the background."""
-        caller = FakeCaller(database=database)
+        caller = FakeCaller(database=database, key=key)
         self.tasks.start_soon(self._serve, caller)
         return caller
 
@@ -102,8 +106,9 @@
             view=self.view,
             clock=anyio.current_time,
             monotonic=anyio.current_time,
-            events=MemoryEventLog(),
+            events=self.events,
             metrics=HttpMetrics(),
+            customers=self.registry,
         )
 
 
