Remove voters that have left from the control group

Cause: a voter was removed only above five voters, or once another one took its place at exactly five. A group of three kept a replaced host as a fourth voter for ever and bore no further loss.

Change: - A voter that has left is removed from an even number of voters, so that the others bear one more loss; two of an odd number are removed only after a time in which they would have come back. Fewer than three voters are never left. - A stopping host announces it to all control hosts (LEAVE); the leader adapts the voters at once, also if it stops itself. The announcement is forgotten once the host answers again, so a restart costs no voter. - Seven present hosts vote, since five voters bear only two losses. - Successive changes do not wait for the next interval, and a host asks to join 0.5 s after its start without a leader.

--- a/lavendergate/controllers/control_node.py
+++ b/lavendergate/controllers/control_node.py
@@ -165,6 +165,7 @@
                 incarnation=known.incarnation,
                 since_answer_s=now - progress.answered_at,
                 missing_entries=node.log.last.index - progress.match_index,
+                has_answered=progress.match_index > 0,
             )
             for known, progress in node.role.progress.items()
         }
--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -3,11 +3,16 @@
 from collections.abc import Sequence
 
 import anyio
-from result import Err
+from result import Err, Ok
 
 from lavendergate.controllers.control_node import ControlNode
 from lavendergate.core.types import HostId
 from lavendergate.core.voter_changes import JoiningHost, next_configuration
+from lavendergate.core.voter_departures import (
+    AnnouncedStop,
+    leaving_hosts,
+    without_returned,
+)
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.consensus_service import (
@@ -17,7 +22,14 @@
     HostIdentityReply,
     HostIdentityRequest,
 )
-from lavendergate.rpc.fleet_service import JOIN, JoinReply, JoinRequest
+from lavendergate.rpc.fleet_service import (
+    JOIN,
+    LEAVE,
+    JoinReply,
+    JoinRequest,
+    LeaveReply,
+    LeaveRequest,
+)
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 
 _INTERVAL_S = 0.3
@@ -26,6 +38,11 @@
 _JOIN_AGE_S = 2.0
 # Time without a known leader after which a host asks to join, in seconds.
 _LEADERLESS_S = 1.5
+# The same after the start: two heartbeats of a leader, in seconds.
+_FIRST_LEADERLESS_S = 0.5
+# A replacement takes two changes, a promotion and a removal. More than a few
+# in a row would point to a fault.
+_MAX_SUCCESSIVE_CHANGES = 4
 
 
 class GroupFormation:
@@ -61,6 +78,9 @@
         self._peers = peers
         self._events = events
         self._join_requests: dict[HostId, tuple[JoiningHost, float]] = {}
+        self._stops: dict[HostId, AnnouncedStop] = {}
+        self._is_leaving = False
+        self._changes = anyio.Lock()
         self._leader_seen_at = float('-inf')
 
     def change_seeds(self, seeds: Sequence[str]) -> None:
@@ -79,21 +99,49 @@
             address=host.address,
         )
         self._join_requests[host.host_id] = (joiner, anyio.current_time())
+        # A host that is stopping does not ask to join.
+        self._stops.pop(host.host_id, None)
         return JoinReply(accepted=True)
 
+    async def handle_leave(self, request: LeaveRequest) -> LeaveReply:
+        """Record that a host stops; the leader adapts the voters at once."""
+        self._record_stop(request)
+        is_leader = self._node.view.is_leader
+        await self._maintain_voters()
+        return LeaveReply(is_leader=is_leader)
+
+    async def leave(self) -> None:
+        """Announce to all control hosts that this host stops.
+
+        Returns once they have answered, after `_CALL_TIMEOUT_S` at most.
+        """
+        self._is_leaving = True
+        request = LeaveRequest(host=self._own_host())
+        self._record_stop(request)
+        with anyio.move_on_after(_CALL_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                for address in self._known_hosts():
+                    tasks.start_soon(self._send_leave, address, request)
+                tasks.start_soon(self._maintain_voters)
+
     async def run(self) -> None:
         """Create, join or maintain the group until cancelled."""
-        self._leader_seen_at = anyio.current_time()
+        # A host that was removed while it was stopped hears from no leader.
+        self._leader_seen_at = (
+            anyio.current_time() - _LEADERLESS_S + _FIRST_LEADERLESS_S
+        )
         while True:
-            view = self._node.view
-            if view.is_leader:
-                await self._maintain_voters()
-            elif self._may_create_group():
-                await self._create_group()
-            else:
-                await self._join_if_leaderless()
+            await self._run_once()
             await anyio.sleep(_INTERVAL_S)
 
+    async def _run_once(self) -> None:
+        if self._node.view.is_leader:
+            await self._maintain_voters()
+        elif self._may_create_group():
+            await self._create_group()
+        elif not self._is_leaving:
+            await self._join_if_leaderless()
+
     def _may_create_group(self) -> bool:
         return (
             self._bootstrap
@@ -155,13 +203,16 @@
         if now - self._leader_seen_at >= _LEADERLESS_S or not view.initialised:
             await self._request_join()
 
-    async def _request_join(self) -> None:
+    def _own_host(self) -> ControlHost:
         identity = self._node.view.identity
-        host = ControlHost(
+        return ControlHost(
             host_id=identity.host_id,
             incarnation=identity.incarnation,
             address=self._address,
         )
+
+    async def _request_join(self) -> None:
+        host = self._own_host()
         async with anyio.create_task_group() as tasks:
             for address in self._known_hosts():
                 tasks.start_soon(
@@ -191,21 +242,52 @@
             # next interval.
             return
 
-    async def _maintain_voters(self) -> None:
-        configuration = self._node.view.configuration
-        if configuration is None:
+    def _record_stop(self, request: LeaveRequest) -> None:
+        host = request.host
+        self._stops[host.host_id] = AnnouncedStop(
+            incarnation=host.incarnation, announced_at=anyio.current_time()
+        )
+        self._events.emit(
+            SessionEvent.control_stop_announced, node=host.host_id
+        )
+
+    async def _send_leave(self, address: str, request: LeaveRequest) -> None:
+        try:
+            await self._peers.call(
+                address, LEAVE, request, timeout_s=_CALL_TIMEOUT_S
+            )
+        except PeerCallError:
+            # The leader also finds the stop by the missing answers.
             return
+
+    async def _maintain_voters(self) -> None:
+        """Change the voters step by step, as the leader."""
+        async with self._changes:
+            for _ in range(_MAX_SUCCESSIVE_CHANGES):
+                if not await self._change_voters():
+                    return
+
+    async def _change_voters(self) -> bool:
+        """Make the next change; return whether another one may follow."""
+        view = self._node.view
+        if not view.is_leader or view.configuration is None:
+            return False
         now = anyio.current_time()
         joiners = tuple(
             joiner
             for joiner, asked_at in self._join_requests.values()
             if now - asked_at <= _JOIN_AGE_S
         )
+        progress = self._node.node_progress()
+        self._stops = without_returned(self._stops, progress, now)
         change = next_configuration(
-            configuration.command, self._node.node_progress(), joiners
+            view.configuration.command,
+            progress,
+            joiners,
+            leaving_hosts(self._stops, progress, now),
         )
         if change is None:
-            return
+            return False
         changed = await self._node.propose(change)
         self._events.emit(
             SessionEvent.group_changed,
@@ -215,6 +297,7 @@
             voters=tuple(sorted(change.voters)),
             learners=tuple(sorted(change.learners)),
         )
+        return isinstance(changed, Ok)
 
 
 def _voter(address: str, reply: HostIdentityReply) -> ControlHost:
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -34,6 +34,7 @@
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.fleet_service import (
     JOIN,
+    LEAVE,
     MERGE,
     PROPOSE_ROUTES,
     READ_ROUTES,
@@ -253,7 +254,9 @@
             self._tasks.start_soon(keep_running, name, run, self._events)
         await self._start_operations()
         await self._process.wait_for_stop()
-        await anyio.sleep(_STOP_DELAY_S)
+        async with anyio.create_task_group() as stopping:
+            stopping.start_soon(self._formation.leave)
+            await anyio.sleep(_STOP_DELAY_S)
         server.close()
 
     async def forward_entries(self, entries: tuple[MemberEntry, ...]) -> bool:
@@ -317,6 +320,7 @@
                 PROPOSE_ROUTES: self._handle_proposal,
                 READ_ROUTES: self.read_routes,
                 JOIN: self._handle_join,
+                LEAVE: self._formation.handle_leave,
             }
         )
 
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -178,3 +178,8 @@
         Level.info,
         'the disk of the control log answers again after {waited_ms} ms',
     )
+    control_stop_announced = define(
+        8181,
+        Level.info,
+        'control host {node} announced that it stops',
+    )
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -268,6 +268,25 @@
     leader: str | None = None
 
 
+class LeaveRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Announces to the control hosts that one of them stops."""
+
+    host: ControlHost
+
+
+class LeaveReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Confirms an announcement.
+
+    Parameters
+    ----------
+    is_leader
+        Whether the receiver leads, and has adapted the voters if the group
+        then bears more losses.
+    """
+
+    is_leader: bool
+
+
 SYNC = Method(
     path='/lavendergate.Fleet/Sync',
     request_type=SyncRequest,
@@ -293,3 +312,8 @@
     request_type=JoinRequest,
     reply_type=JoinReply,
 )
+LEAVE = Method(
+    path='/lavendergate.Fleet/Leave',
+    request_type=LeaveRequest,
+    reply_type=LeaveReply,
+)
