--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -206,4 +206,8 @@
         Level.info,
         'callers with keys are served again with route table {version}, after '
         '{lost_ms} ms',
+    control_stop_announced = define(
+        8181,
+        Level.info,
+        'control host {node} announced that it stops',
     )
