--- /dev/null
+++ b/lavendergate/tests/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of customers and their keys."""
