Use home proxies where a proxy could hold one connection only

A proxy whose share of a member's connections is one cannot send anything else to the member while a transaction on it waits for its caller, even if the member is idle. Homes are now used as soon as the share is below two.

The queues of the homes do not order by priority yet.

--- a/lavendergate/core/sessions/shares.py
+++ b/lavendergate/core/sessions/shares.py
@@ -20,6 +20,10 @@
 # The same if there are more proxies than connections. It is longer than the
 # pause between the statements of one request.
 _SCARCE_IDLE_S = 0.1
+# Least number of connections to each member with which a proxy connects
+# directly. With one alone, a transaction that waits for its caller keeps every
+# other statement of the proxy from the member, also while the member is idle.
+_MIN_DIRECT_CONNECTIONS = 2
 # Sessions that run through a home need no connection of this proxy.
 _RELAYED_LIMIT = 64
 # Fraction of the connections that the homes of a member may open together. The
@@ -56,7 +60,7 @@
 
 
 def is_scarce(limits: ServiceLimits | None, proxies: int | None) -> bool:
-    """Return whether there are more proxies than connections to a member.
+    """Return whether proxies have too few connections to connect directly.
 
     Parameters
     ----------
@@ -67,7 +71,8 @@
     """
     if limits is None or proxies is None:
         return False
-    return proxies > limits.max_connections - _MONITORING_CONNECTIONS
+    available = limits.max_connections - _MONITORING_CONNECTIONS
+    return proxies * _MIN_DIRECT_CONNECTIONS > available
 
 
 def home_share(limits: ServiceLimits | None, slots: int) -> ConnectionShare:
