Serve waiting statements by priority and fair shares

The queue of a member ordered statements by deadline only, so urgent ones waited behind less urgent ones, and tasks that waited for a connection raced for each one that became free. core/service_order now decides both orders: open transactions first, then route priority and customer priority, start-time fair queueing between customers, least remaining time; each eighth turn goes to a less urgent class. The wait of a class is predicted from the measured drain rate and from the share of turns of more urgent classes. A refusal for want of time carries the predicted wait, also from a home to its proxies, and a statement is refused at once when no member would serve it in time.

--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -1,5 +1,6 @@
 """Connections to one member, and the health derived from their answers."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -11,9 +12,14 @@
     MemberSession,
     MemberUnreachableError,
 )
-from lavendergate.controllers.waiters import Signal
+from lavendergate.controllers.waiters import OrderedWait
 from lavendergate.core.fleet_directory import MemberEntry
-from lavendergate.core.relays.turns import Ticket, TurnQueue
+from lavendergate.core.service_order.fair_share import Ticket
+from lavendergate.core.service_order.queue import ServiceQueue
+from lavendergate.core.sessions.context import (
+    SYSTEM_CONTEXT,
+    StatementContext,
+)
 from lavendergate.core.sessions.statements import (
     MemberReport,
     Phase,
@@ -56,16 +62,25 @@
 
 
 class NoTimeError(NoConnectionError):
-    """Too little time was left to run a statement, so it was not sent."""
+    """Too little time was left to run a statement, so it was not sent.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    wait_s
+        Predicted wait for a turn at the member, in seconds; 0 if unknown.
+    """
+
+    def __init__(self, *, wait_s: float = 0) -> None:
+        text = (
+            'too little time was left before the deadline to run the statement'
+        )
+        if wait_s:
+            # Callers that were refused together return one after the other.
+            return_s = wait_s * random.uniform(1, 2)
+            text = f'{text}; retry in {round(return_s * _MS_PER_S)} ms'
         super().__init__(
             refusal=Refused(
-                code=RefusalCode.busy,
-                text=(
-                    'too little time was left before the deadline to run '
-                    'the statement'
-                ),
+                code=RefusalCode.busy, text=text, retry_after_s=wait_s
             )
         )
 
@@ -87,6 +102,8 @@
     holds_turn
         Whether its next statement may be sent without waiting. A transaction
         gives its turn back between its statements.
+    context
+        Customer and priorities of the statements that it is used for.
     """
 
     session: MemberSession
@@ -97,6 +114,12 @@
     is_broken: bool = False
     used_at: float = 0
     holds_turn: bool = False
+    context: StatementContext = SYSTEM_CONTEXT
+
+    def use_for(self, context: StatementContext) -> None:
+        """Run the next statements for a caller."""
+        self.context = context
+        self.session.use_for(context)
 
     async def run(
         self,
@@ -121,7 +144,9 @@
         deadline = link.now() + timeout_s
         if not self.holds_turn:
             await link.take_turn(
-                is_new=False, deadline=deadline - _MIN_STATEMENT_TIME_S
+                is_new=False,
+                deadline=deadline - _MIN_STATEMENT_TIME_S,
+                context=self.context,
             )
             self.holds_turn = True
         try:
@@ -245,10 +270,10 @@
         self.failing_since: float | None = None
         self.next_connect_at = float('-inf')
         self.is_closed = False
-        self.turns = TurnQueue()
+        self.turns = ServiceQueue()
+        self.connection_wait = OrderedWait()
         self._turn_events: dict[int, anyio.Event] = {}
         self._clock = clock
-        self._freed = Signal()
 
     @property
     def is_suspect(self) -> bool:
@@ -259,7 +284,9 @@
         """Return the monotonic time, in seconds."""
         return self._clock()
 
-    async def take_turn(self, *, is_new: bool, deadline: float) -> None:
+    async def take_turn(
+        self, *, is_new: bool, deadline: float, context: StatementContext
+    ) -> None:
         """Wait until a statement may be sent to the member.
 
         Parameters
@@ -268,6 +295,9 @@
             Whether the statement is outside of a transaction.
         deadline
             Time until which the statement can be sent, in seconds.
+        context
+            Customer and priorities of the statement, which decide when it is
+            its turn.
 
         Raises
         ------
@@ -275,17 +305,22 @@
             If the statement would have to wait longer than that.
         """
         turns = self.turns
-        if turns.try_start():
+        if turns.try_start(context):
             return
-        wait_s = turns.expected_wait_s(self.latency_s)
-        if is_new and self._clock() + wait_s > deadline:
-            raise NoTimeError
-        ticket = turns.enqueue(is_new=is_new, deadline=deadline)
+        started_at = self._clock()
+        wait_s = turns.expected_wait_s(context, self.latency_s, started_at)
+        if is_new and started_at + wait_s > deadline:
+            self._record_wait(context, 'predicted', started_at)
+            raise NoTimeError(wait_s=wait_s)
+        ticket = turns.enqueue(
+            is_new=is_new, deadline=deadline, context=context
+        )
         event = anyio.Event()
         self._turn_events[id(ticket)] = event
         try:
-            with anyio.move_on_after(deadline - self._clock()):
+            with anyio.move_on_after(deadline - started_at):
                 await event.wait()
+                self._record_wait(context, 'served', started_at)
                 return
         except BaseException:
             self._give_up_turn(ticket, event)
@@ -293,11 +328,19 @@
         finally:
             self._turn_events.pop(id(ticket), None)
         self._give_up_turn(ticket, event)
-        raise NoTimeError
+        self._record_wait(context, 'expired', started_at)
+        raise NoTimeError(wait_s=wait_s)
+
+    def _record_wait(
+        self, context: StatementContext, outcome: str, started_at: float
+    ) -> None:
+        self._metrics.queue_seconds.labels(
+            str(context.route_priority), outcome
+        ).observe(self._clock() - started_at)
 
     def end_turn(self) -> None:
         """End a turn and start the next one."""
-        self.turns.finish()
+        self.turns.finish(self._clock())
         self._start_waiting()
 
     def _start_waiting(self) -> None:
@@ -349,10 +392,6 @@
                 reason=reason,
             )
 
-    def notify(self) -> None:
-        """Wake the tasks that wait for a connection."""
-        self._freed.notify()
-
     def _record_recovery(self, failed_s: float) -> None:
         self.failing_since = None
         self._events.emit(
@@ -361,7 +400,3 @@
             service=self.entry.service,
             failed_ms=round(failed_s * _MS_PER_S),
         )
-
-    async def wait(self, timeout_s: float) -> None:
-        """Wait until a connection may be free, or for the timeout."""
-        await self._freed.wait(timeout_s)
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -63,6 +63,7 @@
 _ANSWER_MARGIN_S = 0.03
 _LONGEST_WAIT_S = 5.0
 _ROLLBACK_TIMEOUT_S = 0.5
+_MS_PER_S = 1000
 
 
 class RelayDialer(MemberDialer):
@@ -207,11 +208,18 @@
             case RelayStatus.unreachable:
                 raise MemberUnreachableError(reply.text)
             case _:
-                return self._refuse(reply.code or RefusalCode.busy, reply.text)
+                return self._refuse(
+                    reply.code or RefusalCode.busy,
+                    reply.text,
+                    retry_after_s=reply.retry_after_ms / _MS_PER_S,
+                )
 
-    def _refuse(self, code: RefusalCode, text: str) -> SessionAnswer:
+    def _refuse(
+        self, code: RefusalCode, text: str, *, retry_after_s: float = 0
+    ) -> SessionAnswer:
         return SessionAnswer(
-            outcome=Refused(code=code, text=text), phase=self._phase
+            outcome=Refused(code=code, text=text, retry_after_s=retry_after_s),
+            phase=self._phase,
         )
 
     async def _send(
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -17,6 +17,7 @@
 )
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.service_order.fair_share import Ticket
 from lavendergate.core.sessions.context import (
     SYSTEM_CONTEXT,
     StatementContext,
@@ -159,12 +160,32 @@
         context: StatementContext,
         home_share: ConnectionShare | None,
     ) -> PooledSession:
+        ticket = Ticket(deadline=deadline, context=context)
+        wait = link.connection_wait
+        try:
+            if wait.has_waiting:
+                # A new statement does not overtake those that wait.
+                self._pass_on(link, home_share)
+                await wait.wait(ticket, max(0, deadline - self._clock()))
+            return await self._acquire_next(link, values, ticket, home_share)
+        finally:
+            # One notification wakes one statement.
+            self._pass_on(link, home_share)
+
+    async def _acquire_next(
+        self,
+        link: MemberLink,
+        values: Mapping[str, str],
+        ticket: Ticket,
+        home_share: ConnectionShare | None,
+    ) -> PooledSession:
+        deadline, context = ticket.deadline, ticket.context
         while True:
             pooled = await self._take_or_open(
                 link, values, deadline, context, home_share
             )
             if pooled is not None:
-                pooled.session.use_for(context)
+                pooled.use_for(context)
                 return pooled
             now = self._clock()
             if now >= deadline or link.is_closed:
@@ -174,7 +195,16 @@
             until = deadline
             if now < link.next_connect_at:
                 until = min(until, link.next_connect_at)
-            await link.wait(max(0, until - now))
+            await link.connection_wait.wait(ticket, max(0, until - now))
+
+    def _pass_on(
+        self, link: MemberLink, home_share: ConnectionShare | None
+    ) -> None:
+        """Wake the statement that is next if a connection may be free."""
+        share = home_share or self._share(link.entry)
+        if link.connection_wait.has_waiting:
+            if link.idle or self._may_open(link, share):
+                link.connection_wait.notify()
 
     async def _take_or_open(
         self,
@@ -189,7 +219,7 @@
         None if no connection is free; the turn is given back then, because
         statements of transactions need turns to end and free a connection.
         """
-        await link.take_turn(is_new=True, deadline=deadline)
+        await link.take_turn(is_new=True, deadline=deadline, context=context)
         pooled: PooledSession | None = None
         try:
             pooled = _take_idle(
@@ -223,14 +253,14 @@
             return
         pooled.used_at = self._clock()
         link.idle.append(pooled)
-        link.notify()
+        link.connection_wait.notify()
 
     async def drop(self, pooled: PooledSession) -> None:
         """Close a connection instead of returning it to the pool."""
         link = pooled.link
         pooled.end_turn()
         link.opened -= 1
-        link.notify()
+        link.connection_wait.notify()
         if link.is_suspect:
             self._close_idle_and_probe(link)
         with anyio.CancelScope(shield=True):
@@ -311,7 +341,7 @@
                 await anyio.sleep(_RECONNECT_DELAY_S)
         finally:
             self._probing.discard(link.entry.upstream_id)
-        link.notify()
+        link.connection_wait.notify_all()
 
     async def _probe_once(self, link: MemberLink) -> None:
         deadline = self._clock() + _PROBE_TIMEOUT_S
@@ -341,7 +371,7 @@
         idle, link.idle = link.idle, []
         for pooled in idle:
             self._tasks.start_soon(self.drop, pooled)
-        link.notify()
+        link.connection_wait.notify_all()
 
 
 def _take_idle(
--- /dev/null
+++ b/lavendergate/core/service_order/__init__.py
@@ -0,0 +1,1 @@
+"""Order in which statements that wait for the same member are served."""
--- a/lavendergate/core/sessions/member_wait.py
+++ b/lavendergate/core/sessions/member_wait.py
@@ -30,7 +30,9 @@
     return min(deadline, started_at + wait_s)
 
 
-def has_time_for_retry(pause_s: float, now: float, deadline: float) -> bool:
+def has_time_for_retry(
+    pause_s: float, now: float, deadline: float, *, wait_s: float = 0
+) -> bool:
     """Return whether a statement may be sent again after a pause.
 
     If not, it is refused at once, since a later refusal tells nothing more.
@@ -42,5 +44,8 @@
     now, deadline
         Current time and the time by which the statement must be answered, in
         seconds.
+    wait_s
+        Predicted time until the statement would be served, in seconds, as
+        the refusal of the last attempt told.
     """
-    return now + pause_s + _RETRY_TIME_S < deadline
+    return now + max(pause_s, wait_s) + _RETRY_TIME_S < deadline
--- a/lavendergate/core/sessions/statements.py
+++ b/lavendergate/core/sessions/statements.py
@@ -219,10 +219,14 @@
     ----------
     text
         Human-readable reason and remedy.
+    retry_after_s
+        Predicted time until a repeated statement would be served, in
+        seconds; 0 if unknown.
     """
 
     code: RefusalCode
     text: str = ''
+    retry_after_s: float = 0
 
 
 Outcome = Completed | Refused
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -205,6 +205,7 @@
                 if self._pools.link(member).is_suspect
                 else RelayStatus.not_run,
                 str(error),
+                retry_after_s=error.refusal.retry_after_s,
             )
         return await self._run_on(connection, member, request, deadline)
 
@@ -367,10 +368,19 @@
         )
 
     def _reply(
-        self, status: RelayStatus, text: str, *, phase: Phase = Phase.idle
+        self,
+        status: RelayStatus,
+        text: str,
+        *,
+        phase: Phase = Phase.idle,
+        retry_after_s: float = 0,
     ) -> RelayReply:
         return RelayReply(
-            status=status, now_ms=self.now_ms(), text=text, phase=phase
+            status=status,
+            now_ms=self.now_ms(),
+            text=text,
+            phase=phase,
+            retry_after_ms=round(retry_after_s * _MS_PER_S),
         )
 
 
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -96,6 +96,7 @@
                 return last_answer
             request.position = plan.position
             request.position_asked_at = plan.asked_at
+            waits_s = []
             for member in plan.members:
                 request.attempts += 1
                 answer = await self._try_read(
@@ -111,18 +112,21 @@
                 if not _may_retry_on_other_member(answer):
                     return answer
                 last_answer = answer
+                waits_s.append(_predicted_wait_s(answer))
                 if self._monotonic() >= request.deadline:
                     return last_answer
-            if not self._has_time_for_retry(request, pause_s):
+            if not self._has_time_for_retry(request, pause_s, min(waits_s)):
                 return last_answer
             await anyio.sleep(pause_s)
             pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
         return last_answer
 
     def _has_time_for_retry(
-        self, request: SessionRequest, pause_s: float
+        self, request: SessionRequest, pause_s: float, wait_s: float
     ) -> bool:
-        return has_time_for_retry(pause_s, self._monotonic(), request.deadline)
+        return has_time_for_retry(
+            pause_s, self._monotonic(), request.deadline, wait_s=wait_s
+        )
 
     async def _try_read(
         self,
@@ -134,7 +138,9 @@
         remaining_s = request.deadline - self._monotonic()
         try:
             connection = await self._connect(request, statement, member)
-        except (NoConnectionError, NotPreparedError) as error:
+        except NoConnectionError as error:
+            return _not_sent_answer(request, error)
+        except NotPreparedError as error:
             return refusal_answer(request, RefusalCode.busy, str(error))
         sent_at = self._positions.now()
         try:
@@ -149,7 +155,7 @@
                 request, RefusalCode.timeout, 'the member did not answer'
             )
         except NoTimeError as error:
-            return refusal_answer(request, RefusalCode.busy, str(error))
+            return _not_sent_answer(request, error)
         finally:
             request.home = connection.session.home
             await self._pools.release(connection)
@@ -184,7 +190,9 @@
             if not _did_not_run(answer):
                 return answer
             last_answer = answer
-            if not self._has_time_for_retry(request, pause_s):
+            if not self._has_time_for_retry(
+                request, pause_s, _predicted_wait_s(answer)
+            ):
                 return last_answer
             await anyio.sleep(pause_s)
             pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
@@ -198,7 +206,9 @@
     ) -> SessionAnswer:
         try:
             connection = await self._connect(request, statement, primary)
-        except (NoConnectionError, NotPreparedError) as error:
+        except NoConnectionError as error:
+            return _not_sent_answer(request, error)
+        except NotPreparedError as error:
             return refusal_answer(request, RefusalCode.busy, str(error))
         sent_at = self._positions.now()
         remaining_s = request.deadline - self._monotonic()
@@ -215,7 +225,7 @@
                 'the member did not answer; the write may have run',
             )
         except NoTimeError as error:
-            return refusal_answer(request, RefusalCode.busy, str(error))
+            return _not_sent_answer(request, error)
         finally:
             request.home = connection.session.home
             await self._pools.release(connection)
@@ -268,6 +278,23 @@
             self._positions.forget_beyond(service, answer.position)
 
 
+def _not_sent_answer(
+    request: SessionRequest, error: NoConnectionError
+) -> SessionAnswer:
+    outcome = Refused(
+        code=RefusalCode.busy,
+        text=str(error),
+        retry_after_s=error.refusal.retry_after_s,
+    )
+    return SessionAnswer(outcome=outcome, phase=request.session.phase)
+
+
+def _predicted_wait_s(answer: SessionAnswer) -> float:
+    """Return how long a repeated statement would wait; 0 if unknown."""
+    outcome = answer.outcome
+    return outcome.retry_after_s if isinstance(outcome, Refused) else 0
+
+
 def _answer_for_caller(
     request: SessionRequest, answer: SessionAnswer
 ) -> SessionAnswer:
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -251,14 +251,21 @@
             if refusal is None:
                 return None
             last_refusal = refusal
-            if not self._has_time_for_retry(request):
+            if not self._has_time_for_retry(
+                request, wait_s=refusal.retry_after_s
+            ):
                 break
             await anyio.sleep(_RETRY_PAUSE_S)
         return last_refusal
 
-    def _has_time_for_retry(self, request: SessionRequest) -> bool:
+    def _has_time_for_retry(
+        self, request: SessionRequest, *, wait_s: float = 0
+    ) -> bool:
         return has_time_for_retry(
-            _RETRY_PAUSE_S, self._monotonic(), request.deadline
+            _RETRY_PAUSE_S,
+            self._monotonic(),
+            request.deadline,
+            wait_s=wait_s,
         )
 
     async def _select_member(
@@ -317,7 +324,11 @@
                 context=request.context,
             )
         except NoConnectionError as error:
-            return Refused(code=RefusalCode.busy, text=str(error))
+            return Refused(
+                code=RefusalCode.busy,
+                text=str(error),
+                retry_after_s=error.refusal.retry_after_s,
+            )
         try:
             await prepare_connection(
                 connection,
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -47,6 +47,13 @@
             buckets=_BUCKET_BOUNDS_S,
             registry=registry,
         )
+        self.queue_seconds = Histogram(
+            'lavendergate_queue_seconds',
+            'Wait for a turn at a member; shows classes without room',
+            ('priority', 'outcome'),
+            buckets=_BUCKET_BOUNDS_S,
+            registry=registry,
+        )
         self.member_failures = Counter(
             'lavendergate_member_failures',
             'Missing answers and failed connections; shows unavailable members',
--- a/lavendergate/rpc/relay_service.py
+++ b/lavendergate/rpc/relay_service.py
@@ -158,6 +158,9 @@
         Transaction that the statement began.
     report
         Answer to `RelayedStatus`.
+    retry_after_ms
+        Predicted wait for a turn at the member, in milliseconds, if the
+        statement was not run for want of time; 0 if unknown.
     """
 
     status: RelayStatus
@@ -170,3 +173,4 @@
     position: LogPosition | None = None
     transaction: int | None = None
     report: MemberReport | None = None
+    retry_after_ms: int = 0
--- /dev/null
+++ b/lavendergate/tests/service_order/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the order in which waiting statements are served."""
--- a/lavendergate/tests/sessions/test_time_limits.py
+++ b/lavendergate/tests/sessions/test_time_limits.py
@@ -12,6 +12,7 @@
 from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.member_link import PooledSession
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.context import StatementContext
 from lavendergate.core.sessions.statements import (
     Begin,
     CallerStatement,
@@ -84,9 +85,13 @@
                 member: MemberEntry,
                 values: Mapping[str, str],
                 give_up_at: float,
+                *,
+                context: StatementContext,
             ) -> PooledSession:
                 """Wait for a connection; its member is silent after that."""
-                connection = await acquire(member, values, give_up_at)
+                connection = await acquire(
+                    member, values, give_up_at, context=context
+                )
                 left_s = give_up_at - anyio.current_time()
                 await anyio.sleep(min(_BUSY_S, left_s))
                 proxy.group.member('a').is_silent = True
--- a/lavendergate/tests/test_relay_decisions.py
+++ b/lavendergate/tests/test_relay_decisions.py
@@ -13,7 +13,6 @@
     choose_homes,
     order_homes,
 )
-from lavendergate.core.relays.turns import Ticket, TurnQueue
 from lavendergate.core.routes import ServiceLimits
 from lavendergate.core.sessions.shares import home_share, is_scarce
 from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
@@ -108,68 +107,16 @@
         self.assertFalse(is_scarce(limits, 9))
         self.assertFalse(is_scarce(limits, None))
         self.assertTrue(is_scarce(limits, 191))
+        # A single connection is taken by one transaction that waits for its
+        # caller; 27 proxies would have no second one.
+        self.assertTrue(is_scarce(limits, 27))
+        self.assertFalse(is_scarce(limits, 26))
         share = home_share(limits, 2)
         self.assertLess(HOMES_PER_MEMBER * share.limit, 53)
         # The member queues 16 statements beyond its slots.
         self.assertLess(HOMES_PER_MEMBER * (share.statements or 99), 18)
 
 
-class TurnQueueTest(unittest.TestCase):
-    """Statements that wait at a home."""
-
-    def take(self, queue: TurnQueue) -> Ticket:
-        """End a turn and return the ticket of the next one."""
-        queue.finish()
-        ticket = queue.take_next()
-        assert ticket is not None
-        return ticket
-
-    def test_least_remaining_time_goes_first(self) -> None:
-        """Guards against statements that expire behind later ones."""
-        queue = TurnQueue(limit=1)
-        self.assertTrue(queue.try_start())
-        late = queue.enqueue(is_new=True, deadline=9)
-        soon = queue.enqueue(is_new=True, deadline=3)
-        self.assertIs(self.take(queue), soon)
-        self.assertIs(self.take(queue), late)
-
-    def test_open_transactions_go_before_new_statements(self) -> None:
-        """Guards against transactions that hold all connections and wait."""
-        queue = TurnQueue(limit=1)
-        queue.try_start()
-        queue.enqueue(is_new=True, deadline=1)
-        opened = queue.enqueue(is_new=False, deadline=9)
-        self.assertIs(self.take(queue), opened)
-
-    def test_new_statement_does_not_overtake_those_that_wait(self) -> None:
-        """Guards against a queue that starves under constant arrivals."""
-        queue = TurnQueue(limit=1)
-        queue.try_start()
-        queue.enqueue(is_new=True, deadline=1)
-        queue.finish()
-        self.assertFalse(queue.try_start())
-
-    def test_cancelled_statement_takes_no_turn(self) -> None:
-        """Guards against turns that are lost to callers that gave up."""
-        queue = TurnQueue(limit=1)
-        queue.try_start()
-        cancelled = queue.enqueue(is_new=True, deadline=1)
-        waiting = queue.enqueue(is_new=True, deadline=2)
-        queue.cancel(cancelled)
-        self.assertIs(self.take(queue), waiting)
-        self.assertEqual(queue.running, 1)
-
-    def test_wait_grows_with_the_queue(self) -> None:
-        """Guards against accepting statements that must expire."""
-        queue = TurnQueue(limit=2)
-        queue.try_start()
-        queue.try_start()
-        for _ in range(10):
-            queue.enqueue(is_new=True, deadline=1)
-        self.assertAlmostEqual(queue.expected_wait_s(0.02), 0.11)
-        self.assertEqual(TurnQueue().expected_wait_s(0.02), 0)
-
-
 class ProxyDirectoryTest(unittest.TestCase):
     """Live proxies that the control leader names."""
 
