--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -206,6 +206,7 @@
         Level.info,
         'callers with keys are served again with route table {version}, after '
         '{lost_ms} ms',
+    )
     control_stop_announced = define(
         8181,
         Level.info,
