Report how many losses of hosts the control group bears

Nothing told an operator that a group with a departed voter bears no loss. The leader now logs 8182, with the voters that do not answer, while the group bears fewer losses than its present hosts could for 2 s, and 8183 at the end of that. Three gauges show voters, present hosts and losses borne.

--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -1,15 +1,19 @@
 """Calls of members and operators, and takeover, on a control host."""
 
+from collections.abc import Callable
 from functools import partial
+from operator import attrgetter
 
 import anyio
 from anyio.abc import TaskGroup
 from result import Err
 
 from lavendergate.controllers.takeover import TakeoverController
+from lavendergate.controllers.tolerance_watch import ToleranceWatch
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.control_routes import pack_routes, unpack_routes
 from lavendergate.core.fleet_directory import MemberEntry, departed_entry
+from lavendergate.core.loss_tolerance import LossTolerance
 from lavendergate.core.routes import RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
 from lavendergate.daemon.hosted import HostedProcess, boottime_s
@@ -100,6 +104,7 @@
         self._metrics.log_storage_wait.set_function(
             lambda: self._node.storage_wait_s
         )
+        self._show_tolerance()
         await self._tasks.start(
             serve_metrics, settings.ip, self._metrics.render
         )
@@ -153,6 +158,15 @@
             reply = forwarded or RoutesReply(content=None)
         return None if reply.content is None else unpack_routes(reply.content)
 
+    def _show_tolerance(self) -> None:
+        watch = self._control.tolerance_watch
+        for gauge, value_of in (
+            (self._metrics.control_voters, attrgetter('voters')),
+            (self._metrics.control_present, attrgetter('present')),
+            (self._metrics.control_losses_borne, attrgetter('borne')),
+        ):
+            gauge.set_function(partial(_tolerance_value, watch, value_of))
+
     def _current_routes(self) -> RouteTable:
         record = self._node.view.state.routes
         if record.version != self._routes.version:
@@ -160,3 +174,10 @@
             if not isinstance(decoded, Err):
                 self._routes = decoded.ok_value
         return self._routes
+
+
+def _tolerance_value(
+    watch: ToleranceWatch, value_of: Callable[[LossTolerance], int]
+) -> int:
+    tolerance = watch.tolerance
+    return 0 if tolerance is None else value_of(tolerance)
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -22,6 +22,7 @@
 from lavendergate.controllers.leases.grants import LeaseGrants
 from lavendergate.controllers.log_storage.watch import StorageWatch
 from lavendergate.controllers.member_poller import MemberPoller
+from lavendergate.controllers.tolerance_watch import ToleranceWatch
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
 from lavendergate.core.fleet_directory import MemberEntry
@@ -206,6 +207,9 @@
             limit_s=_ELECTION_TIMEOUT_S,
             events=self._events,
         )
+        self._tolerance_watch = ToleranceWatch(
+            node=self._node, events=self._events
+        )
         self._state_file = FleetStateFile(data_directory=directory)
         process.observe(self._change_settings)
 
@@ -229,6 +233,11 @@
         """Poller of the members' status."""
         return self._poller
 
+    @property
+    def tolerance_watch(self) -> ToleranceWatch:
+        """Losses that the control group bears."""
+        return self._tolerance_watch
+
     async def run(self) -> None:
         """Serve until the process receives a stop signal."""
         settings = self._process.settings
@@ -250,6 +259,7 @@
             ('handover', self._forward_to_new_leaders),
             ('directory', self._save_fleet_state),
             ('storage', self._storage_watch.run),
+            ('tolerance', self._tolerance_watch.run),
         ):
             self._tasks.start_soon(keep_running, name, run, self._events)
         await self._start_operations()
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -73,6 +73,21 @@
             'Time that a write to the control log has taken; shows stuck disks',
             registry=registry,
         )
+        self.control_voters = Gauge(
+            'lavendergate_control_voters',
+            'Voters of the control group, on the leader; 0 on the others',
+            registry=registry,
+        )
+        self.control_present = Gauge(
+            'lavendergate_control_present_hosts',
+            'Control hosts that answer the leader, with it; 0 on the others',
+            registry=registry,
+        )
+        self.control_losses_borne = Gauge(
+            'lavendergate_control_losses_borne',
+            'Losses of hosts that the control group bears; 0 unless leader',
+            registry=registry,
+        )
         self.promotion_orders = Counter(
             'lavendergate_promotion_orders',
             'Orders to promote a member by outcome; shows failed promotions',
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -183,3 +183,18 @@
         Level.info,
         'control host {node} announced that it stops',
     )
+    control_tolerance_reduced = define(
+        8182,
+        Level.warning,
+        'the control group bears the loss of {borne} hosts, {possible} would '
+        'be possible; voters that do not answer: {missing}',
+        'Start the missing host, or add another one; if it is gone for good, '
+        'wait until it is removed.',
+        extra=('voters', 'present'),
+    )
+    control_tolerance_regained = define(
+        8183,
+        Level.info,
+        'the control group bears the loss of {borne} hosts again',
+        extra=('voters', 'present'),
+    )
