--- a/lavendergate/controllers/control_sync.py
+++ b/lavendergate/controllers/control_sync.py
@@ -36,6 +36,10 @@
 _PARALLEL_REQUESTS = 3
 # Time for which a host that did not answer is skipped, in seconds.
 _SKIP_S = 1.0
+# Longest time for which a seed is skipped that no answer names as a control
+# host, in seconds. The settings may name a host that has left; the time is
+# doubled with each failure, and one that is added again is named in answers.
+_MAX_DEPARTED_SKIP_S = 32.0
 
 
 class SyncReceiver(ABC):
@@ -132,6 +136,7 @@
         self._leader: str | None = None
         self._followed: str | None = None
         self._skipped_until: dict[str, float] = {}
+        self._departed_skips_s: dict[str, float] = {}
         self._is_lost = False
         self._answered_at = float('-inf')
         self._next_host = 0
@@ -199,19 +204,33 @@
         return reply
 
     def _record_failure(self, address: str, reason: str) -> None:
-        self._skipped_until[address] = anyio.current_time() + _SKIP_S
+        self._skipped_until[address] = anyio.current_time() + self._skip_s(
+            address
+        )
         if address == self._leader:
             self._leader = None
         if not self._is_lost:
             self._is_lost = True
             self._events.emit(SessionEvent.control_lost, reason=reason)
 
+    def _skip_s(self, address: str) -> float:
+        """Return how long a host that did not answer is skipped."""
+        if address in self._control_hosts or not self._control_hosts:
+            return _SKIP_S
+        skip_s = self._departed_skips_s.get(address, _SKIP_S)
+        self._departed_skips_s[address] = min(2 * skip_s, _MAX_DEPARTED_SKIP_S)
+        return skip_s
+
     def _record_answer(self, address: str, reply: SyncReply) -> None:
         if self._is_lost:
             self._is_lost = False
             self._events.emit(SessionEvent.control_regained, address=address)
         self._answered_at = anyio.current_time()
         self._skipped_until.pop(address, None)
+        for named in (address, *reply.control_hosts):
+            # Another host may use the address of one that has left.
+            if self._departed_skips_s.pop(named, None) is not None:
+                self._skipped_until.pop(named, None)
         self._known_versions[address] = reply.version
         self._control_hosts = list(reply.control_hosts)
         self._leader = address if reply.is_leader else reply.leader
--- a/lavendergate/tests/test_control_sync.py
+++ b/lavendergate/tests/test_control_sync.py
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         self.started_at = dict.fromkeys(_SEEDS, 0.0)
         self.leader: str | None = None
+        self.named: tuple[str, ...] = _SEEDS
         self.calls: list[tuple[float, str]] = []
 
     async def call(
@@ -48,7 +49,7 @@
             version=FleetVersion(source=address, version=1),
             is_leader=address == self.leader,
             leader=self.leader,
-            control_hosts=_SEEDS,
+            control_hosts=self.named,
             routes_version=0,
             routes=None,
             entries=(),
@@ -176,6 +177,29 @@
 
         run_scenario(scenario)
 
+    def test_seed_that_has_left_is_asked_less_and_less(self) -> None:
+        """Guards against calls without end to a host that has left.
+
+        While no host led, each proxy asked it about every 1.6 s.
+        """
+
+        async def scenario(fixture: _Fixture) -> None:
+            departed = _SEEDS[0]
+            fixture.hosts.named = _SEEDS[1:]
+            fixture.hosts.started_at[departed] = _NEVER
+            with anyio.move_on_after(60):
+                await fixture.client.run()
+            asked = [at for at, host in fixture.hosts.calls if host == departed]
+            self.assertLessEqual(len(asked), 8)
+            fixture.hosts.started_at[departed] = 0
+            fixture.hosts.leader = departed
+            fixture.hosts.named = _SEEDS
+            with anyio.move_on_after(3):
+                await fixture.client.run()
+            self.assertEqual(fixture.hosts.calls[-1][1], departed)
+
+        run_scenario(scenario)
+
     def test_only_a_known_leader_is_asked(self) -> None:
         """Guards against requests to all hosts in normal operation."""
 
