--- /dev/null
+++ b/lavendergate/controllers/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of customers that all proxies keep together."""
--- a/lavendergate/rpc/relay_stream.py
+++ b/lavendergate/rpc/relay_stream.py
@@ -15,6 +15,11 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from lavendergate.rpc.limit_service import (
+    LimitReply,
+    LimitRequest,
+    LimitTransport,
+)
 from lavendergate.rpc.relay_service import RelayReply, RelayRequest
 from lavendergate.rpc.relay_transport import (
     RelayLostError,
@@ -39,10 +44,14 @@
 
 
 class _RequestFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A statement, or a question for the time if `request` is None."""
+    """A statement or a request to a limit's owner.
+
+    It is a question for the time if it holds neither.
+    """
 
     number: int
     request: RelayRequest | None
+    limit_request: LimitRequest | None = None
 
 
 class _ReplyFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -51,6 +60,7 @@
     number: int
     reply: RelayReply | None
     now_ms: int
+    limit_reply: LimitReply | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -68,6 +78,13 @@
         """Run a statement."""
 
 
+class LimitHandler(Protocol):
+    """Answers the questions of other proxies to the owner of a limit."""
+
+    async def handle(self, request: LimitRequest) -> LimitReply:
+        """Answer the questions."""
+
+
 class TaskStarter(Protocol):
     """Starts tasks in the background, as a task group does."""
 
@@ -114,6 +131,7 @@
 async def serve_relays(
     address: str,
     handler: RelayHandler,
+    limits: LimitHandler | None = None,
     *,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -123,13 +141,17 @@
     ----------
     address
         Address to listen on, ``ip:port``.
+    limits
+        Answers questions about limits; None if this host owns none.
     """
     ip, _, port = address.rpartition(':')
 
     async def serve(stream: SocketStream) -> None:  # noqa: WPS430
         async with stream:
             try:
-                await _serve_connection(_FrameStream(stream=stream), handler)
+                await _serve_connection(
+                    _FrameStream(stream=stream), handler, limits
+                )
             except _LOST_ERRORS:
                 # Only this connection ends.
                 return
@@ -142,13 +164,15 @@
 
 
 async def _serve_connection(
-    frames: _FrameStream, handler: RelayHandler
+    frames: _FrameStream,
+    handler: RelayHandler,
+    limits: LimitHandler | None,
 ) -> None:
     async with anyio.create_task_group() as tasks:
         try:
             while True:
                 frame = _request_decoder.decode(await frames.read())
-                tasks.start_soon(_answer, frames, handler, frame)
+                tasks.start_soon(_answer, frames, handler, limits, frame)
         except _LOST_ERRORS:
             # Statements whose answers nobody reads are broken off, which makes
             # their members roll back.
@@ -156,14 +180,24 @@
 
 
 async def _answer(
-    frames: _FrameStream, handler: RelayHandler, frame: _RequestFrame
+    frames: _FrameStream,
+    handler: RelayHandler,
+    limits: LimitHandler | None,
+    frame: _RequestFrame,
 ) -> None:
     request = frame.request
     reply = None if request is None else await handler.handle(request)
+    asked = frame.limit_request
+    limit_reply = (
+        None if asked is None or limits is None else await limits.handle(asked)
+    )
     try:
         await frames.write(
             _ReplyFrame(
-                number=frame.number, reply=reply, now_ms=handler.now_ms()
+                number=frame.number,
+                reply=reply,
+                now_ms=handler.now_ms(),
+                limit_reply=limit_reply,
             )
         )
     except _LOST_ERRORS:
@@ -181,13 +215,19 @@
         self._replies: dict[int, _ReplyFrame] = {}
         self.is_lost = False
 
-    async def call(self, request: RelayRequest | None) -> _ReplyFrame:
+    async def call(
+        self,
+        request: RelayRequest | None,
+        limit_request: LimitRequest | None = None,
+    ) -> _ReplyFrame:
         number = next(self._numbers)
         answered = anyio.Event()
         self._waiting[number] = answered
         try:
             await self._frames.write(
-                _RequestFrame(number=number, request=request)
+                _RequestFrame(
+                    number=number, request=request, limit_request=limit_request
+                )
             )
             await answered.wait()
         except _LOST_ERRORS as error:
@@ -225,7 +265,7 @@
         await self._frames.close()
 
 
-class StreamRelayTransport(RelayTransport):
+class StreamRelayTransport(RelayTransport, LimitTransport):
     """Calls home proxies over one connection each.
 
     Parameters
@@ -252,6 +292,16 @@
         connection = await self._connect(address)
         return (await connection.call(None)).now_ms
 
+    async def ask_limits(
+        self, address: str, request: LimitRequest
+    ) -> LimitReply:
+        """Ask the owner of a limit; see the base class."""
+        connection = await self._connect(address)
+        frame = await connection.call(None, request)
+        if frame.limit_reply is None:
+            raise RelayLostError(f'{address} sent no reply')
+        return frame.limit_reply
+
     def disconnect(self, address: str) -> None:
         """Close the connection to a home; see the base class."""
         connection = self._connections.pop(address, None)
--- /dev/null
+++ b/lavendergate/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits of customers."""
