Keep the limits of customers over all proxies

Cause: limits of customers were read but not kept.

Change: a filter after routing charges each operation once; the proxy borrows it from one of three owners of the customer's limit, the nearest first, and several ahead where demand is high. Past the limit the statement is refused at once with the limit and a time to return. Owners get the live proxies with the answers of the control leader. New events 8121 to 8124 and a metric by customer. Without customers that have limits, nothing is asked and nothing waits.

--- a/lavendergate/core/limits/allowance.py
+++ b/lavendergate/core/limits/allowance.py
@@ -1,7 +1,6 @@
 """Operations that a proxy has borrowed from the owners of a limit."""
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 # Time constant of the demand estimate, in seconds. Demand that moves to
@@ -29,7 +28,7 @@
     _leases: list[_Lease] = field(default_factory=list)
     _demand: float = 0
     _counted_at: float = float('-inf')
-    _exhausted_until: dict[str, float] = field(default_factory=dict)
+    _exhausted_until: dict[int, float] = field(default_factory=dict)
 
     def count(self, now: float) -> None:
         """Record that the customer wants to run an operation."""
@@ -70,25 +69,16 @@
                 _Lease(operations=operations, expires_at=expires_at)
             )
 
-    def record_exhausted(self, owner: str, until: float) -> None:
-        """Record until when an owner has nothing to grant."""
-        self._exhausted_until[owner] = until
-
-    def first_with_operations(
-        self, owners: Iterable[str], now: float
-    ) -> str | None:
-        """Return the first owner that may have operations to grant."""
-        return next(
-            (
-                owner
-                for owner in owners
-                if self._exhausted_until.get(owner, now) <= now
-            ),
-            None,
-        )
+    def record_exhausted(self, slot: int, until: float) -> None:
+        """Record until when the owner of a slot has nothing to grant."""
+        self._exhausted_until[slot] = until
+
+    def is_exhausted(self, slot: int, now: float) -> bool:
+        """Return whether the owner of a slot has nothing to grant."""
+        return self._exhausted_until.get(slot, now) > now
 
     def retry_after_s(self, now: float) -> float:
-        """Return the time until the first exhausted owner can grant again."""
+        """Return the time until an exhausted slot can be used again."""
         waits = [
             until - now
             for until in self._exhausted_until.values()
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -8,6 +8,7 @@
 
 from lavendergate.controllers.control_sync import SyncReceiver
 from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.controllers.limits.owner import LimitOwner
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.session_pools import SessionPools
@@ -57,6 +58,9 @@
     offer
         Returns this host's offer to be a home, for the known version of the
         live proxies.
+    limits
+        Receives the live proxies and the times of the leader's answers; None
+        if this host owns no limits.
     """
 
     def __init__(
@@ -67,8 +71,10 @@
         positions: PrimaryPositions,
         relays: RelayClient | None = None,
         offer: Callable[[int], RelayOffer] | None = None,
+        limits: LimitOwner | None = None,
         events: EventLog,
     ) -> None:
+        self._limits = limits
         self._relays = relays
         self._offer = offer
         self._proxies: dict[str, _KnownProxies] = {}
@@ -145,7 +151,7 @@
                 self._apply_proof(primary, notice, sent_at)
         if reply.is_leader:
             self._apply_leases(reply, sent_at, published)
-            self._apply_proxies(reply)
+            self._apply_proxies(reply, sent_at)
 
     def _published_by(self, source: str) -> dict[GroupId, PrimaryNotice]:
         """Return the primaries that a control host has published.
@@ -159,9 +165,11 @@
             self._published.pop(next(iter(self._published)))
         return published
 
-    def _apply_proxies(self, reply: SyncReply) -> None:
+    def _apply_proxies(self, reply: SyncReply, sent_at: float) -> None:
         changes = reply.proxy_changes
         if changes is None or not changes.version or self._relays is None:
+            if self._limits is not None:
+                self._limits.confirm(sent_at)
             return
         source = reply.version.source
         known = self._proxies.get(source, _KnownProxies())
@@ -172,10 +180,15 @@
         known.version = changes.version
         # Changes of an earlier leader are not continued by the present one.
         self._proxies = {source: known}
-        self._relays.change_proxies(
+        live_proxies = tuple(
             ProxyAddress(address=live, failure_domain=live_in)
             for live, live_in in known.domains.items()
         )
+        self._relays.change_proxies(live_proxies)
+        if self._limits is not None:
+            self._limits.change_proxies(
+                live_proxies, source=source, sent_at=sent_at
+            )
         self._events.emit(
             SessionEvent.proxies_changed, count=len(known.domains)
         )
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -5,11 +5,15 @@
 
 from lavendergate.controllers.control_sync import ControlSyncClient
 from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.controllers.limits.borrower import LimitBorrower
+from lavendergate.controllers.limits.owner import LimitOwner
+from lavendergate.controllers.limits.reports import LimitReports
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.relays.session import RelayDialer
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.limits.budget import Tolerance
 from lavendergate.core.sessions.shares import (
     ConnectionShare,
     connection_share,
@@ -26,6 +30,7 @@
     report_failure,
 )
 from lavendergate.filters.chain import compose
+from lavendergate.filters.limits.charge import LimitFilter
 from lavendergate.filters.relays.home import RelayHome
 from lavendergate.filters.sessions.local import LocalFilter
 from lavendergate.filters.sessions.member_selection import MemberSelector
@@ -74,9 +79,31 @@
         self._metrics = HttpMetrics()
         self._view = FleetView(clock=anyio.current_time)
         guarded = GuardedTasks(tasks=tasks, events=self._events)
+        transport = StreamRelayTransport(tasks=guarded)
+        tolerance = Tolerance(
+            window_s=settings.bounds.quota_window_s,
+            overage=settings.bounds.quota_overage,
+            slack=settings.bounds.quota_slack,
+        )
+        self._limit_owner = LimitOwner(
+            own_address=settings.internal_address,
+            tolerance=tolerance,
+            customers=lambda: self._view.routes.customers,
+            transport=transport,
+            tasks=guarded,
+            real_clock=boottime_s,
+            events=self._events,
+        )
+        self._limit_borrower = LimitBorrower(
+            owner=self._limit_owner,
+            tolerance=tolerance,
+            transport=transport,
+            tasks=guarded,
+            real_clock=boottime_s,
+        )
         self._relays = RelayClient(
             own_address=settings.internal_address,
-            transport=StreamRelayTransport(tasks=guarded),
+            transport=transport,
             tasks=guarded,
             is_scarce=self._is_scarce,
             real_clock=boottime_s,
@@ -121,6 +148,7 @@
                 positions=self._positions,
                 relays=self._relays,
                 offer=self._offer,
+                limits=self._limit_owner,
                 events=self._events,
             ),
             peers=self._peers,
@@ -153,7 +181,10 @@
             serve_metrics, self._process.settings.ip, self._metrics.render
         )
         await self._tasks.start(
-            serve_relays, self._process.settings.internal_address, self._home
+            serve_relays,
+            self._process.settings.internal_address,
+            self._home,
+            self._limit_owner,
         )
         for name, run in (
             ('feed', self._sync_client.run),
@@ -174,6 +205,7 @@
     async def _drain(self) -> None:
         self._is_draining = True
         self._home.stop()
+        self._limit_owner.stop()
         grace_s = self._process.settings.bounds.grace_s
         began_at = anyio.current_time()
         await anyio.sleep(min(_BALANCER_NOTICE_S, grace_s / 2))
@@ -205,6 +237,16 @@
             (
                 LocalFilter(),
                 RouteFilter(view=self._view),
+                LimitFilter(
+                    borrower=self._limit_borrower,
+                    reports=LimitReports(
+                        customers=lambda: self._view.routes.customers,
+                        monotonic=anyio.current_time,
+                        events=self._events,
+                        metrics=self._metrics,
+                    ),
+                    monotonic=anyio.current_time,
+                ),
                 SingleStatementFilter(
                     selector=selector,
                     pools=self._pools,
--- a/lavendergate/filters/sessions/base.py
+++ b/lavendergate/filters/sessions/base.py
@@ -42,6 +42,8 @@
         statement.
     has_written
         Whether a statement that writes was sent to the member.
+    is_charged
+        Whether the transaction was charged to the customer's limit.
     """
 
     route: Route
@@ -49,6 +51,7 @@
     read_only: bool
     connection: PooledSession | None = None
     has_written: bool = False
+    is_charged: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -79,6 +79,13 @@
             ('service', 'outcome'),
             registry=registry,
         )
+        self.customer_operations = Counter(
+            'lavendergate_customer_operations',
+            'Operations of the largest customers by outcome; shows who is '
+            'refused at a limit',
+            ('customer', 'outcome'),
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -178,3 +178,31 @@
         Level.info,
         'the disk of the control log answers again after {waited_ms} ms',
     )
+    limit_reached = define(
+        8121,
+        Level.info,
+        'customer {customer} has reached its limit of {rate_per_s} operations '
+        'per second with a burst of {burst}: {refused} operations were refused '
+        'since the last such line',
+        'Raise the limit of the customer if its demand is to be served.',
+    )
+    limit_without_owner = define(
+        8122,
+        Level.warning,
+        'no owner of the limit of customer {customer} answers: {refused} '
+        'operations were refused since the last such line',
+        'Inspect the control leader and the proxies; owners grant nothing '
+        'while they have no contact to the leader.',
+    )
+    limit_taken_over = define(
+        8123,
+        Level.info,
+        'this proxy grants operations of customer {customer} in slot {slot} '
+        'after {predecessor}, at first {operations}',
+    )
+    limit_handed_over = define(
+        8124,
+        Level.info,
+        'this proxy handed slot {slot} of customer {customer} with '
+        '{operations} operations over to {successor}',
+    )
