--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -6,11 +6,15 @@
 from lavendergate.controllers.control_sync import ControlSyncClient
 from lavendergate.controllers.customers.registry import CustomerRegistry
 from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.controllers.limits.borrower import LimitBorrower
+from lavendergate.controllers.limits.owner import LimitOwner
+from lavendergate.controllers.limits.reports import LimitReports
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.relays.session import RelayDialer
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.limits.budget import Tolerance
 from lavendergate.core.sessions.shares import (
     ConnectionShare,
     connection_share,
@@ -28,6 +32,7 @@
 )
 from lavendergate.filters.chain import compose
 from lavendergate.filters.customers.identification import IdentificationFilter
+from lavendergate.filters.limits.charge import LimitFilter
 from lavendergate.filters.relays.home import RelayHome
 from lavendergate.filters.sessions.local import LocalFilter
 from lavendergate.filters.sessions.member_selection import MemberSelector
@@ -86,9 +91,31 @@
             events=self._events,
         )
         guarded = GuardedTasks(tasks=tasks, events=self._events)
+        transport = StreamRelayTransport(tasks=guarded)
+        tolerance = Tolerance(
+            window_s=settings.bounds.quota_window_s,
+            overage=settings.bounds.quota_overage,
+            slack=settings.bounds.quota_slack,
+        )
+        self._limit_owner = LimitOwner(
+            own_address=settings.internal_address,
+            tolerance=tolerance,
+            customers=lambda: self._view.routes.customers,
+            transport=transport,
+            tasks=guarded,
+            real_clock=boottime_s,
+            events=self._events,
+        )
+        self._limit_borrower = LimitBorrower(
+            owner=self._limit_owner,
+            tolerance=tolerance,
+            transport=transport,
+            tasks=guarded,
+            real_clock=boottime_s,
+        )
         self._relays = RelayClient(
             own_address=settings.internal_address,
-            transport=StreamRelayTransport(tasks=guarded),
+            transport=transport,
             tasks=guarded,
             is_scarce=self._is_scarce,
             real_clock=boottime_s,
@@ -134,6 +161,7 @@
                 relays=self._relays,
                 offer=self._offer,
                 customers=self._customers,
+                limits=self._limit_owner,
                 events=self._events,
             ),
             peers=self._peers,
@@ -168,7 +196,10 @@
             serve_metrics, self._process.settings.ip, self._metrics.render
         )
         await self._tasks.start(
-            serve_relays, self._process.settings.internal_address, self._home
+            serve_relays,
+            self._process.settings.internal_address,
+            self._home,
+            self._limit_owner,
         )
         for name, run in (
             ('feed', self._sync_client.run),
@@ -189,6 +220,7 @@
     async def _drain(self) -> None:
         self._is_draining = True
         self._home.stop()
+        self._limit_owner.stop()
         grace_s = self._process.settings.bounds.grace_s
         began_at = anyio.current_time()
         await anyio.sleep(min(_BALANCER_NOTICE_S, grace_s / 2))
@@ -226,6 +258,16 @@
                 ),
                 LocalFilter(),
                 RouteFilter(view=self._view),
+                LimitFilter(
+                    borrower=self._limit_borrower,
+                    reports=LimitReports(
+                        customers=lambda: self._view.routes.customers,
+                        monotonic=anyio.current_time,
+                        events=self._events,
+                        metrics=self._metrics,
+                    ),
+                    monotonic=anyio.current_time,
+                ),
                 SingleStatementFilter(
                     selector=selector,
                     pools=self._pools,
