Place reads by each replica's lag and by the pace of members

The expected lag is now kept by replica. A replica that refuses a position is left out of younger reads for 0.4 to 2 s while another member can run them, and a transaction does not begin at a member that refused it before all the others were asked.

A member that recovered, started beside answering peers, was promoted, fails statements or is slower than the other replicas is given a fraction of its slots (core/pace), which grows with good answers and with time. Its reads are withheld in that proportion while another replica is at full pace, and homes limit the statements in flight by it. Failed statements count as cost in the order of members. Events 8161 and 8162 and the metric lavendergate_member_pace show it.

The tests of the order of reads moved to tests/placement; the one of a past lag now bounds the expectation by time, since it may exceed a second.

--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -11,12 +11,16 @@
     MemberSession,
     MemberUnreachableError,
 )
+from lavendergate.controllers.link_pace import LinkPace
 from lavendergate.controllers.waiters import Signal
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.pace.member_pace import PaceReason
 from lavendergate.core.relays.turns import Ticket, TurnQueue
 from lavendergate.core.sessions.statements import (
+    Execute,
     MemberReport,
     Phase,
+    Read,
     RefusalCode,
     Refused,
     ReportStatus,
@@ -180,6 +184,12 @@
         self.phase = answer.phase
         link.record_answer(answer.position, started_at)
         outcome = answer.outcome
+        link.pace.record_answer(
+            outcome.code if isinstance(outcome, Refused) else None,
+            link.now() - started_at,
+            is_relayed=self.session.is_relayed,
+            is_read=after is not None and isinstance(statement, Read | Execute),
+        )
         if isinstance(outcome, Refused):
             if outcome.code == RefusalCode.no_statement:
                 self.prepared.clear()
@@ -246,6 +256,9 @@
         self.next_connect_at = float('-inf')
         self.is_closed = False
         self.turns = TurnQueue()
+        self.pace = LinkPace(
+            entry=entry, clock=clock, events=events, metrics=metrics
+        )
         self._turn_events: dict[int, anyio.Event] = {}
         self._clock = clock
         self._freed = Signal()
@@ -336,6 +349,25 @@
             self.applied = position
             self.applied_at = now
 
+    def change_entry(self, entry: MemberEntry) -> None:
+        """Replace the announcement of the member by a later one."""
+        if entry.is_primary and not self.entry.is_primary:
+            self.pace.restart(PaceReason.promoted)
+        self.entry = entry
+
+    def statement_limit(self, share: int | None) -> int | None:
+        """Return the number of statements in flight that its pace allows.
+
+        Parameters
+        ----------
+        share
+            Number of statements that the share of this host allows; None for
+            no limit.
+        """
+        # The probe of a suspected member must not wait for statements that
+        # are not answered.
+        return share if self.is_suspect else self.pace.limit(self.entry, share)
+
     def record_failure(self, reason: str) -> None:
         """Record a lost answer or a failed connection attempt."""
         entry = self.entry
@@ -355,6 +387,7 @@
 
     def _record_recovery(self, failed_s: float) -> None:
         self.failing_since = None
+        self.pace.restart(PaceReason.recovered)
         self._events.emit(
             SessionEvent.member_regained,
             upstream=self.entry.upstream_id,
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -94,7 +94,7 @@
         """
         link = self._links.get(entry.upstream_id)
         if link is not None and link.entry.is_same_instance(entry):
-            link.entry = entry
+            link.change_entry(entry)
         else:
             if link is not None:
                 self._close_link(link)
@@ -104,9 +104,20 @@
                 events=self._events,
                 metrics=self._metrics,
             )
+            if self._has_answering_peer(entry):
+                # While a whole service starts, no member can take the load
+                # of one that begins at a low pace.
+                link.pace.start()
             self._links[entry.upstream_id] = link
         return link
 
+    def _has_answering_peer(self, entry: MemberEntry) -> bool:
+        return any(
+            link.entry.service == entry.service
+            and link.answered_at > float('-inf')
+            for link in self._links.values()
+        )
+
     async def acquire(
         self,
         entry: MemberEntry,
@@ -140,7 +151,7 @@
         """
         link = self.link(entry)
         share = (self._home_share if for_other_proxy else self._share)(entry)
-        link.turns.limit = share.statements
+        link.turns.limit = link.statement_limit(share.statements)
         wait_times = self._metrics.connection_seconds.labels(entry.upstream_id)
         with wait_times.time():
             return await self._acquire(
--- /dev/null
+++ b/lavendergate/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of statements: which member runs a read."""
--- a/lavendergate/filters/sessions/member_selection.py
+++ b/lavendergate/filters/sessions/member_selection.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from lavendergate.controllers.fleet_view import FleetView
-from lavendergate.controllers.member_link import MemberLink
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
@@ -14,11 +13,6 @@
     required_position,
 )
 from lavendergate.core.sessions.member_wait import member_wait_deadline
-from lavendergate.core.sessions.placement import (
-    ExpectedLag,
-    ReadCandidate,
-    order_for_read,
-)
 from lavendergate.core.sessions.statements import (
     RefusalCode,
     Refused,
@@ -26,6 +20,7 @@
 )
 from lavendergate.core.types import GroupId, LogPosition, UpstreamId
 from lavendergate.filters.sessions.base import SessionFilter, SessionRequest
+from lavendergate.filters.sessions.read_placement import ReadPlacement
 
 # A position older than this fraction of `max_staleness_ms` is refreshed in the
 # background, so that no read has to wait for it. While the control hosts reach
@@ -111,7 +106,7 @@
         self._pools = pools
         self._positions = positions
         self._monotonic = monotonic
-        self._lags: dict[GroupId, ExpectedLag] = {}
+        self._placement = ReadPlacement(pools=pools, monotonic=monotonic)
 
     async def plan_read(
         self, requirements: ReadRequirements
@@ -138,9 +133,8 @@
         if position == requirements.own_position:
             known_at = max(known_at, requirements.own_written_at)
         age_s = self._positions.now() - known_at
-        is_recent = age_s < self._expected_lag(route.service).seconds
         return ReadPlan(
-            members=self._members_for_read(route, position, is_recent),
+            members=self._members_for_read(route, position, age_s),
             position=position,
             asked_at=sample.asked_at,
             age_s=age_s,
@@ -161,13 +155,10 @@
             claim.upstream_id == member.upstream_id
         )
         if not is_primary and code in {None, RefusalCode.lagging}:
-            self._expected_lag(route.service).record(
-                plan.age_s, was_behind=code is not None
+            self._placement.record_lag(
+                member, plan.age_s, was_behind=code is not None
             )
 
-    def _expected_lag(self, service: GroupId) -> ExpectedLag:
-        return self._lags.setdefault(service, ExpectedLag())
-
     def _plan_at_primary(
         self, requirements: ReadRequirements
     ) -> ReadPlan | None:
@@ -318,7 +309,7 @@
             self._positions.refresh(route.service)
 
     def _members_for_read(
-        self, route: Route, position: LogPosition, is_recent: bool
+        self, route: Route, position: LogPosition, age_s: float
     ) -> tuple[MemberEntry, ...]:
         service = route.service
         primary = self._view.primary_of(service)
@@ -330,13 +321,10 @@
             members[primary.upstream_id] = primary
             if route.consistency == Consistency.primary:
                 return (primary, *self._members_except(members, primary))
-        candidates = tuple(
-            self._candidate(entry, primary) for entry in members.values()
-        )
         return tuple(
             members[upstream_id]
-            for upstream_id in order_for_read(
-                candidates, position, is_recent=is_recent
+            for upstream_id in self._placement.order(
+                members.values(), primary, position, age_s
             )
         )
 
@@ -349,22 +337,6 @@
             if entry.upstream_id != primary.upstream_id
         )
 
-    def _candidate(
-        self, entry: MemberEntry, primary: MemberEntry | None
-    ) -> ReadCandidate:
-        link: MemberLink = self._pools.link(entry)
-        return ReadCandidate(
-            upstream_id=entry.upstream_id,
-            is_primary=primary is not None
-            and entry.upstream_id == primary.upstream_id,
-            latency_s=link.latency_s,
-            in_flight=link.in_flight,
-            slots=entry.slots,
-            applied=link.applied,
-            applied_age_s=self._monotonic() - link.applied_at,
-            is_suspect=link.is_suspect,
-        )
-
 
 class MemberFilter(SessionFilter):
     """Base class of the filters that run statements at members.
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -30,7 +30,7 @@
     SessionAnswer,
     Write,
 )
-from lavendergate.core.types import LogPosition
+from lavendergate.core.types import LogPosition, UpstreamId
 from lavendergate.filters.sessions.base import (
     CallerSession,
     DataStatement,
@@ -42,6 +42,7 @@
 )
 from lavendergate.filters.sessions.member_selection import (
     MemberFilter,
+    ReadPlan,
     ReadRequirements,
 )
 from lavendergate.filters.sessions.preparation import (
@@ -241,13 +242,27 @@
             code=RefusalCode.busy,
             text='no member can run the transaction; retry in 500 ms',
         )
+        refusing: set[UpstreamId] = set()
         while self._monotonic() < request.deadline:
             request.attempts += 1
-            selected = await self._select_member(request, transaction)
+            selected = await self._select_member(request, transaction, refusing)
             if selected is None:
                 return last_refusal
-            member, position = selected
-            refusal = await self._begin(request, transaction, member, position)
+            member, plan = selected
+            refusing.add(member.upstream_id)
+            refusal = await self._begin(
+                request,
+                transaction,
+                member,
+                None if plan is None else plan.position,
+            )
+            if plan is not None:
+                self._selector.record_lag(
+                    transaction.route,
+                    member,
+                    plan,
+                    None if refusal is None else refusal.code,
+                )
             if refusal is None:
                 return None
             last_refusal = refusal
@@ -262,8 +277,19 @@
         )
 
     async def _select_member(
-        self, request: SessionRequest, transaction: SessionTransaction
-    ) -> tuple[MemberEntry, LogPosition | None] | None:
+        self,
+        request: SessionRequest,
+        transaction: SessionTransaction,
+        refusing: set[UpstreamId],
+    ) -> tuple[MemberEntry, ReadPlan | None] | None:
+        """Return the member to begin at, with the plan of a read.
+
+        Parameters
+        ----------
+        refusing
+            Members that refused to begin. They are tried again after all the
+            others refused, too.
+        """
         route = transaction.route
         is_on_replica = (
             transaction.read_only and route.consistency != Consistency.primary
@@ -294,8 +320,14 @@
             return None
         request.position = plan.position
         request.position_asked_at = plan.asked_at
-        index = (request.attempts - 1) % len(plan.members)
-        return plan.members[index], plan.position
+        untried = [
+            member
+            for member in plan.members
+            if member.upstream_id not in refusing
+        ]
+        if not untried:
+            refusing.clear()
+        return (untried or plan.members)[0], plan
 
     async def _begin(
         self,
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -53,6 +53,13 @@
             ('member',),
             registry=registry,
         )
+        self.member_pace = Gauge(
+            'lavendergate_member_pace',
+            'Fraction of its slots that a member is given after it started, '
+            'recovered or failed; 1 or absent is normal',
+            ('member',),
+            registry=registry,
+        )
         self.sessions = Gauge(
             'lavendergate_sessions',
             'Open sessions; shows whether the load is spread evenly',
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -178,3 +178,18 @@
         Level.info,
         'the disk of the control log answers again after {waited_ms} ms',
     )
+    pace_reduced = define(
+        8161,
+        Level.info,
+        'member {upstream} of service {service} is given {percent}% of its '
+        'statements: {reason}',
+        'Nothing for seconds; if it repeats for one member, inspect it.',
+        extra=('error_percent',),
+    )
+    pace_restored = define(
+        8162,
+        Level.info,
+        'member {upstream} of service {service} is given all its statements '
+        'again after {reduced_ms} ms',
+        extra=('reason',),
+    )
--- /dev/null
+++ b/lavendergate/tests/pace/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pace of members."""
--- /dev/null
+++ b/lavendergate/tests/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the choice of members."""
--- a/lavendergate/tests/test_session_decisions.py
+++ b/lavendergate/tests/test_session_decisions.py
@@ -10,18 +10,12 @@
     earliest_sample_time,
     required_position,
 )
-from lavendergate.core.sessions.placement import (
-    ExpectedLag,
-    ReadCandidate,
-    order_for_read,
-)
 from lavendergate.core.sessions.shares import connection_share
 from lavendergate.core.types import (
     GroupId,
     HostId,
     LogPosition,
     Term,
-    UpstreamId,
 )
 from lavendergate.core.voter_changes import (
     JoiningHost,
@@ -77,82 +71,6 @@
         self.assertEqual(required, at(5))
 
 
-def candidate(
-    name: str,
-    *,
-    is_primary: bool = False,
-    in_flight: int = 0,
-    applied: int | None = None,
-    is_suspect: bool = False,
-) -> ReadCandidate:
-    """Return a member with a latency of 10 ms."""
-    return ReadCandidate(
-        upstream_id=UpstreamId(name),
-        is_primary=is_primary,
-        latency_s=0.01,
-        in_flight=in_flight,
-        slots=2,
-        applied=None if applied is None else at(applied),
-        applied_age_s=0.01,
-        is_suspect=is_suspect,
-    )
-
-
-class OrderForReadTest(unittest.TestCase):
-    """Order in which members are tried for a read."""
-
-    def test_replicas_come_before_the_primary(self) -> None:
-        """Guards against reads that occupy the slots that writes need."""
-        order = order_for_read(
-            (candidate('p', is_primary=True), candidate('r')), at(1)
-        )
-        self.assertEqual(order, ('r', 'p'))
-
-    def test_read_right_after_a_write_goes_to_the_primary_first(self) -> None:
-        """Guards against arrivals that replicas reject as lagging.
-
-        On quiet-1 of norrsken-rtk-grown 741 of 6,301 arrivals were rejected,
-        most of them reads of a session's own writes.
-        """
-        lag = ExpectedLag()
-        lag.record(0.15, was_behind=True)
-        self.assertGreaterEqual(lag.seconds, 0.15)
-        candidates = (candidate('p', is_primary=True), candidate('r'))
-        order = order_for_read(candidates, at(5), is_recent=0.1 < lag.seconds)
-        self.assertEqual(order[0], 'p')
-        order = order_for_read(candidates, at(5), is_recent=1 < lag.seconds)
-        self.assertEqual(order[0], 'r')
-
-    def test_expected_lag_follows_the_replicas(self) -> None:
-        """Guards against a primary that keeps the reads of a past lag."""
-        lag = ExpectedLag()
-        lag.record(30, was_behind=True)
-        self.assertLessEqual(lag.seconds, 1)
-        for _ in range(100):
-            lag.record(1, was_behind=False)
-        self.assertLess(lag.seconds, 0.05)
-
-    def test_busy_replicas_leave_reads_to_the_primary(self) -> None:
-        """Guards against a queue at a replica while the primary is idle."""
-        order = order_for_read(
-            (candidate('p', is_primary=True), candidate('r', in_flight=4)),
-            at(1),
-        )
-        self.assertEqual(order, ('p', 'r'))
-
-    def test_replica_that_just_lacked_the_position_comes_last(self) -> None:
-        """Guards against reads that the replica will refuse as lagging."""
-        order = order_for_read(
-            (
-                candidate('late', applied=1),
-                candidate('p', is_primary=True),
-                candidate('down', is_suspect=True),
-            ),
-            at(2),
-        )
-        self.assertEqual(order, ('p', 'late', 'down'))
-
-
 class ConnectionShareTest(unittest.TestCase):
     """Connection limits of one proxy."""
 
