Keep the connections of a home open while it serves customers

Cause: a home closed connections beyond the number of slots after 5 s without use. Most customers send less than one statement to a member in that time, so their next one opened a connection again.

Change: with customers, a home keeps its whole share open. Tests of relayed sessions of customers.

--- a/lavendergate/core/sessions/shares.py
+++ b/lavendergate/core/sessions/shares.py
@@ -70,13 +70,19 @@
     return proxies > limits.max_connections - _MONITORING_CONNECTIONS
 
 
-def home_share(limits: ServiceLimits | None, slots: int) -> ConnectionShare:
+def home_share(
+    limits: ServiceLimits | None, slots: int, *, has_customers: bool = False
+) -> ConnectionShare:
     """Return the limits of a proxy that is the home of a member.
 
     Parameters
     ----------
     slots
         Number of statements that the member executes at the same time.
+    has_customers
+        Whether each connection serves one customer only. All connections
+        then stay open, because most customers send less than one statement
+        in the time after which idle ones are closed otherwise.
     """
     if limits is None:
         return ConnectionShare(limit=_DEFAULT_LIMIT)
@@ -86,7 +92,7 @@
     # same time, so that its slots do not wait, and fewer than it queues.
     return ConnectionShare(
         limit=limit,
-        min_open=min(limit, slots),
+        min_open=limit if has_customers else min(limit, slots),
         idle_s=_HOME_IDLE_S,
         statements=slots,
         is_home=True,
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -253,12 +253,16 @@
         if self._relays.link_for(entry) is not None:
             return relayed_share()
         if self._relays.is_home(entry):
-            return home_share(limits, entry.slots)
+            return self._home_share_of(entry)
         return connection_share(limits, self._view.proxies)
 
     def _home_share_of(self, entry: MemberEntry) -> ConnectionShare:
         limits = self._view.routes.services.get(entry.service)
-        return home_share(limits, entry.slots)
+        return home_share(
+            limits,
+            entry.slots,
+            has_customers=self._view.routes.customers is not None,
+        )
 
     def _is_scarce(self, entry: MemberEntry) -> bool:
         limits = self._view.routes.services.get(entry.service)
--- a/lavendergate/tests/customers/test_connections.py
+++ b/lavendergate/tests/customers/test_connections.py
@@ -14,11 +14,13 @@
 )
 from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.relays.homes import order_homes
+from lavendergate.core.routes import ServiceLimits
 from lavendergate.core.sessions.context import (
     SYSTEM_CONTEXT,
     StatementContext,
 )
-from lavendergate.core.sessions.shares import ConnectionShare
+from lavendergate.core.sessions.shares import ConnectionShare, home_share
+from lavendergate.core.types import GroupId
 from lavendergate.tests.session_fixture import SessionFixture, play
 
 _CUSTOMERS = tuple(CustomerName(f'customer-{one}') for one in range(5))
@@ -93,6 +95,22 @@
         self.assertLess(max(first.values()), 45)
 
 
+class ShareTest(unittest.TestCase):
+    """Connections that a home keeps."""
+
+    def test_home_keeps_the_connections_of_its_customers(self) -> None:
+        """Guards against customers that connect for each rare statement."""
+        limits = ServiceLimits(
+            service=GroupId('service'),
+            max_connections=61,
+            synchronous_replicas=1,
+        )
+        kept = home_share(limits, 6, has_customers=True)
+        self.assertEqual(kept.min_open, kept.limit)
+        shared = home_share(limits, 6)
+        self.assertEqual(shared.min_open, 6)
+
+
 class PoolTest(unittest.TestCase):
     """Connections of one proxy to a member."""
 
