--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -182,7 +182,7 @@
             if wait.has_waiting:
                 # A new statement does not overtake those that wait.
                 self._pass_on(link, home_share)
-                await wait.wait(ticket, max(0, deadline - self._clock()))
+                await wait.wait(ticket, self._longest_wait_s(link, deadline))
             return await self._acquire_next(link, values, ticket, home_share)
         finally:
             # One notification wakes one statement.
@@ -208,10 +208,20 @@
                 raise NoConnectionError(
                     refusal=_no_connection_refusal(link.entry)
                 )
-            until = deadline
-            if now < link.next_connect_at:
-                until = min(until, link.next_connect_at)
-            await link.connection_wait.wait(ticket, max(0, until - now))
+            await link.connection_wait.wait(
+                ticket, self._longest_wait_s(link, deadline)
+            )
+
+    def _longest_wait_s(self, link: MemberLink, deadline: float) -> float:
+        """Return how long a statement waits without being woken.
+
+        Nothing wakes it when the member may be connected to again.
+        """
+        now = self._clock()
+        until = deadline
+        if now < link.next_connect_at:
+            until = min(until, link.next_connect_at)
+        return max(0, until - now)
 
     def _pass_on(
         self, link: MemberLink, home_share: ConnectionShare | None
@@ -263,7 +273,19 @@
         if may_connect and link.opened >= _limit(link, share):
             index = find_replaceable(_describe_idle(link))
             if index is not None:
-                await self.drop(link.idle.pop(index))
+                await self._replace(link.idle.pop(index))
+
+    async def _replace(self, pooled: PooledSession) -> None:
+        """Close a connection in whose place the caller opens another one.
+
+        The place is free once the member has seen the end of the connection,
+        and no waiting statement is woken to take it.
+        """
+        try:
+            with anyio.CancelScope(shield=True):
+                await pooled.session.close()
+        finally:
+            pooled.link.opened -= 1
 
     def _may_open(self, link: MemberLink, share: ConnectionShare) -> bool:
         may_connect = self._clock() >= link.next_connect_at
@@ -394,7 +416,10 @@
         share = self._share(link.entry)
         for pooled in tuple(link.idle):
             is_surplus = link.opened > share.min_open
-            if is_surplus and now - pooled.used_at >= share.idle_s:
+            # Statements may have taken it while others were closed.
+            is_idle = pooled in link.idle
+            is_old = now - pooled.used_at >= share.idle_s
+            if is_surplus and is_idle and is_old:
                 link.idle.remove(pooled)
                 await self.drop(pooled)
 
--- a/lavendergate/core/service_order/drain.py
+++ b/lavendergate/core/service_order/drain.py
@@ -47,7 +47,9 @@
         """
         ended_at, self._ended_at = self._ended_at, now
         if not is_backlogged:
+            # A later backlog says anew how fast the member is.
             self._ended_at = None
+            self._intervals = 0
             return
         if ended_at is None:
             return
--- a/lavendergate/core/service_order/order.py
+++ b/lavendergate/core/service_order/order.py
@@ -86,6 +86,13 @@
                 before += share.count_before(context.customer)
         return before
 
+    def count_more_urgent(self, context: StatementContext) -> int:
+        """Return how many transactions and more urgent statements wait."""
+        own = service_class(context)
+        return self._transaction_count + sum(
+            share.count for of, share in self._classes.items() if of < own
+        )
+
     def _pop_transaction(self) -> Ticket | None:
         while self._transactions:
             _, ticket = heapq.heappop(self._transactions)
--- a/lavendergate/core/service_order/queue.py
+++ b/lavendergate/core/service_order/queue.py
@@ -10,7 +10,11 @@
 
 from lavendergate.core.service_order.drain import DrainRate
 from lavendergate.core.service_order.fair_share import Ticket
-from lavendergate.core.service_order.order import ServiceOrder, service_class
+from lavendergate.core.service_order.order import (
+    TURNS_PER_LESS_URGENT,
+    ServiceOrder,
+    service_class,
+)
 from lavendergate.core.sessions.context import StatementContext
 
 
@@ -42,7 +46,7 @@
         if self.limit is not None:
             if self.running >= self.limit or self.waiting_count:
                 return False
-        self._start(context)
+        self.running += 1
         return True
 
     def expected_wait_s(
@@ -66,8 +70,13 @@
         interval_s = self._drain.interval_s(
             now, statement_s / max(1, self.limit)
         )
-        turns = self._order.count_before(context) + 1
-        return turns * interval_s / self._drain.share_of(service_class(context))
+        urgent = self._order.count_more_urgent(context)
+        own = self._order.count_before(context) - urgent + 1
+        share = self._drain.share_of(service_class(context))
+        # However many urgent statements wait, a class gets a turn as often as
+        # `TURNS_PER_LESS_URGENT` says.
+        turns = min(urgent + own / share, own * TURNS_PER_LESS_URGENT)
+        return turns * interval_s
 
     def enqueue(
         self, *, is_new: bool, deadline: float, context: StatementContext
@@ -106,9 +115,7 @@
             return None
         ticket = self._order.pop()
         if ticket is not None:
-            self._start(ticket.context)
+            self.running += 1
+            # Only the turns of a backlog show what urgent classes leave.
+            self._drain.record_start(service_class(ticket.context))
         return ticket
-
-    def _start(self, context: StatementContext) -> None:
-        self.running += 1
-        self._drain.record_start(service_class(context))
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -324,7 +324,7 @@
         with anyio.CancelScope(shield=True):
             try:
                 await connection.run(Rollback(), timeout_s=_ROLLBACK_TIMEOUT_S)
-            except AnswerLostError:
+            except (AnswerLostError, NoTimeError):
                 # The connection is closed, which makes the member roll back.
                 connection.is_broken = True
             await self._pools.release(connection)
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -93,7 +93,7 @@
         if not connection.is_broken and connection.phase != Phase.idle:
             try:
                 await connection.run(Rollback(), timeout_s=_ROLLBACK_TIMEOUT_S)
-            except AnswerLostError:
+            except (AnswerLostError, NoTimeError):
                 # The connection is closed, which makes the member roll back.
                 connection.is_broken = True
         await self._pools.release(connection)
