Choose among idle connections without copying them

Change: the choice reads the pooled sessions themselves; one more test of a transaction that waits while its key is taken away.

--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -103,6 +103,11 @@
     holds_turn: bool = False
     customer: CustomerName | None = None
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether a home runs the statements."""
+        return self.session.is_relayed
+
     async def run(
         self,
         statement: Statement,
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -17,7 +17,6 @@
 )
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.customers.connections import (
-    IdleConnection,
     find_replaceable,
     find_reusable,
 )
@@ -220,7 +219,7 @@
         """Close an idle connection of another customer at the limit."""
         may_connect = self._clock() >= link.next_connect_at
         if may_connect and link.opened >= _limit(link, share):
-            index = find_replaceable(_describe_idle(link))
+            index = find_replaceable(link.idle)
             if index is not None:
                 await self.drop(link.idle.pop(index))
 
@@ -378,23 +377,10 @@
     *,
     direct_only: bool,
 ) -> PooledSession | None:
-    index = find_reusable(
-        _describe_idle(link), context, values, direct_only=direct_only
-    )
+    index = find_reusable(link.idle, context, values, direct_only=direct_only)
     return None if index is None else link.idle.pop(index)
 
 
-def _describe_idle(link: MemberLink) -> tuple[IdleConnection, ...]:
-    return tuple(
-        IdleConnection(
-            customer=pooled.customer,
-            values=pooled.values,
-            is_relayed=pooled.session.is_relayed,
-        )
-        for pooled in link.idle
-    )
-
-
 def _no_connection_refusal(entry: MemberEntry) -> Refused:
     return Refused(
         code=RefusalCode.busy,
--- a/lavendergate/core/customers/connections.py
+++ b/lavendergate/core/customers/connections.py
@@ -7,30 +7,30 @@
 """
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from typing import Protocol
 
 from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.sessions.context import StatementContext
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class IdleConnection:
-    """A connection that runs no statement and no transaction.
+class IdleConnection(Protocol):
+    """A connection that runs no statement and no transaction."""
 
-    Parameters
-    ----------
-    customer
-        Customer for which it was opened; None for statements without one.
-    values
-        Session variables that are set on it.
-    is_relayed
-        Whether a home runs its statements. Such a session sends the customer
-        with each statement and serves any of them.
-    """
+    @property
+    def customer(self) -> CustomerName | None:
+        """Customer for which it was opened; None if it serves none."""
+
+    @property
+    def values(self) -> Mapping[str, str]:
+        """Session variables that are set on it."""
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether a home runs its statements.
 
-    customer: CustomerName | None = None
-    values: Mapping[str, str] = field(default_factory=dict)
-    is_relayed: bool = False
+        Such a session sends the customer with each statement and serves any
+        of them.
+        """
 
 
 def find_reusable(
--- a/lavendergate/tests/customers/test_connections.py
+++ b/lavendergate/tests/customers/test_connections.py
@@ -2,13 +2,14 @@
 
 import unittest
 from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import anyio
 import hypothesis
 from hypothesis import strategies
 
 from lavendergate.core.customers.connections import (
-    IdleConnection,
     find_replaceable,
     find_reusable,
 )
@@ -28,8 +29,15 @@
 _LIMIT = 3
 
 
-def _idle(name: str | None, *, is_relayed: bool = False) -> IdleConnection:
-    return IdleConnection(
+@dataclass(frozen=True, kw_only=True)
+class _Idle:
+    customer: CustomerName | None
+    is_relayed: bool
+    values: Mapping[str, str] = field(default_factory=dict)
+
+
+def _idle(name: str | None, *, is_relayed: bool = False) -> _Idle:
+    return _Idle(
         customer=None if name is None else CustomerName(name),
         is_relayed=is_relayed,
     )
--- a/lavendergate/tests/customers/test_withdrawal.py
+++ b/lavendergate/tests/customers/test_withdrawal.py
@@ -202,6 +202,32 @@
 
         play(scenario)
 
+    def test_transaction_that_waits_for_a_connection_does_not_begin(
+        self,
+    ) -> None:
+        """Guards against a transaction that begins without a valid key."""
+
+        async def scenario(proxy: CustomerFixture) -> None:
+            pools = proxy.pools
+            entry = proxy.group.member('a').entry
+            held = [
+                await pools.acquire(
+                    entry, {}, anyio.current_time() + 1, context=_context()
+                )
+                for _ in range(2 * proxy.share.limit)
+            ]
+            caller = proxy.connect(PRIMARY, NORTH_KEY)
+            await ask(caller, Begin())
+            caller.send(_WRITE)
+            await anyio.sleep(0.05)
+            proxy.change(table(south=(SOUTH_KEY,)))
+            for pooled in held:
+                await pools.release(pooled)
+            await anyio.sleep(_STEP_S)
+            self._check_ends(caller, caller.answers[-1])
+
+        play(scenario)
+
     def test_statement_is_not_retried_after_the_withdrawal(self) -> None:
         """Guards against a retry with a key that was taken away."""
 
