--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -130,6 +130,11 @@
         self.context = context
         self.session.use_for(context)
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether a home runs the statements."""
+        return self.session.is_relayed
+
     async def run(
         self,
         statement: Statement,
