Report members without room and ask lagging replicas less often

Proxies change from homes to direct connections at three connections each, so that a loss of proxies does not switch back and forth. Events 8141 and 8142 report a member without room; a refusal names the statements before it, the predicted wait and the time to return. Turns moved to member_turns.

--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -1,6 +1,5 @@
 """Connections to one member, and the health derived from their answers."""
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -12,9 +11,9 @@
     MemberSession,
     MemberUnreachableError,
 )
+from lavendergate.controllers.member_turns import MemberTurns, NoTimeError
 from lavendergate.controllers.waiters import OrderedWait
 from lavendergate.core.fleet_directory import MemberEntry
-from lavendergate.core.service_order.fair_share import Ticket
 from lavendergate.core.service_order.queue import ServiceQueue
 from lavendergate.core.sessions.context import (
     SYSTEM_CONTEXT,
@@ -47,44 +46,6 @@
 _MS_PER_S = 1000
 
 
-class NoConnectionError(Exception):
-    """No statement was sent, for want of a connection or of time.
-
-    Parameters
-    ----------
-    refusal
-        Refusal to return to the caller.
-    """
-
-    def __init__(self, *, refusal: Refused) -> None:
-        super().__init__(refusal.text)
-        self.refusal = refusal
-
-
-class NoTimeError(NoConnectionError):
-    """Too little time was left to run a statement, so it was not sent.
-
-    Parameters
-    ----------
-    wait_s
-        Predicted wait for a turn at the member, in seconds; 0 if unknown.
-    """
-
-    def __init__(self, *, wait_s: float = 0) -> None:
-        text = (
-            'too little time was left before the deadline to run the statement'
-        )
-        if wait_s:
-            # Callers that were refused together return one after the other.
-            return_s = wait_s * random.uniform(1, 2)
-            text = f'{text}; retry in {round(return_s * _MS_PER_S)} ms'
-        super().__init__(
-            refusal=Refused(
-                code=RefusalCode.busy, text=text, retry_after_s=wait_s
-            )
-        )
-
-
 @dataclass(kw_only=True, slots=True, eq=False)
 class PooledSession:
     """A connection and the session state on it.
@@ -270,11 +231,17 @@
         self.failing_since: float | None = None
         self.next_connect_at = float('-inf')
         self.is_closed = False
-        self.turns = ServiceQueue()
         self.connection_wait = OrderedWait()
-        self._turn_events: dict[int, anyio.Event] = {}
+        self._turns = MemberTurns(
+            entry=entry, clock=clock, events=events, metrics=metrics
+        )
         self._clock = clock
 
+    @property
+    def turns(self) -> ServiceQueue:
+        """Statements that run at the member or wait for a turn."""
+        return self._turns.queue
+
     @property
     def is_suspect(self) -> bool:
         """Whether the member failed since its last answer."""
@@ -287,72 +254,17 @@
     async def take_turn(
         self, *, is_new: bool, deadline: float, context: StatementContext
     ) -> None:
-        """Wait until a statement may be sent to the member.
-
-        Parameters
-        ----------
-        is_new
-            Whether the statement is outside of a transaction.
-        deadline
-            Time until which the statement can be sent, in seconds.
-        context
-            Customer and priorities of the statement, which decide when it is
-            its turn.
-
-        Raises
-        ------
-        NoTimeError
-            If the statement would have to wait longer than that.
-        """
-        turns = self.turns
-        if turns.try_start(context):
-            return
-        started_at = self._clock()
-        wait_s = turns.expected_wait_s(context, self.latency_s, started_at)
-        if is_new and started_at + wait_s > deadline:
-            self._record_wait(context, 'predicted', started_at)
-            raise NoTimeError(wait_s=wait_s)
-        ticket = turns.enqueue(
-            is_new=is_new, deadline=deadline, context=context
+        """Wait until a statement may be sent; see `MemberTurns.take`."""
+        await self._turns.take(
+            is_new=is_new,
+            deadline=deadline,
+            context=context,
+            statement_s=self.latency_s,
         )
-        event = anyio.Event()
-        self._turn_events[id(ticket)] = event
-        try:
-            with anyio.move_on_after(deadline - started_at):
-                await event.wait()
-                self._record_wait(context, 'served', started_at)
-                return
-        except BaseException:
-            self._give_up_turn(ticket, event)
-            raise
-        finally:
-            self._turn_events.pop(id(ticket), None)
-        self._give_up_turn(ticket, event)
-        self._record_wait(context, 'expired', started_at)
-        raise NoTimeError(wait_s=wait_s)
-
-    def _record_wait(
-        self, context: StatementContext, outcome: str, started_at: float
-    ) -> None:
-        self._metrics.queue_seconds.labels(
-            str(context.route_priority), outcome
-        ).observe(self._clock() - started_at)
 
     def end_turn(self) -> None:
         """End a turn and start the next one."""
-        self.turns.finish(self._clock())
-        self._start_waiting()
-
-    def _start_waiting(self) -> None:
-        while ticket := self.turns.take_next():
-            self._turn_events[id(ticket)].set()
-
-    def _give_up_turn(self, ticket: Ticket, event: anyio.Event) -> None:
-        if event.is_set():
-            # The turn was given at the same moment.
-            self.end_turn()
-        else:
-            self.turns.cancel(ticket)
+        self._turns.end()
 
     def begin_statement(self) -> float:
         """Count a started statement; return its start, in seconds."""
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -10,11 +10,8 @@
     MemberRefusedError,
     MemberUnreachableError,
 )
-from lavendergate.controllers.member_link import (
-    MemberLink,
-    NoConnectionError,
-    PooledSession,
-)
+from lavendergate.controllers.member_link import MemberLink, PooledSession
+from lavendergate.controllers.member_turns import NoConnectionError
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.service_order.fair_share import Ticket
--- a/lavendergate/core/service_order/queue.py
+++ b/lavendergate/core/service_order/queue.py
@@ -45,6 +45,10 @@
         self._start(context)
         return True
 
+    def count_before(self, context: StatementContext) -> int:
+        """Return how many waiting statements go before another new one."""
+        return self._order.count_before(context)
+
     def expected_wait_s(
         self, context: StatementContext, statement_s: float, now: float
     ) -> float:
--- a/lavendergate/core/sessions/shares.py
+++ b/lavendergate/core/sessions/shares.py
@@ -24,6 +24,10 @@
 # directly. With one alone, a transaction that waits for its caller keeps every
 # other statement of the proxy from the member, also while the member is idle.
 _MIN_DIRECT_CONNECTIONS = 2
+# The same for proxies that use homes. The difference keeps a loss of some
+# proxies from changing the way back and forth: homes close idle connections
+# after seconds, so that connections of both kinds would exceed the limit.
+_MIN_DIRECT_AFTER_HOMES = 3
 # Sessions that run through a home need no connection of this proxy.
 _RELAYED_LIMIT = 64
 # Fraction of the connections that the homes of a member may open together. The
@@ -59,7 +63,12 @@
     is_home: bool = False
 
 
-def is_scarce(limits: ServiceLimits | None, proxies: int | None) -> bool:
+def is_scarce(
+    limits: ServiceLimits | None,
+    proxies: int | None,
+    *,
+    was_scarce: bool = False,
+) -> bool:
     """Return whether proxies have too few connections to connect directly.
 
     Parameters
@@ -68,11 +77,14 @@
         Limits of the member's service; None if it is in no route table.
     proxies
         Number of proxies that share the member; None while unknown.
+    was_scarce
+        What this returned the last time.
     """
     if limits is None or proxies is None:
         return False
     available = limits.max_connections - _MONITORING_CONNECTIONS
-    return proxies * _MIN_DIRECT_CONNECTIONS > available
+    needed = _MIN_DIRECT_AFTER_HOMES if was_scarce else _MIN_DIRECT_CONNECTIONS
+    return proxies * needed > available
 
 
 def home_share(limits: ServiceLimits | None, slots: int) -> ConnectionShare:
@@ -106,7 +118,10 @@
 
 
 def connection_share(
-    limits: ServiceLimits | None, proxies: int | None
+    limits: ServiceLimits | None,
+    proxies: int | None,
+    *,
+    was_scarce: bool = False,
 ) -> ConnectionShare:
     """Return the limits of a proxy for its connections to each member.
 
@@ -120,11 +135,13 @@
         Limits of the member's service; None if it is in no route table.
     proxies
         Number of proxies that share the member; None while unknown.
+    was_scarce
+        Whether the proxies used homes until now.
     """
     if limits is None:
         return ConnectionShare(limit=_DEFAULT_LIMIT)
     available = limits.max_connections - _MONITORING_CONNECTIONS
-    if is_scarce(limits, proxies):
+    if is_scarce(limits, proxies, was_scarce=was_scarce):
         return ConnectionShare(limit=1, min_open=0, idle_s=_SCARCE_IDLE_S)
     proxy_count = _ASSUMED_PROXIES if proxies is None else max(1, proxies)
     return ConnectionShare(limit=max(1, available // proxy_count))
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -17,7 +17,7 @@
     is_scarce,
     relayed_share,
 )
-from lavendergate.core.types import FailureDomain, HostId
+from lavendergate.core.types import FailureDomain, GroupId, HostId
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.daemon.hosted import HostedProcess, boottime_s
 from lavendergate.daemon.supervision import (
@@ -70,6 +70,7 @@
         self._tasks = tasks
         self._events = process.events
         self._is_draining = False
+        self._scarce_services: set[GroupId] = set()
         self._peers = PeerClient()
         self._metrics = HttpMetrics()
         self._view = FleetView(clock=anyio.current_time)
@@ -226,13 +227,13 @@
 
     def _share_of(self, entry: MemberEntry) -> ConnectionShare:
         limits = self._view.routes.services.get(entry.service)
-        if not is_scarce(limits, self._view.proxies):
+        if not self._is_scarce(entry):
             return connection_share(limits, self._view.proxies)
         if self._relays.link_for(entry) is not None:
             return relayed_share()
         if self._relays.is_home(entry):
             return home_share(limits, entry.slots)
-        return connection_share(limits, self._view.proxies)
+        return connection_share(limits, self._view.proxies, was_scarce=True)
 
     def _home_share_of(self, entry: MemberEntry) -> ConnectionShare:
         limits = self._view.routes.services.get(entry.service)
@@ -240,7 +241,16 @@
 
     def _is_scarce(self, entry: MemberEntry) -> bool:
         limits = self._view.routes.services.get(entry.service)
-        return is_scarce(limits, self._view.proxies)
+        scarce = is_scarce(
+            limits,
+            self._view.proxies,
+            was_scarce=entry.service in self._scarce_services,
+        )
+        if scarce:
+            self._scarce_services.add(entry.service)
+        else:
+            self._scarce_services.discard(entry.service)
+        return scarce
 
     def _offer(self, known_version: int) -> RelayOffer:
         settings = self._process.settings
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -9,10 +9,10 @@
 
 from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.fleet_view import FleetView
-from lavendergate.controllers.member_link import (
+from lavendergate.controllers.member_link import PooledSession
+from lavendergate.controllers.member_turns import (
     NoConnectionError,
     NoTimeError,
-    PooledSession,
 )
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
--- a/lavendergate/filters/sessions/preparation.py
+++ b/lavendergate/filters/sessions/preparation.py
@@ -5,7 +5,8 @@
 import xxhash
 
 from lavendergate.backends.sessions import AnswerLostError
-from lavendergate.controllers.member_link import NoTimeError, PooledSession
+from lavendergate.controllers.member_link import PooledSession
+from lavendergate.controllers.member_turns import NoTimeError
 from lavendergate.core.sessions.statements import (
     Execute,
     Prepare,
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -3,12 +3,13 @@
 import anyio
 
 from lavendergate.backends.sessions import AnswerLostError
-from lavendergate.controllers.member_link import (
+from lavendergate.controllers.member_link import PooledSession
+from lavendergate.controllers.member_turns import (
     NoConnectionError,
     NoTimeError,
-    PooledSession,
 )
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.lag_backoff import LagBackoff
 from lavendergate.core.sessions.member_wait import (
     has_time_for_retry,
     member_wait_deadline,
@@ -33,6 +34,7 @@
 )
 from lavendergate.filters.sessions.member_selection import (
     MemberFilter,
+    ReadPlan,
     ReadRequirements,
 )
 from lavendergate.filters.sessions.preparation import (
@@ -90,6 +92,7 @@
             own_written_at=request.session.own_written_at,
         )
         pause_s = _FIRST_PAUSE_S
+        backoff = LagBackoff()
         while self._monotonic() < request.deadline:
             plan = await self._selector.plan_read(requirements)
             if plan is None or not plan.members:
@@ -97,30 +100,56 @@
             request.position = plan.position
             request.position_asked_at = plan.asked_at
             waits_s = []
-            for member in plan.members:
+            members = self._members_to_ask(plan, backoff)
+            for member in members:
                 request.attempts += 1
                 answer = await self._try_read(
-                    request, statement, member, plan.position
-                )
-                outcome = answer.outcome
-                self._selector.record_lag(
-                    request.known_route,
+                    request,
+                    statement,
                     member,
-                    plan,
-                    outcome.code if isinstance(outcome, Refused) else None,
+                    plan.position,
+                    is_only=len(members) == 1,
                 )
+                self._record_lag(request, plan, member, answer, backoff)
                 if not _may_retry_on_other_member(answer):
                     return answer
                 last_answer = answer
                 waits_s.append(_predicted_wait_s(answer))
                 if self._monotonic() >= request.deadline:
                     return last_answer
-            if not self._has_time_for_retry(request, pause_s, min(waits_s)):
+            if not self._has_time_for_retry(
+                request, pause_s, min(waits_s, default=0)
+            ):
                 return last_answer
             await anyio.sleep(pause_s)
             pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
         return last_answer
 
+    def _members_to_ask(
+        self, plan: ReadPlan, backoff: LagBackoff
+    ) -> tuple[MemberEntry, ...]:
+        """Return the members of a plan that may have the position."""
+        now = self._monotonic()
+        return tuple(
+            member
+            for member in plan.members
+            if backoff.may_ask(member.upstream_id, now)
+        )
+
+    def _record_lag(
+        self,
+        request: SessionRequest,
+        plan: ReadPlan,
+        member: MemberEntry,
+        answer: SessionAnswer,
+        backoff: LagBackoff,
+    ) -> None:
+        outcome = answer.outcome
+        code = outcome.code if isinstance(outcome, Refused) else None
+        self._selector.record_lag(request.known_route, member, plan, code)
+        if code == RefusalCode.lagging:
+            backoff.record(member.upstream_id, self._monotonic())
+
     def _has_time_for_retry(
         self, request: SessionRequest, pause_s: float, wait_s: float
     ) -> bool:
@@ -134,8 +163,13 @@
         statement: DataStatement,
         member: MemberEntry,
         position: LogPosition,
+        *,
+        is_only: bool,
     ) -> SessionAnswer:
         remaining_s = request.deadline - self._monotonic()
+        # Giving up early would only lose the place in the queue of the one
+        # member that can serve the read.
+        attempt_s = remaining_s * (1 if is_only else _READ_ATTEMPT_SHARE)
         try:
             connection = await self._connect(request, statement, member)
         except NoConnectionError as error:
@@ -146,7 +180,7 @@
         try:
             answer = await connection.run(
                 with_shared_name(request.session, statement),
-                timeout_s=remaining_s * _READ_ATTEMPT_SHARE,
+                timeout_s=attempt_s,
                 request_id=request.request_id,
                 after=position,
             )
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -3,10 +3,10 @@
 import anyio
 
 from lavendergate.backends.sessions import AnswerLostError
-from lavendergate.controllers.member_link import (
+from lavendergate.controllers.member_link import PooledSession
+from lavendergate.controllers.member_turns import (
     NoConnectionError,
     NoTimeError,
-    PooledSession,
 )
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.routes import Consistency
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -178,3 +178,18 @@
         Level.info,
         'the disk of the control log answers again after {waited_ms} ms',
     )
+    member_full = define(
+        8141,
+        Level.warning,
+        'statements of priority {priority} for member {upstream} of service '
+        '{service} find no room in time: {waiting} wait, the predicted wait '
+        'is {wait_ms} ms',
+        'Look at lavendergate_queue_seconds by priority; see '
+        'docs/operations/overload.md.',
+    )
+    member_has_room = define(
+        8142,
+        Level.info,
+        'member {upstream} of service {service} has room again; {refused} '
+        'statements were refused',
+    )
--- a/lavendergate/tests/test_relay_decisions.py
+++ b/lavendergate/tests/test_relay_decisions.py
@@ -111,6 +111,9 @@
         # caller; 27 proxies would have no second one.
         self.assertTrue(is_scarce(limits, 27))
         self.assertFalse(is_scarce(limits, 26))
+        # A loss of a third of the proxies does not change the way.
+        self.assertTrue(is_scarce(limits, 18, was_scarce=True))
+        self.assertFalse(is_scarce(limits, 17, was_scarce=True))
         share = home_share(limits, 2)
         self.assertLess(HOMES_PER_MEMBER * share.limit, 53)
         # The member queues 16 statements beyond its slots.
