--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -26,6 +26,7 @@
     'overload': 'goodput at several times the capacity',
     'share_division': 'use of connections by leased and equal shares',
     'connection_policies': 'many proxies before few member connections',
+    'service_order': 'order of statements that wait at one member',
     'fleet_directory': 'cost of announced members and of their answers',
 }
 PAGE = Path(__file__).resolve().parent.parent / 'docs' / 'measurements.md'
