--- a/lavendergate/core/service_order/queue.py
+++ b/lavendergate/core/service_order/queue.py
@@ -49,6 +49,10 @@
         self.running += 1
         return True
 
+    def count_before(self, context: StatementContext) -> int:
+        """Return how many waiting statements go before another new one."""
+        return self._order.count_before(context)
+
     def expected_wait_s(
         self, context: StatementContext, statement_s: float, now: float
     ) -> float:
--- a/lavendergate/core/sessions/shares.py
+++ b/lavendergate/core/sessions/shares.py
@@ -111,6 +111,15 @@
     )
 
 
+def fallback_share() -> ConnectionShare:
+    """Return the limits of a proxy that finds no home for a member.
+
+    The homes hold most connections, so it opens one when it needs it and
+    closes it soon after its use.
+    """
+    return ConnectionShare(limit=1, min_open=0, idle_s=_SCARCE_IDLE_S)
+
+
 def connection_share(
     limits: ServiceLimits | None, proxies: int | None
 ) -> ConnectionShare:
@@ -130,7 +139,7 @@
     if limits is None:
         return ConnectionShare(limit=_DEFAULT_LIMIT)
     available = limits.max_connections - _MONITORING_CONNECTIONS
-    if is_scarce(limits, proxies):
-        return ConnectionShare(limit=1, min_open=0, idle_s=_SCARCE_IDLE_S)
+    if proxies is not None and proxies > available:
+        return fallback_share()
     proxy_count = _ASSUMED_PROXIES if proxies is None else max(1, proxies)
     return ConnectionShare(limit=max(1, available // proxy_count))
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -18,6 +18,7 @@
 from lavendergate.core.sessions.shares import (
     ConnectionShare,
     connection_share,
+    fallback_share,
     home_share,
     is_scarce,
     relayed_share,
@@ -290,13 +291,13 @@
 
     def _share_of(self, entry: MemberEntry) -> ConnectionShare:
         limits = self._view.routes.services.get(entry.service)
-        if not is_scarce(limits, self._view.proxies):
+        if not self._is_scarce(entry):
             return connection_share(limits, self._view.proxies)
         if self._relays.link_for(entry) is not None:
             return relayed_share()
         if self._relays.is_home(entry):
             return self._home_share_of(entry)
-        return connection_share(limits, self._view.proxies)
+        return fallback_share()
 
     def _home_share_of(self, entry: MemberEntry) -> ConnectionShare:
         limits = self._view.routes.services.get(entry.service)
