--- a/lavendergate/core/sessions/shares.py
+++ b/lavendergate/core/sessions/shares.py
@@ -81,8 +81,8 @@
         Number of statements that the member executes at the same time.
     has_customers
         Whether each connection serves one customer only. All connections
-        then stay open, because most customers send less than one statement
-        in the time after which idle ones are closed otherwise.
+        then stay open, so that a customer with few statements does not
+        connect for each of them.
     """
     if limits is None:
         return ConnectionShare(limit=_DEFAULT_LIMIT)
--- a/lavendergate/observability/explanation.py
+++ b/lavendergate/observability/explanation.py
@@ -22,6 +22,8 @@
         SessionEvent.routes_in_force,
         SessionEvent.control_lost,
         SessionEvent.control_regained,
+        SessionEvent.key_lease_lost,
+        SessionEvent.key_lease_regained,
     )
 )
 # Decisions of the control hosts about a service.
