--- a/lavendergate/core/limits/budget.py
+++ b/lavendergate/core/limits/budget.py
@@ -7,15 +7,15 @@
 # Owners of one customer. Customers mostly stay below two thirds of their
 # limit, which two owners still grant while the third one is lost.
 OWNERS_PER_CUSTOMER = 3
-# Parts of the tolerance that leases and the division among owners may use.
-# The rest covers owners that apply a changed limit at different times.
-_LEASE_PART = 0.25
-_DIVISION_PART = 0.5
+# Parts of the tolerance that leases use, and the refill with the division among
+# owners. The rest covers the times at which owners apply a changed limit.
+_LEASE_PART = 0.2
+_GRANTED_PART = 0.75
 # Longest time between the grant of an operation and its use, in seconds.
 _MAX_LEASE_S = 0.4
 # Operations beyond its part of the burst that an owner may collect. They make
 # up for demand that is distributed unevenly among the owners.
-_MAX_EXTRA = 3.0
+_EXTRA_PER_OWNER = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,8 +43,9 @@
         Each owner must be able to collect a whole operation, also where the
         burst is zero; without slack, one owner keeps the whole limit.
         """
-        extra = self.slack * _DIVISION_PART
-        return OWNERS_PER_CUSTOMER if extra >= OWNERS_PER_CUSTOMER else 1
+        extra = OWNERS_PER_CUSTOMER * _EXTRA_PER_OWNER
+        is_covered = self.slack * _GRANTED_PART >= extra
+        return OWNERS_PER_CUSTOMER if is_covered else 1
 
     def allowed(self, limit: OperationLimit) -> float:
         """Return the operations that may run in any window."""
@@ -82,18 +83,23 @@
     """Return the part of a limit that each owner grants.
 
     An operation that is used `lease_s` after its grant adds the refill of that
-    time to a window, so the lease is as long as the tolerance covers.
+    time to a window, so the lease is as long as the tolerance covers. What the
+    tolerance leaves beyond that raises the rate: a customer may use its rate
+    and its burst in every window, and a bucket that gives the burst only once
+    would refuse operations that are below the limit.
     """
     excess = tolerance.excess(limit)
     owners = tolerance.owners
+    granted = _GRANTED_PART * excess
+    extra = min(_EXTRA_PER_OWNER, granted / owners)
     rate = limit.rate_per_s
-    lease_s = _MAX_LEASE_S
-    if rate > 0:
-        lease_s = min(lease_s, _LEASE_PART * excess / rate)
-    extra = min(_MAX_EXTRA, _DIVISION_PART * excess / owners)
-    capacity = limit.burst / owners + extra
+    if rate <= 0:
+        # Without a rate, only the burst is granted, once.
+        capacity = limit.burst / owners + (extra if limit.burst > 0 else 0)
+        return OwnerLimit(rate_per_s=0, capacity=capacity, lease_s=_MAX_LEASE_S)
+    rate += (granted - extra * owners) / tolerance.window_s
     return OwnerLimit(
         rate_per_s=rate / owners,
-        capacity=max(1.0, capacity) if rate > 0 or limit.burst > 0 else 0,
-        lease_s=lease_s,
+        capacity=max(1.0, limit.burst / owners + extra),
+        lease_s=min(_MAX_LEASE_S, _LEASE_PART * excess / rate),
     )
--- a/lavendergate/core/limits/ledger.py
+++ b/lavendergate/core/limits/ledger.py
@@ -134,21 +134,21 @@
         self, slot: SlotId, successor: str, limit: OwnerLimit, now: float
     ) -> Handover:
         """Hand a slot over to a proxy that considers itself the owner."""
-        bucket = self._find_bucket(slot, limit, now)
-        if bucket is None:
-            kept = self._slots.get(slot)
-            if kept is not None and self._was_owner_until_now(slot, now):
-                bucket = kept.bucket
-        if bucket is not None:
-            bucket.refill(now)
-            self._slots.pop(slot, None)
-            self._handed_over_at[slot] = now
-            return HandedOver(tokens=bucket.tokens)
-        if self.view.is_owner(slot):
-            # The successor has a newer view, or an older one; whichever it is,
-            # the two must not count on the same time without other owners.
-            self._handed_over_at[slot] = now
+        if self.view.is_owner(slot) and not self.is_stopping:
+            # Proxies with the view of this one would confirm, after a restart
+            # of it, that nobody else can grant. It hands over once it sees the
+            # change itself.
+            if self._find_bucket(slot, limit, now) is None:
+                # Neither of the two may count on the time before.
+                self._handed_over_at[slot] = now
             return UnknownOwner()
+        kept = self._slots.get(slot)
+        if kept is not None and self.view.was_owner_recently(slot, now):
+            self._slots.pop(slot)
+            self._handed_over_at[slot] = now
+            kept.bucket.change(limit, now)
+            kept.bucket.refill(now)
+            return HandedOver(tokens=kept.bucket.tokens)
         if self.view.is_sole_owner(slot, successor, now):
             return NoOtherOwner()
         return UnknownOwner()
@@ -177,7 +177,10 @@
             case HandedOver(tokens=tokens):
                 self._keep(slot, min(tokens, limit.capacity), limit, now)
             case NoOtherOwner():
-                self._keep(slot, 0, limit, now)
+                # The predecessor does not know of a handover by this proxy.
+                handed_over_at = self._handed_over_at.get(slot, _NEVER)
+                if now - handed_over_at >= TAKEOVER_S:
+                    self._keep(slot, 0, limit, now)
             case UnknownOwner():
                 return
 
@@ -211,7 +214,3 @@
     ) -> None:
         bucket = TokenBucket(limit=limit, filled_at=now, tokens=tokens)
         self._slots[slot] = _Slot(bucket=bucket, used_at=now)
-
-    def _was_owner_until_now(self, slot: SlotId, now: float) -> bool:
-        is_owner = self.view.is_owner(slot)
-        return not is_owner and self.view.was_owner_recently(slot, now)
--- a/lavendergate/tests/limits/test_limit_decisions.py
+++ b/lavendergate/tests/limits/test_limit_decisions.py
@@ -207,6 +207,10 @@
             old.view.confirm(time, time)
         old.ask(slot, 5, _LIMIT, 10)
         show(new, after, 10)
+        self.assertEqual(
+            old.hand_over(slot, '10.0.0.4:7440', _LIMIT, 10), UnknownOwner()
+        )
+        show(old, after, 10)
         handover = old.hand_over(slot, '10.0.0.4:7440', _LIMIT, 10)
         self.assertEqual(handover, HandedOver(tokens=15))
         self.assertIsInstance(old.ask(slot, 1, _LIMIT, 10.1), Declined)
@@ -305,11 +309,12 @@
         slot = slots(one.proxies, '10.0.0.1:7440', '10.0.0.4:7440')
         for time in range(1, 11):
             one.view.confirm(time, time)
+        self.assertIsInstance(one.ask(slot, 5, _LIMIT, 10), Granted)
         one.is_stopping = True
         self.assertEqual(one.ask(slot, 1, _LIMIT, 10), Declined())
         self.assertEqual(
             one.hand_over(slot, '10.0.0.4:7440', _LIMIT, 10),
-            HandedOver(tokens=20),
+            HandedOver(tokens=15),
         )
 
 
--- a/properties/test_limits.py
+++ b/properties/test_limits.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from lavendergate.core.limits import ledger, ownership
@@ -46,10 +46,9 @@
         self, slot: SlotId, successor: str, limit: OwnerLimit, now: float
     ) -> Handover:
         kept = self._slots.get(slot)
-        handover = super().hand_over(slot, successor, limit, now)
-        if kept is not None and isinstance(handover, HandedOver):
-            self._slots[slot] = kept
-        return handover
+        if kept is not None and self.view.is_owner(slot):
+            return HandedOver(tokens=kept.bucket.tokens)
+        return super().hand_over(slot, successor, limit, now)
 
 
 class LimitScheduleTest(unittest.TestCase):
@@ -57,6 +56,8 @@
 
     @settings(max_examples=150, deadline=None, derandomize=True)
     @given(seed=st.integers(0, 2**32 - 1))
+    # An owner handed over while a witness still took it for the only one.
+    @example(seed=257)
     def test_no_window_exceeds_the_limit(self, seed: int) -> None:
         """Guards against two owners of one slot, and bursts given twice."""
         schedule = LimitSchedule(seed=seed)
