--- a/lavendergate/core/pace/member_pace.py
+++ b/lavendergate/core/pace/member_pace.py
@@ -13,8 +13,10 @@
 from lavendergate.core.pace.service_speed import ServiceSpeed, slowness
 
 # Pace after a start or a recovery, and the least pace. The latter still sends
-# some reads, which show whether the member has recovered.
-START_PACE = 0.25
+# some reads, which show whether the member has recovered. In
+# `benchmarks.member_pace` a start at a quarter serves members that are cold
+# better, and members that flap worse, since the others have to carry more.
+START_PACE = 0.5
 MIN_PACE = 1 / 16
 # Least pace of a primary. No other member runs its writes, and a home sends
 # up to its full number of slots, of which a half keeps the member busy.
@@ -27,12 +29,6 @@
 # Failures that are closer together than this, in seconds, count once: they
 # were sent before the first one was known.
 _CUT_INTERVAL_S = 0.1
-# Time without growth after a failure, in seconds. It doubles with each failure
-# that comes within `_RELAPSE_S`, for members that go down and up by turns.
-_FIRST_HOLD_S = 0.25
-LONGEST_HOLD_S = 4.0
-_RELAPSE_S = 10.0
-_MAX_RELAPSES = 5
 # A member is slow above the first of these ratios to its peers, until it is
 # below the second. Random service times alone stay below 2 (three standard
 # deviations of the mean at a coefficient of variation of 0.8).
@@ -43,6 +39,8 @@
 # Weight of the latest answer in the error share, and its half-life in seconds.
 _ERROR_WEIGHT = 0.1
 _ERROR_HALF_LIFE_S = 2.0
+# Error share above which the pace grows by good answers only, not by time.
+MAX_ERROR_SHARE = 1 / 6
 
 
 @enum.unique
@@ -86,14 +84,12 @@
     speed: ServiceSpeed = field(default_factory=ServiceSpeed)
     _pace: float = 1
     _changed_at: float = 0
-    _grows_from: float = 0
     _ceiling: float = 1
     _compared_at: float = 0
     _reason: PaceReason | None = None
     _reduced_at: float = 0
     _is_reported: bool = False
     _cut_at: float = float('-inf')
-    _relapses: int = 0
     _error_share: float = 0
     _error_at: float = 0
     _credit: float = 0
@@ -103,10 +99,8 @@
         ceiling = self._ceiling_at(now)
         if self._pace >= ceiling:
             return ceiling
-        grown_s = now - max(self._grows_from, self._changed_at)
-        if grown_s <= 0:
-            return self._pace
-        doublings = min(grown_s / DOUBLING_S, 1 / MIN_PACE)
+        grown_s = now - max(self._changed_at, self._failing_until())
+        doublings = min(max(0, grown_s) / DOUBLING_S, 1 / MIN_PACE)
         return min(ceiling, self._pace * math.exp2(doublings))
 
     def error_share_at(self, now: float) -> float:
@@ -140,10 +134,7 @@
 
     def restart(self, reason: PaceReason, now: float) -> None:
         """Begin at a low pace, after a start, a recovery or a promotion."""
-        self._note_relapse(now)
-        halvings = max(0, self._relapses - 1)
-        pace = START_PACE * math.exp2(-halvings)
-        self._reduce(max(MIN_PACE, min(self.pace_at(now), pace)), reason, now)
+        self._reduce(min(self.pace_at(now), START_PACE), reason, now)
 
     def record_answer(
         self, now: float, *, has_failed: bool, read_s: float | None = None
@@ -167,7 +158,7 @@
         self._error_at = now
         if has_failed:
             if now - self._cut_at >= _CUT_INTERVAL_S:
-                self._note_relapse(now)
+                self._cut_at = now
                 pace = max(MIN_PACE, self.pace_at(now) / 2)
                 self._reduce(pace, PaceReason.failed, now)
             return
@@ -217,18 +208,14 @@
         is_current = now - self._compared_at <= COMPARISON_VALIDITY_S
         return self._ceiling if is_current else 1
 
-    def _note_relapse(self, now: float) -> None:
-        is_relapse = now - self._cut_at < _RELAPSE_S
-        self._relapses = (
-            min(self._relapses + 1, _MAX_RELAPSES) if is_relapse else 1
-        )
-        self._cut_at = now
+    def _failing_until(self) -> float:
+        """Return when the error share will have fallen below its limit."""
+        excess = self._error_share / MAX_ERROR_SHARE
+        if excess <= 1:
+            return self._changed_at
+        return self._error_at + _ERROR_HALF_LIFE_S * math.log2(excess)
 
     def _reduce(self, pace: float, reason: PaceReason, now: float) -> None:
-        # A first failure has no hold.
-        doubled_s = _FIRST_HOLD_S * math.exp2(self._relapses - 1)
-        hold_s = doubled_s if self._relapses > 1 else 0
         self._pace = pace
         self._changed_at = now
-        self._grows_from = now + min(hold_s, LONGEST_HOLD_S)
         self._reason = reason
