Refuse customers above their limit at once, and forget returned hosts

Change: an owner without operations is asked again after 0.15 s at the earliest, and callers are refused once all owners have none; answers after the end of the lease serve nobody; a host that starts asks all control hosts to forget its stop; the possible losses count seven voters at most; only learners that have answered are promoted; the test cuts the power after the hosts have stopped.

--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -90,17 +90,18 @@
     def join(self, request: JoinRequest) -> JoinReply:
         """Handle a request of a host to join; only the leader accepts it."""
         view = self._node.view
+        host = request.host
+        # A host that is stopping does not ask to join. Hosts that do not lead
+        # record this, too, since each of them may be the next leader.
+        self._stops.pop(host.host_id, None)
         if not view.is_leader:
             return JoinReply(accepted=False, leader=view.leader_address)
-        host = request.host
         joiner = JoiningHost(
             host_id=host.host_id,
             incarnation=host.incarnation,
             address=host.address,
         )
         self._join_requests[host.host_id] = (joiner, anyio.current_time())
-        # A host that is stopping does not ask to join.
-        self._stops.pop(host.host_id, None)
         return JoinReply(accepted=True)
 
     async def handle_leave(self, request: LeaveRequest) -> LeaveReply:
@@ -130,6 +131,9 @@
         self._leader_seen_at = (
             anyio.current_time() - _LEADERLESS_S + _FIRST_LEADERLESS_S
         )
+        if self._node.view.configuration is not None:
+            # All hosts forget the stop that an earlier run announced.
+            await self._request_join()
         while True:
             await self._run_once()
             await anyio.sleep(_INTERVAL_S)
--- a/lavendergate/controllers/limits/borrower.py
+++ b/lavendergate/controllers/limits/borrower.py
@@ -24,6 +24,10 @@
 _RETRY_PAUSE_S = 0.05
 # Wait that callers are not refused for while an owner is missing, in seconds.
 _SHORT_WAIT_S = 0.15
+# Least time for which an owner that has nothing to grant is not asked again, in
+# seconds. It covers the round trips to the other owners, so that a customer
+# that has used all parts of its limit is refused after one question to each.
+_EXHAUSTED_S = 0.15
 # Owners whose round trips differ by less are equally near, in seconds.
 _NEAR_S = 0.01
 _MS_PER_S = 1000
@@ -57,6 +61,7 @@
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class _Waiter:
+    since: float
     decided: anyio.Event = field(default_factory=anyio.Event)
     verdict: Verdict | None = None
 
@@ -122,7 +127,7 @@
         state.allowance.count(now)
         if not state.waiting and state.allowance.use(now):
             return Allowed()
-        waiter = _Waiter()
+        waiter = _Waiter(since=now)
         state.waiting.append(waiter)
         if not state.is_asking:
             state.is_asking = True
@@ -133,7 +138,12 @@
         finally:
             if waiter.verdict is None:
                 state.waiting.remove(waiter)
-        return waiter.verdict or NoOwner()
+        if waiter.verdict is not None:
+            return waiter.verdict
+        retry_after_s = state.allowance.retry_after_s(self._real_clock())
+        if retry_after_s:
+            return LimitReached(retry_after_s=retry_after_s)
+        return NoOwner()
 
     async def _serve_waiting(
         self, customer: Customer, limit: OperationLimit, state: _CustomerState
@@ -157,9 +167,9 @@
                 )
                 if slot is not None:
                     await self._ask(slot, lease_s, state)
-                elif slots and not self._is_short_wait(state, slots, now):
-                    self._refuse_all(state, now)
-                else:
+                    continue
+                self._refuse_exhausted(state, slots, now)
+                if state.waiting:
                     await anyio.sleep(_RETRY_PAUSE_S)
         finally:
             state.is_asking = False
@@ -184,26 +194,36 @@
         if answer.granted == DECLINED:
             state.declined_until[slot.number] = now + 2 * _RETRY_PAUSE_S
         elif not answer.granted:
+            retry_after_s = answer.retry_after_ms / _MS_PER_S
             state.allowance.record_exhausted(
-                slot.number, now + answer.retry_after_ms / _MS_PER_S
+                slot.number, now + max(_EXHAUSTED_S, retry_after_s)
             )
+        if now >= sent_at + lease_s:
+            # The granted operations have expired, for instance because this
+            # host was suspended.
+            return
         served = min(asked_for, answer.granted, len(state.waiting))
         for _ in range(served):
             state.waiting.pop(0).decide(Allowed())
         state.allowance.add(answer.granted - max(0, served), sent_at + lease_s)
 
-    def _is_short_wait(
+    def _refuse_exhausted(
         self, state: _CustomerState, slots: list[SlotId], now: float
-    ) -> bool:
-        """Return whether callers should wait for a part of the limit.
+    ) -> None:
+        """Refuse callers for whom no owner has an operation left.
 
         While an owner is missing, the others have less than the limit, and
-        a customer below it would be refused.
+        a customer below it would be refused. Its callers wait a moment then.
         """
+        if not slots:
+            return
+        retry_after_s = state.allowance.retry_after_s(now)
         has_all = len(slots) == self._tolerance.owners
-        return (
-            not has_all and state.allowance.retry_after_s(now) < _SHORT_WAIT_S
-        )
+        before = now if has_all else now - _SHORT_WAIT_S
+        refused = [one for one in state.waiting if one.since <= before]
+        state.waiting = [one for one in state.waiting if one.since > before]
+        for waiter in refused:
+            waiter.decide(LimitReached(retry_after_s=retry_after_s))
 
     async def _ask_owner(
         self, owner: str, question: LimitQuestion
@@ -212,12 +232,6 @@
             return self._owner.answer(question, owner)
         return await self._link(owner).ask(question)
 
-    def _refuse_all(self, state: _CustomerState, now: float) -> None:
-        retry_after_s = state.allowance.retry_after_s(now)
-        refused, state.waiting = state.waiting, []
-        for waiter in refused:
-            waiter.decide(LimitReached(retry_after_s=retry_after_s))
-
     def _usable_slots(
         self, customer: Customer, state: _CustomerState, now: float
     ) -> list[SlotId]:
--- a/lavendergate/core/loss_tolerance.py
+++ b/lavendergate/core/loss_tolerance.py
@@ -5,7 +5,7 @@
 
 from lavendergate.core.commands import ChangeVoters
 from lavendergate.core.types import HostId
-from lavendergate.core.voter_changes import NodeProgress
+from lavendergate.core.voter_changes import MAX_VOTERS, NodeProgress
 
 # A host is present if its last answer is not older than this, in seconds: four
 # heartbeats, so that one lost message does not count.
@@ -36,7 +36,7 @@
     @property
     def possible(self) -> int:
         """Number of losses that the present hosts could bear as voters."""
-        return max(0, (self.present - 1) // 2)
+        return max(0, (min(self.present, MAX_VOTERS) - 1) // 2)
 
     @property
     def is_reduced(self) -> bool:
--- a/lavendergate/core/voter_changes.py
+++ b/lavendergate/core/voter_changes.py
@@ -25,7 +25,7 @@
 TARGET_VOTERS = 5
 # Seven voters bear the loss of three disks; so many vote only if as many hosts
 # are present. A further voter would raise the majority for each commit.
-_MAX_VOTERS = 7
+MAX_VOTERS = 7
 # With two voters, each acknowledged change is on both; with one it would be on
 # a single disk, and a stop signal does not tell whether the host comes back.
 _MIN_VOTERS = 3
@@ -178,7 +178,7 @@
         """
         count = len(self.current.voters)
         has_next = any(self._answers(host) for host in self.current.learners)
-        is_surplus = count > _MAX_VOTERS or (
+        is_surplus = count > MAX_VOTERS or (
             count == TARGET_VOTERS + 1 and not has_next
         )
         others = self.current.voters & self.progress.keys()
@@ -206,10 +206,10 @@
         count = len(self.current.voters)
         if count < TARGET_VOTERS:
             return 1
-        if count <= _MAX_VOTERS and self._departed_voters():
+        if count <= MAX_VOTERS and self._departed_voters():
             return 1
         # An even number of voters is only a step to the next odd one.
-        return _MAX_VOTERS - count if count < _MAX_VOTERS else math.inf
+        return MAX_VOTERS - count if count < MAX_VOTERS else math.inf
 
     def _departed_voters(self) -> list[HostId]:
         """Return voters that are stopping or have not answered for a while."""
@@ -257,6 +257,7 @@
         node = self.progress.get(host_id)
         return (
             node is not None
+            and node.has_answered
             and host_id not in self.leaving
             and node.since_answer_s <= _MAX_ANSWER_AGE_S
             and node.missing_entries <= _MAX_MISSING_ENTRIES
--- a/lavendergate/tests/control/test_departed_voters.py
+++ b/lavendergate/tests/control/test_departed_voters.py
@@ -104,12 +104,18 @@
 
     async def stop(self, *host_ids: str) -> None:
         """Stop hosts at the same moment, as a loss of power does."""
+        storages = [
+            self.cluster.storage_of(self.cluster.nodes[host_id])
+            for host_id in host_ids
+        ]
         for host_id in host_ids:
             self._scopes[host_id].cancel()
-            self.cluster.storage_of(self.cluster.nodes[host_id]).crash()
             del self.formations[host_id]
         for host_id in host_ids:
             await self.cluster.stop(host_id)
+        for storage in storages:
+            # No node can write any more, so what was not synced is lost.
+            storage.crash()
 
     async def lose_disks(self, *host_ids: str) -> None:
         """Stop all hosts; these lose their disks, then all start again."""
@@ -207,6 +213,10 @@
                 await hosts.acknowledge()
             await anyio.sleep(_CALM_S)
             self.assertEqual(await hosts.voters(), set(present))
+            # A host that becomes leader later must not take a host that is
+            # cut off then for one that announced its stop.
+            for formation in hosts.formations.values():
+                self.assertEqual({}, formation._stops)
             await self.check_losses(hosts)
 
         for size in (3, 4, 5):
--- a/lavendergate/tests/limits/limit_fixture.py
+++ b/lavendergate/tests/limits/limit_fixture.py
@@ -86,8 +86,9 @@
         Returns whether messages between two proxies are lost.
     silent
         Addresses that do not reach the control leader.
-    verdicts, ran_at
-        Decisions about the operations of each customer, and when those ran.
+    verdicts, ran_at, waits
+        Decisions about the operations of each customer, when those ran, and
+        how long each decision took, in seconds.
     messages, message_bytes
         Number and size of the messages between proxies.
     """
@@ -101,6 +102,7 @@
         self.is_cut: Callable[[str, str], bool] = lambda one, other: False
         self.verdicts: dict[str, list[Verdict]] = {}
         self.ran_at: dict[str, list[float]] = {}
+        self.waits: dict[str, list[float]] = {}
         self.messages = 0
         self.message_bytes = 0
         self.nodes = {
@@ -199,9 +201,12 @@
             return
         customer = self.table.customers[CustomerName(name)]
         assert customer.limit is not None
+        arrived_at = anyio.current_time()
         verdict = await self.nodes[address].borrower.acquire(
             customer, customer.limit, 0.6
         )
+        waited_s = anyio.current_time() - arrived_at
+        self.waits.setdefault(name, []).append(waited_s)
         self.verdicts.setdefault(name, []).append(verdict)
         if verdict == Allowed():
             self.ran_at.setdefault(name, []).append(anyio.current_time())
--- a/lavendergate/tests/limits/test_limits.py
+++ b/lavendergate/tests/limits/test_limits.py
@@ -40,6 +40,10 @@
             self.assertLessEqual(fleet.excess('large', _LARGE), 0)
             granted = len(fleet.ran_at['large'])
             self.assertGreater(granted, 0.95 * (12 * 60 + 60))
+            # A rush is refused by the limit, and at once.
+            self.assertEqual(0, fleet.without_owner('large'))
+            waits = sorted(fleet.waits['large'])
+            self.assertLess(waits[round(0.9 * len(waits))], 0.15)
 
         play(scenario)
 
