Let a new home replace its relayed sessions first

Cause: sessions from before a proxy became a home counted towards its share and were never replaced, and a home keeps its whole share open for customers, so that it could be left without a connection (review, by reading).

Change: at the limit, an idle relayed session makes room first.

Measured: the tests of connections and homes pass.

--- a/lavendergate/core/customers/connections.py
+++ b/lavendergate/core/customers/connections.py
@@ -67,15 +67,16 @@
 
 
 def find_replaceable(idle: Sequence[IdleConnection]) -> int | None:
-    """Return the index of the connection to close for another customer."""
-    return next(
-        (
-            index
-            for index, connection in enumerate(idle)
-            if not connection.is_relayed
-        ),
-        None,
+    """Return the index of the connection to close for another one.
+
+    Sessions that are relayed go first. They serve every customer, so one that
+    is idle while a connection is missing is left from before the proxy became
+    a home, and would keep a place that the home needs.
+    """
+    relayed = (
+        index for index, connection in enumerate(idle) if connection.is_relayed
     )
+    return next(relayed, 0 if idle else None)
 
 
 def _least_wanted(idle: Sequence[IdleConnection], usable: list[int]) -> int:
