Count only answers of the member itself as answers of the member

The control leader took the lease back at 7.5 s and gave it again at 8.6 s, since most proxies reported that they reached the primary: a home's refusal to send a statement, and a session value that a relayed session keeps itself, counted as answers of the member, and also ended a suspicion.

Change: a relayed session tells whether the member answered; other answers record neither contact nor latency nor pace.

--- a/lavendergate/backends/sessions.py
+++ b/lavendergate/backends/sessions.py
@@ -69,6 +69,11 @@
     def home(self) -> str | None:
         """Address of the home proxy that ran the last statement, if any."""
 
+    @property
+    def was_answered_by_member(self) -> bool:
+        """Whether the last answer came from the member itself."""
+        return True
+
     def use_for(self, context: StatementContext) -> None:
         """Run the next statements for a caller.
 
--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -178,17 +178,20 @@
             link.end_statement()
         self.is_broken = False
         self.phase = answer.phase
-        link.record_answer(answer.position, started_at)
         outcome = answer.outcome
+        if isinstance(outcome, Refused):
+            if outcome.code == RefusalCode.no_statement:
+                self.prepared.clear()
+        if not self.session.was_answered_by_member:
+            # It says nothing about the member, which may be down.
+            return answer
+        link.record_answer(answer.position, started_at)
         link.pace.record_answer(
             outcome.code if isinstance(outcome, Refused) else None,
             link.now() - started_at,
             is_relayed=self.session.is_relayed,
             is_read=after is not None and isinstance(statement, Read | Execute),
         )
-        if isinstance(outcome, Refused):
-            if outcome.code == RefusalCode.no_statement:
-                self.prepared.clear()
         return answer
 
     async def report(self, *, timeout_s: float) -> MemberReport | Refused:
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -126,6 +126,7 @@
         self._transaction: tuple[RelayLink, int] | None = None
         self._home: str | None = None
         self._context = SYSTEM_CONTEXT
+        self._was_answered_by_member = False
 
     @property
     def home(self) -> str | None:
@@ -137,6 +138,15 @@
         """Whether the session needs no connection of this host."""
         return True
 
+    @property
+    def was_answered_by_member(self) -> bool:
+        """Whether the last answer came from the member itself.
+
+        This session answers some statements itself, and a home refuses
+        statements that it does not send.
+        """
+        return self._was_answered_by_member
+
     def use_for(self, context: StatementContext) -> None:
         """Run the next statements for a caller; see the base class."""
         self._context = context
@@ -149,6 +159,7 @@
         after: LogPosition | None = None,
     ) -> SessionAnswer:
         """Run a statement; see the base class."""
+        self._was_answered_by_member = False
         match statement:
             case SetValue(name=name, value=value):
                 self._values[name] = value
@@ -199,6 +210,7 @@
         reply = await self._send(self._encode(statement), request_id, after)
         match reply.status:
             case RelayStatus.answered:
+                self._was_answered_by_member = True
                 self._phase = reply.phase
                 return _answer(reply)
             case RelayStatus.lost:
--- a/lavendergate/tests/test_relays.py
+++ b/lavendergate/tests/test_relays.py
@@ -31,7 +31,9 @@
     RelayedRollback,
     RelayedStatement,
     RelayedWrite,
+    RelayReply,
     RelayRequest,
+    RelayStatus,
 )
 from lavendergate.tests.relay_fixture import (
     CONNECTIONS,
@@ -416,6 +418,36 @@
 
         play(scenario)
 
+    def test_refusal_of_a_home_is_no_answer_of_the_member(self) -> None:
+        """Guards against a takeover that is put off for seconds.
+
+        The proxies' reports that they reach a primary keep the control
+        leader from replacing it.
+        """
+
+        async def scenario(fleet: RelayFixture) -> None:
+            proxy = fleet.others('a')[0]
+            session = caller()
+            await proxy.send(session, Write(item='x', content='1'))
+            link = proxy.pools.links[UpstreamId('a')]
+            answered_at = link.answered_at
+
+            async def refuse(address: str, request: RelayRequest) -> RelayReply:
+                await anyio.sleep(0.01)
+                return RelayReply(
+                    status=RelayStatus.not_run,
+                    now_ms=round(anyio.current_time() * 1000),
+                    text='the queue is full',
+                )
+
+            fleet.transport.run = refuse  # type: ignore[method-assign]
+            await proxy.send(session, SetValue(name='v', value='1'))
+            answer = await proxy.send(session, Write(item='x', content='2'))
+            self.assertEqual(code(answer), RefusalCode.busy)
+            self.assertEqual(link.answered_at, answered_at)
+
+        play(scenario)
+
     def test_restarted_home_continues_no_transaction_of_another_proxy(
         self,
     ) -> None:
