--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -11,8 +11,8 @@
     MemberSession,
     MemberUnreachableError,
 )
-from lavendergate.controllers.link_pace import LinkPace
-from lavendergate.controllers.member_turns import MemberTurns, NoTimeError
+from lavendergate.controllers.members.pace import LinkPace
+from lavendergate.controllers.members.turns import MemberTurns, NoTimeError
 from lavendergate.controllers.waiters import OrderedWait
 from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.fleet_directory import MemberEntry
--- a/lavendergate/controllers/positions.py
+++ b/lavendergate/controllers/positions.py
@@ -6,7 +6,7 @@
 
 from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.fleet_view import FleetView
-from lavendergate.controllers.member_turns import NoConnectionError
+from lavendergate.controllers.members.turns import NoConnectionError
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.fleet_directory import MemberEntry
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -11,7 +11,7 @@
     MemberUnreachableError,
 )
 from lavendergate.controllers.member_link import MemberLink, PooledSession
-from lavendergate.controllers.member_turns import NoConnectionError
+from lavendergate.controllers.members.turns import NoConnectionError
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.customers.connections import (
     find_replaceable,
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -10,7 +10,7 @@
 from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.member_link import PooledSession
-from lavendergate.controllers.member_turns import (
+from lavendergate.controllers.members.turns import (
     NoConnectionError,
     NoTimeError,
 )
--- a/lavendergate/filters/sessions/preparation.py
+++ b/lavendergate/filters/sessions/preparation.py
@@ -6,7 +6,7 @@
 
 from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.member_link import PooledSession
-from lavendergate.controllers.member_turns import NoTimeError
+from lavendergate.controllers.members.turns import NoTimeError
 from lavendergate.core.sessions.statements import (
     Execute,
     Prepare,
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -4,7 +4,7 @@
 
 from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.member_link import PooledSession
-from lavendergate.controllers.member_turns import (
+from lavendergate.controllers.members.turns import (
     NoConnectionError,
     NoTimeError,
 )
--- a/lavendergate/tests/service_order/test_connection_waits.py
+++ b/lavendergate/tests/service_order/test_connection_waits.py
@@ -5,7 +5,7 @@
 import anyio
 
 from lavendergate.backends.sessions import MemberRefusedError
-from lavendergate.controllers.member_turns import NoConnectionError
+from lavendergate.controllers.members.turns import NoConnectionError
 from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.service_order.drain import DrainRate
--- a/lavendergate/tests/service_order/test_waiting.py
+++ b/lavendergate/tests/service_order/test_waiting.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from lavendergate.controllers.member_turns import NoTimeError
+from lavendergate.controllers.members.turns import NoTimeError
 from lavendergate.controllers.waiters import OrderedWait
 from lavendergate.core.service_order.fair_share import Ticket
 from lavendergate.core.sessions.context import StatementContext
