--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -216,7 +216,8 @@
         finally:
             link.end_statement()
         self.is_broken = False
-        link.record_answer(None, started_at)
+        if self.session.was_answered_by_member:
+            link.record_answer(None, started_at)
         return report
 
 
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -185,7 +185,9 @@
             raise TypeError(
                 f'{request!r} is not passed on: only control hosts send it'
             )
+        self._was_answered_by_member = False
         reply = await self._send(RelayedStatus(), None, None)
+        self._was_answered_by_member = reply.status == RelayStatus.answered
         if reply.report is not None:
             return reply.report
         return Refused(code=reply.code or RefusalCode.busy, text=reply.text)
--- a/lavendergate/tests/test_relays.py
+++ b/lavendergate/tests/test_relays.py
@@ -444,6 +444,11 @@
             await proxy.send(session, SetValue(name='v', value='1'))
             answer = await proxy.send(session, Write(item='x', content='2'))
             self.assertEqual(code(answer), RefusalCode.busy)
+            pooled = await proxy.pools.acquire(
+                link.entry, {}, anyio.current_time() + 1
+            )
+            await pooled.report(timeout_s=1)
+            await proxy.pools.release(pooled)
             self.assertEqual(link.answered_at, answered_at)
 
         play(scenario)
