--- /dev/null
+++ b/review/kit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the cases."""
