Count contained errors by place, through one boundary

Errors were contained in three ways (keep_running, GuardedTasks, report_failure), none of which counted them.

lavendergate.supervision.boundary replaces these: one class logs each contained error (7031) and counts it in lavendergate_contained_errors by place. What is contained does not change yet.

--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -18,7 +18,6 @@
 from lavendergate.core.types import HostId, UpstreamId
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
-from lavendergate.daemon.supervision import keep_running
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.platform.control_calls import (
     MAX_BODY_BYTES,
@@ -64,6 +63,7 @@
         self._process = process
         self._tasks = tasks
         self._metrics = HttpMetrics()
+        process.boundary.observe(self._metrics.count_contained_error)
         self._routes = RouteTable()
         settings = process.settings
         self._takeover = TakeoverController(
@@ -109,7 +109,9 @@
             serve_metrics, settings.ip, self._metrics.render
         )
         self._tasks.start_soon(
-            keep_running, 'takeover', self._takeover.run, self._process.events
+            self._process.boundary.keep_running,
+            'takeover',
+            self._takeover.run,
         )
 
     async def announce(self, entry: MemberEntry) -> bool:
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -19,7 +19,6 @@
 from lavendergate.core.leases.granting import LEASE_S
 from lavendergate.core.relays.homes import ProxyAddress
 from lavendergate.core.types import FailureDomain, GroupId
-from lavendergate.daemon.supervision import report_failure
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.documents import decode_routes
@@ -30,6 +29,7 @@
     RelayOffer,
     SyncReply,
 )
+from lavendergate.supervision.boundary import Boundary
 
 _REACHABILITY_WINDOW_S = 1.0
 _MS_PER_S = 1000
@@ -80,6 +80,7 @@
         customers: CustomerRegistry | None = None,
         limits: LimitOwner | None = None,
         events: EventLog,
+        boundary: Boundary,
     ) -> None:
         self._customers = customers
         self._limits = limits
@@ -90,6 +91,7 @@
         self._view = view
         self._pools = pools
         self._events = events
+        self._boundary = boundary
         self._published: dict[str, dict[GroupId, PrimaryNotice]] = {}
         self._withheld: tuple[GroupId, ...] = ()
 
@@ -248,7 +250,7 @@
         table = decode_routes(unpack_routes(content))
         if isinstance(table, Err):
             # Unexpected, because control hosts accept only valid documents.
-            report_failure('routes', ValueError(table.err_value), self._events)
+            self._boundary.report('routes', ValueError(table.err_value))
             return
         if self._view.adopt_routes(table.ok_value):
             self._events.emit(
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -28,7 +28,6 @@
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
-from lavendergate.daemon.supervision import keep_running
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.settings_file import HostSettings
@@ -261,7 +260,9 @@
             ('storage', self._storage_watch.run),
             ('tolerance', self._tolerance_watch.run),
         ):
-            self._tasks.start_soon(keep_running, name, run, self._events)
+            self._tasks.start_soon(
+                self._process.boundary.keep_running, name, run
+            )
         await self._start_operations()
         await self._process.wait_for_stop()
         async with anyio.create_task_group() as stopping:
--- a/lavendergate/daemon/hosted_process.py
+++ b/lavendergate/daemon/hosted_process.py
@@ -16,6 +16,7 @@
     SettingsFileError,
     load_settings,
 )
+from lavendergate.supervision.boundary import Boundary
 
 _SETTINGS_POLL_INTERVAL_S = 1.0
 
@@ -34,6 +35,7 @@
     def __init__(self, *, settings: HostSettings, events: EventLog) -> None:
         self._settings = settings
         self._events = events
+        self._boundary = Boundary(events=events)
         self._observers: list[Callable[[HostSettings], None]] = []
         self._stopping = anyio.Event()
 
@@ -47,6 +49,11 @@
         """Event log of the process."""
         return self._events
 
+    @property
+    def boundary(self) -> Boundary:
+        """Contains the unexpected errors of all activities of the process."""
+        return self._boundary
+
     def observe(self, observer: Callable[[HostSettings], None]) -> None:
         """Register a function that is called whenever the settings change."""
         self._observers.append(observer)
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -26,11 +26,6 @@
 from lavendergate.core.types import FailureDomain, HostId
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
-from lavendergate.daemon.supervision import (
-    GuardedTasks,
-    keep_running,
-    report_failure,
-)
 from lavendergate.filters.chain import compose
 from lavendergate.filters.customers.identification import IdentificationFilter
 from lavendergate.filters.limits.charge import LimitFilter
@@ -52,6 +47,7 @@
 )
 from lavendergate.rpc.peers import PeerClient
 from lavendergate.rpc.relay_stream import StreamRelayTransport, serve_relays
+from lavendergate.supervision.boundary import GuardedTasks
 
 _DIAL_TIMEOUT_S = 0.7
 # The balancer checks readiness once a second and stops sending callers after
@@ -81,6 +77,7 @@
         self._is_draining = False
         self._peers = PeerClient()
         self._metrics = HttpMetrics()
+        process.boundary.observe(self._metrics.count_contained_error)
         self._view = FleetView(clock=anyio.current_time)
         bounds = settings.bounds
         self._customers = CustomerRegistry(
@@ -91,7 +88,7 @@
             real_clock=boottime_s,
             events=self._events,
         )
-        guarded = GuardedTasks(tasks=tasks, events=self._events)
+        guarded = GuardedTasks(tasks=tasks, boundary=process.boundary)
         transport = StreamRelayTransport(tasks=guarded)
         tolerance = Tolerance(
             window_s=settings.bounds.quota_window_s,
@@ -164,6 +161,7 @@
                 customers=self._customers,
                 limits=self._limit_owner,
                 events=self._events,
+                boundary=process.boundary,
             ),
             peers=self._peers,
             events=self._events,
@@ -207,7 +205,9 @@
             ('pools', self._pools.run),
             ('home', self._home.run),
         ):
-            self._tasks.start_soon(keep_running, name, run, self._events)
+            self._tasks.start_soon(
+                self._process.boundary.keep_running, name, run
+            )
         await self._process.wait_for_stop()
         await self._drain()
 
@@ -216,7 +216,7 @@
             await self._session_service.serve(channel)
         except Exception as error:
             # An error in one session must not end the other sessions.
-            report_failure('session', error, self._events)
+            self._process.boundary.report('session', error)
 
     async def _drain(self) -> None:
         self._is_draining = True
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -124,6 +124,18 @@
             registry=registry,
         )
 
+        self.contained_errors = Counter(
+            'lavendergate_contained_errors',
+            'Unexpected errors by place; each ended one connection, request '
+            'or task, and the process went on',
+            ('place',),
+            registry=registry,
+        )
+
+    def count_contained_error(self, place: str) -> None:
+        """Count an unexpected error that ended one activity."""
+        self.contained_errors.labels(place).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/lavendergate/tests/customers/test_key_lease_replies.py
+++ b/lavendergate/tests/customers/test_key_lease_replies.py
@@ -9,6 +9,7 @@
 
 from lavendergate.core.control_routes import pack_routes
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
+from lavendergate.supervision.boundary import Boundary
 from lavendergate.tests.customers.customer_fixture import usual_table
 from lavendergate.tests.session_fixture import SessionFixture
 from lavendergate.tests.test_fleet_view_receiver import reply
@@ -32,6 +33,7 @@
                 positions=proxy.positions,
                 customers=proxy.registry,
                 events=proxy.events,
+                boundary=Boundary(events=proxy.events),
             )
             await anyio.sleep(10)
             await scenario(proxy, receiver)
--- a/lavendergate/tests/takeover_fixture.py
+++ b/lavendergate/tests/takeover_fixture.py
@@ -23,7 +23,6 @@
 from lavendergate.core.fleet_directory import MemberAvailability
 from lavendergate.core.routes import RoutesVersion, RouteTable, ServiceLimits
 from lavendergate.core.types import HostId
-from lavendergate.daemon.supervision import keep_running
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.rpc.fleet_service import (
@@ -32,6 +31,7 @@
     SyncReply,
     SyncRequest,
 )
+from lavendergate.supervision.boundary import Boundary
 from standin.promotion_orders import MemoryPromotionOrders
 from standin.session_group import GroupDialer, SessionGroup
 
@@ -103,6 +103,7 @@
             real_clock=anyio.current_time,
             events=self.events,
         )
+        self.boundary = Boundary(events=self.events)
         self.takeover = TakeoverController(
             node=node,
             fleet=self.fleet,
@@ -122,7 +123,7 @@
             ('watch', self.poller.run),
             ('takeover', self.takeover.run),
         ):
-            tasks.start_soon(keep_running, name, run, self.events)
+            tasks.start_soon(self.boundary.keep_running, name, run)
 
     def announce(self) -> None:
         """Announce all members in their current state."""
--- a/lavendergate/tests/test_fleet_view_receiver.py
+++ b/lavendergate/tests/test_fleet_view_receiver.py
@@ -17,6 +17,7 @@
     PrimaryNotice,
     SyncReply,
 )
+from lavendergate.supervision.boundary import Boundary
 from lavendergate.tests.session_fixture import SessionFixture
 
 Scenario = Callable[[SessionFixture, FleetViewReceiver], Awaitable[None]]
@@ -33,6 +34,7 @@
                 pools=proxy.pools,
                 positions=proxy.positions,
                 events=MemoryEventLog(),
+                boundary=Boundary(events=MemoryEventLog()),
             )
             await anyio.sleep(10)
             await scenario(proxy, receiver)
