Refuse values out of their bounds where they enter a control host

Callers of the control address saw hosts end: a version or a sequence of 22 digits raised OverflowError in the encoder behind the decoder, 3,000 nested brackets RecursionError in the decoder. An announcement with port 70000, without a zone or with a capacity of 0 became a member.

Cause: the decoders checked types, not ranges. Python's integers have no size, and errors other than msgspec's own passed through.

`lavendergate/core/bounds` now holds the types that carry their range, and decoders whose only error is `InvalidValueError`, which names field, value and bound. Documents of operators and announcements use them. A document is refused if any of its bytes is no UTF-8 or if it nests deeper than 64 levels, which does not depend on the stack of the decoding host. An id in the path must be UTF-8, a word, and at most 255 characters.

A route table that an earlier build accepted stays readable (`decode_accepted_routes`).

--- a/lavendergate/platform/control_calls.py
+++ b/lavendergate/platform/control_calls.py
@@ -3,8 +3,10 @@
 from abc import ABC, abstractmethod
 from urllib.parse import unquote
 
+import msgspec
 from result import Err
 
+from lavendergate.core.errors import quoted
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.routes import RoutesVersion
 from lavendergate.core.types import UpstreamId
@@ -21,6 +23,8 @@
     status=503, body=b'{"error":"no majority confirmed it; call again"}'
 )
 _BAD_REQUEST = 400
+# Members read at most 4 KiB of an answer.
+_MAX_PROBLEM_CHARACTERS = 1000
 
 
 class ControlCalls(ABC):
@@ -73,8 +77,9 @@
         """Carry out one call and return its response."""
         path = request.path.partition('?')[0]
         if path.startswith(_INSTANCES):
-            member = unquote(path.removeprefix(_INSTANCES))
-            return await self._handle_member(request, member)
+            return await self._handle_member(
+                request, path.removeprefix(_INSTANCES)
+            )
         match (request.method, path):
             case ('PUT', '/config'):
                 return await self._handle_publish(request.body)
@@ -84,8 +89,12 @@
                 return _NOT_FOUND
 
     async def _handle_member(
-        self, request: HttpRequest, member: str
+        self, request: HttpRequest, encoded_id: str
     ) -> HttpResponse:
+        try:
+            member = unquote(encoded_id, errors='strict')
+        except UnicodeDecodeError:
+            return _bad_request(f'the id {quoted(encoded_id)} is no UTF-8')
         match request.method:
             case 'PUT':
                 entry = decode_announcement(member, request.body)
@@ -115,7 +124,5 @@
 
 
 def _bad_request(problem: str) -> HttpResponse:
-    text = problem.replace('\\', ' ').replace('"', "'")
-    return HttpResponse(
-        status=_BAD_REQUEST, body=f'{{"error":"{text}"}}'.encode()
-    )
+    body = msgspec.json.encode({'error': problem[:_MAX_PROBLEM_CHARACTERS]})
+    return HttpResponse(status=_BAD_REQUEST, body=body)
--- a/lavendergate/platform/customer_documents.py
+++ b/lavendergate/platform/customer_documents.py
@@ -3,12 +3,14 @@
 Messages name a customer and never show a key.
 """
 
-import math
 import re
 from collections.abc import Iterable
 
 import msgspec
 
+from lavendergate.core.bounds.decoding import SEARCH_ERRORS
+from lavendergate.core.bounds.ranges import Amount, Count
+
 # msgspec ends its messages with the path of the faulty value.
 _CUSTOMER_PATH = re.compile(r'\$\.tenants\[(\d+)\]')
 
@@ -20,9 +22,9 @@
 
     name: str
     api_keys: tuple[str, ...]
-    priority: int = 0
-    rate_per_s: float | None = None
-    burst: float = 0
+    priority: Count = 0
+    rate_per_s: Amount | None = None
+    burst: Amount = 0
 
 
 class _AnyCustomers(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,7 +74,7 @@
         entries = msgspec.json.decode(content, type=_AnyCustomers).tenants
         entry = entries[int(found.group(1))]
         name = msgspec.json.decode(entry, type=_NamedCustomer).name
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except SEARCH_ERRORS:
         return ''
     return f' (tenant {name!r})'
 
@@ -82,14 +84,6 @@
         return 'needs a name without blanks and control characters'
     if not all(map(_can_stand_in_line, document.api_keys)):
         return 'has a key that is empty or contains a blank'
-    if document.priority < 0:
-        return f'has priority {document.priority}: expected 0 or more'
-    for field, limit in (
-        ('ratePerS', document.rate_per_s),
-        ('burst', document.burst),
-    ):
-        if limit is not None and not 0 <= limit < math.inf:
-            return f'has {field} {limit:g}: expected 0 or more'
     return None
 
 
--- a/lavendergate/platform/documents.py
+++ b/lavendergate/platform/documents.py
@@ -1,10 +1,29 @@
 """Decoders for the operator's route document and members' announcements."""
 
+from collections.abc import Callable
 from typing import Literal
 
 import msgspec
 from result import Err, Ok, Result
 
+from lavendergate.core.bounds.addresses import is_word
+from lavendergate.core.bounds.decoding import (
+    InvalidValueError,
+    decode_accepted_json,
+    decode_json,
+)
+from lavendergate.core.bounds.ranges import (
+    MAX_NAME_CHARACTERS,
+    Address,
+    Count,
+    DurationMs,
+    Name,
+    PositiveCount,
+    PositiveMs,
+    Slots,
+    UnixMs,
+    Word,
+)
 from lavendergate.core.customers.table import (
     Customer,
     CustomerName,
@@ -12,6 +31,7 @@
     OperationLimit,
     build_customer_table,
 )
+from lavendergate.core.errors import quoted
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
 from lavendergate.core.routes import (
     DEFAULT_TRANSACTION_IDLE_MS,
@@ -29,6 +49,8 @@
 )
 
 _DEFAULT_CONNECTIONS = 16
+# Messages must not show the keys of customers.
+_CUSTOMERS_PATH = '$.tenants'
 
 
 class _RouteDocument(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -36,32 +58,32 @@
     database: str
     service: str
     route_type: Consistency
-    timeout_ms: int
+    timeout_ms: PositiveMs
     path_prefix: str = '/'
-    target_latency_ms: int = 1000
-    priority: int = 0
-    max_staleness_ms: int = 0
+    target_latency_ms: DurationMs = 1000
+    priority: Count = 0
+    max_staleness_ms: DurationMs = 0
     public: bool = False
 
 
 class _ServiceDocument(
     msgspec.Struct, frozen=True, kw_only=True, rename='camel'
 ):
-    name: str
-    max_conns: int = _DEFAULT_CONNECTIONS
-    sync_replicas: int = 0
+    name: Word
+    max_conns: Count = _DEFAULT_CONNECTIONS
+    sync_replicas: Count = 0
 
 
 class _LimitsDocument(
     msgspec.Struct, frozen=True, kw_only=True, rename='camel'
 ):
-    txn_idle_ms: int = DEFAULT_TRANSACTION_IDLE_MS
+    txn_idle_ms: DurationMs = DEFAULT_TRANSACTION_IDLE_MS
 
 
 class _RouteTableDocument(
     msgspec.Struct, frozen=True, kw_only=True, rename='camel'
 ):
-    version: int
+    version: PositiveCount
     routes: tuple[_RouteDocument, ...]
     services: tuple[_ServiceDocument, ...]
     limits: _LimitsDocument = _LimitsDocument()
@@ -77,18 +99,25 @@
     ----------
     service
         Group of the member.
+    version
+        Version of the member's software; not used.
+    warmup_left_ms
+        How much longer the member remains slow; not used.
     born
-        Unix time of the member's start, in milliseconds.
+        Unix time of the member's start, in milliseconds; 0 if it does not
+        say. The examples of the platform's pages do without it.
     """
 
-    service: str
-    address: str
+    service: Word
+    address: Address
+    zone: Name
+    version: str
+    capacity: Slots
     state: Literal['ready', 'draining']
-    sequence: int
+    warmup_left_ms: DurationMs
+    sequence: Count
     db_role: Literal['primary', 'replica']
-    zone: str = ''
-    capacity: int = 1
-    born: int = 0
+    born: UnixMs = 0
 
 
 def decode_routes(content: bytes) -> Result[RouteTable, str]:
@@ -98,34 +127,20 @@
     -------
     The route table, or an error message if the document is invalid.
     """
-    try:
-        document = msgspec.json.decode(content, type=_RouteTableDocument)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(
-            f'cannot decode the route document: {error}'
-            f'{describe_entry(content, error)}'
-        )
-    problem = _find_problem(document)
-    if problem is not None:
-        return Err(problem)
-    return Ok(
-        RouteTable(
-            version=RoutesVersion(document.version),
-            routes={
-                route.database: _build_route(route) for route in document.routes
-            },
-            services={
-                GroupId(service.name): ServiceLimits(
-                    service=GroupId(service.name),
-                    max_connections=service.max_conns,
-                    synchronous_replicas=service.sync_replicas,
-                )
-                for service in document.services
-            },
-            transaction_idle_ms=document.limits.txn_idle_ms,
-            customers=_build_customers(document.tenants),
-        )
-    )
+    return _decode_routes(content, decode_json)
+
+
+def decode_accepted_routes(content: bytes) -> Result[RouteTable, str]:
+    """Decode a route document that control hosts have accepted.
+
+    An earlier build may have accepted fields, which are not read, with bytes
+    that are no UTF-8 or with deep nesting. The document stays in force.
+
+    Returns
+    -------
+    The route table, or an error message if it cannot be read.
+    """
+    return _decode_routes(content, decode_accepted_json)
 
 
 def decode_route_list(content: bytes) -> tuple[Route, ...]:
@@ -135,10 +150,12 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    InvalidValueError
         If the document is invalid; see `decode_routes`.
     """
-    document = msgspec.json.decode(content, type=_RouteTableDocument)
+    document = decode_json(
+        content, _RouteTableDocument, secret_path=_CUSTOMERS_PATH
+    )
     return tuple(_build_route(route) for route in document.routes)
 
 
@@ -151,15 +168,15 @@
     -------
     The member's entry, or an error message if the announcement is invalid.
     """
-    try:
-        announcement = msgspec.json.decode(content, type=_AnnouncementDocument)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(f'cannot decode the announcement: {error}')
-    ip, _, port = announcement.address.rpartition(':')
-    if not (ip and port.isdecimal()):
+    if len(upstream_id) > MAX_NAME_CHARACTERS or not is_word(upstream_id):
         return Err(
-            f'invalid address {announcement.address!r}: expected ip:port'
+            f'invalid id {quoted(upstream_id)}: expected 1 to '
+            f'{MAX_NAME_CHARACTERS} characters, no blanks or control characters'
         )
+    try:
+        announcement = decode_json(content, _AnnouncementDocument)
+    except InvalidValueError as error:
+        return Err(f'cannot decode the announcement: {error}')
     return Ok(
         MemberEntry(
             upstream_id=UpstreamId(upstream_id),
@@ -175,6 +192,41 @@
     )
 
 
+def _decode_routes(
+    content: bytes, decode: Callable[..., _RouteTableDocument]
+) -> Result[RouteTable, str]:
+    try:
+        document = decode(
+            content, _RouteTableDocument, secret_path=_CUSTOMERS_PATH
+        )
+    except InvalidValueError as error:
+        return Err(
+            f'cannot decode the route document: {error}'
+            f'{describe_entry(content, error)}'
+        )
+    problem = _find_problem(document)
+    if problem is not None:
+        return Err(problem)
+    return Ok(
+        RouteTable(
+            version=RoutesVersion(document.version),
+            routes={
+                route.database: _build_route(route) for route in document.routes
+            },
+            services={
+                GroupId(service.name): ServiceLimits(
+                    service=GroupId(service.name),
+                    max_connections=service.max_conns,
+                    synchronous_replicas=service.sync_replicas,
+                )
+                for service in document.services
+            },
+            transaction_idle_ms=document.limits.txn_idle_ms,
+            customers=_build_customers(document.tenants),
+        )
+    )
+
+
 def _find_problem(document: _RouteTableDocument) -> str | None:
     services = {service.name for service in document.services}
     served: set[tuple[str, str]] = set()
@@ -187,14 +239,7 @@
                 f'two routes serve database {route.database} with path prefix '
                 f'{route.path_prefix}'
             )
-        if route.timeout_ms <= 0:
-            return (
-                f'route {route.name} has timeoutMs {route.timeout_ms}: '
-                'expected a value above 0'
-            )
         served.add(target)
-    if document.version <= 0:
-        return f'version {document.version} is not above 0'
     return find_customer_problem(document.tenants or ())
 
 
--- a/lavendergate/tests/test_platform_formats.py
+++ b/lavendergate/tests/test_platform_formats.py
@@ -21,7 +21,11 @@
     SessionAnswer,
 )
 from lavendergate.core.types import LogPosition, Term
-from lavendergate.platform.documents import decode_announcement, decode_routes
+from lavendergate.platform.documents import (
+    decode_accepted_routes,
+    decode_announcement,
+    decode_routes,
+)
 from lavendergate.platform.line_codec import (
     LineError,
     encode_answer,
@@ -241,6 +245,112 @@
             decoded = decode_announcement('i-1', json.dumps(changed).encode())
             self.assertIsInstance(decoded, Err, changed)
 
+    def test_document_that_other_hosts_cannot_read_is_refused(self) -> None:
+        """Guards against an accepted document that ends each host."""
+        nested = '[' * 3000 + ']' * 3000
+        shallow = '[' * 60 + ']' * 60
+        text = json.dumps(DOCUMENT)[:-1]
+        invalid = {
+            'Expected `int` <= 9223372036854775807 - at `$.version`: ': (
+                routes(version=10**21)
+            ),
+            'out of range - at `$.version`': routes().replace(
+                b'"version": 7', b'"version": ' + b'7' * 5000
+            ),
+            'nest more than 64 levels': f'{text},"x":{nested}}}'.encode(),
+            'the byte at offset ': text.encode() + b',"x":"\xff"}',
+            'Expected `int` <= 9007199254740991 - at `$.routes[0].timeoutMs`': (
+                routes(routes=[ROUTE | {'timeoutMs': 1 << 60}])
+            ),
+            'Expected `int` >= 0 - at `$.services[0].maxConns`: ': (
+                routes(services=[{'name': 's1', 'maxConns': -1}])
+            ),
+            'a word without blanks': (
+                routes(services=[{'name': 's1 x\r\nQUERY', 'maxConns': 1}])
+            ),
+        }
+        for problem, content in invalid.items():
+            with self.subTest(problem):
+                decoded = decode_routes(content)
+                assert isinstance(decoded, Err)
+                self.assertIn(problem, decoded.err_value)
+                self.assertLess(len(decoded.err_value), 400)
+        brackets = json.dumps('\\"' + '[' * 3000)
+        for unread in (shallow, brackets, '1e999', '"\\ud83d\\ude00"'):
+            content = f'{text},"x":{unread}}}'.encode()
+            self.assertIsInstance(decode_routes(content), Ok, unread)
+
+    def test_route_table_in_force_stays_readable(self) -> None:
+        """Guards against proxies that drop a table of an earlier build."""
+        content = json.dumps(DOCUMENT)[:-1].encode() + b',"x":"\xff"}'
+        self.assertIsInstance(decode_accepted_routes(content), Ok)
+
+    def test_odd_announcement_is_refused_with_field_and_value(self) -> None:
+        """Guards against an entry of another writer in the directory."""
+        odd: tuple[tuple[str, object], ...] = (
+            ('address', '127.0.0.9:70000'),
+            ('address', '127.0.0.9:0'),
+            ('address', '127.0.0.9:08080'),
+            ('address', '127.0.0.9:٨٠٨٠'),
+            ('address', '127.0.0.9:²'),
+            ('address', 'localhost:8080'),
+            ('address', '127.0.0.009:8080'),
+            ('address', '0.0.0.0:8080'),
+            ('address', '255.255.255.255:8080'),
+            ('address', '[::1]:8080'),
+            ('address', '10.0.0.1:80\n'),
+            ('sequence', 10**21),
+            ('sequence', -1),
+            ('born', 10**21),
+            ('born', 1 << 60),
+            ('born', -5),
+            ('born', None),
+            ('born', 1.5),
+            ('capacity', 0),
+            ('capacity', -3),
+            ('capacity', 10**21),
+            ('capacity', 'many'),
+            ('warmupLeftMs', 'x'),
+            ('version', 7),
+            ('zone', ''),
+            ('zone', 'z' * 1_000_000),
+            ('zone', 'a\x00b'),
+            ('zone', None),
+            ('service', 's 1'),
+            ('service', ''),
+            ('dbRole', 'witness'),
+            ('state', 'gone'),
+        )
+        for field, value in odd:
+            with self.subTest(field=field, value=str(value)[:20]):
+                content = json.dumps(ANNOUNCEMENT | {field: value}).encode()
+                decoded = decode_announcement('i-1', content)
+                assert isinstance(decoded, Err)
+                self.assertIn(f'$.{field}', decoded.err_value)
+                self.assertLess(len(decoded.err_value), 400)
+
+    def test_announcement_without_a_field_names_no_member(self) -> None:
+        """Guards against an incomplete entry that evicts a member."""
+        for missing in ANNOUNCEMENT.keys() - {'born'}:
+            with self.subTest(missing):
+                content = json.dumps(
+                    {
+                        name: value
+                        for name, value in ANNOUNCEMENT.items()
+                        if name != missing
+                    }
+                ).encode()
+                self.assertIsInstance(decode_announcement('i-1', content), Err)
+
+    def test_announcement_of_the_pages_is_accepted(self) -> None:
+        """Guards against a member whose valid announcements are refused."""
+        content = (
+            b'{"service":"huvo11a","address":"10.128.0.9:8080",'
+            b'"zone":"charlotte","version":"v1","capacity":3,"state":"ready",'
+            b'"warmupLeftMs":0,"dbRole":"replica","sequence":4,"new":{}}'
+        )
+        self.assertIsInstance(decode_announcement('i-7f3a91c2', content), Ok)
+
     @given(content=st.binary())
     @settings(derandomize=True)
     def test_any_bytes_are_decoded_or_refused(self, content: bytes) -> None:
--- a/lavendergate/tests/test_platform_sockets.py
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -245,13 +245,24 @@
             handle = ControlHttp(calls=calls).handle
             announcement = (
                 b'{"service":"s","address":"10.0.0.1:80","zone":"z",'
-                b'"capacity":2,"state":"ready","dbRole":"replica",'
-                b'"sequence":1,"born":1}'
+                b'"version":"v1","capacity":2,"state":"ready",'
+                b'"warmupLeftMs":0,"dbRole":"replica","sequence":1,"born":1}'
             )
             table = b'{"version":3,"routes":[],"services":[]}'
             cases = (
                 ('PUT', '/instances/i-1', announcement, 200, 503),
                 ('PUT', '/instances/i-1', b'{}', 400, 400),
+                ('PUT', '/instances/', announcement, 400, 400),
+                ('PUT', '/instances/i%FF', announcement, 400, 400),
+                ('PUT', '/instances/i%20%0D%0A', announcement, 400, 400),
+                (
+                    'PUT',
+                    f'/instances/{"i" * 3000}',
+                    announcement,
+                    400,
+                    400,
+                ),
+                ('DELETE', '/instances/i%FF', b'', 400, 400),
                 ('DELETE', '/instances/i-1', b'', 200, 503),
                 ('PUT', '/config', table, 200, 503),
                 ('PUT', '/config', b'{"version":', 400, 400),
