End every transaction at half of the grace period

At half of the grace period only transactions that waited for a statement were ended; those whose statement ran at that moment went on until the exit, and so did relayed ones at a home.

Each session and each relayed transaction is now checked before its next statement, and statements that outlast the grace period are answered with what is known of them. The steps of a stop are a class that tests play.

--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -36,6 +36,7 @@
 from lavendergate.filters.sessions.single_statement import SingleStatementFilter
 from lavendergate.filters.sessions.transaction import TransactionFilter
 from lavendergate.frontend.caller_channel import CallerChannel
+from lavendergate.frontend.planned_stop import PlannedStop
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.platform.callers import serve_callers
@@ -50,11 +51,6 @@
 from lavendergate.supervision.boundary import GuardedTasks
 
 _DIAL_TIMEOUT_S = 0.7
-# The balancer checks readiness once a second and stops sending callers after
-# two failed checks. Callers that it sends until then are served.
-_BALANCER_NOTICE_S = 2.3
-_EXIT_MARGIN_S = 0.5
-_DRAIN_POLL_INTERVAL_S = 0.05
 _MS_PER_S = 1000
 
 
@@ -220,20 +216,12 @@
 
     async def _drain(self) -> None:
         self._is_draining = True
-        self._home.stop()
         self._limit_owner.stop()
-        grace_s = self._process.settings.bounds.grace_s
-        began_at = anyio.current_time()
-        await anyio.sleep(min(_BALANCER_NOTICE_S, grace_s / 2))
-        self._session_service.close_idle()
-        await anyio.sleep_until(began_at + grace_s / 2)
-        self._session_service.end_transactions()
-        await self._home.end_transactions()
-        while anyio.current_time() < began_at + grace_s - _EXIT_MARGIN_S:
-            self._session_service.close_idle()
-            if not self._session_service.session_count and self._home.is_idle:
-                break
-            await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
+        await PlannedStop(
+            sessions=self._session_service,
+            home=self._home,
+            grace_s=self._process.settings.bounds.grace_s,
+        ).run()
 
     def _build_session_service(self) -> SessionService:
         positions = self._positions
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -123,6 +123,7 @@
         self._numbers = itertools.count(secrets.randbits(_NUMBER_BITS))
         self._running = 0
         self._is_stopping = False
+        self._is_ending_transactions = False
 
     @property
     def is_idle(self) -> bool:
@@ -134,7 +135,8 @@
         self._is_stopping = True
 
     async def end_transactions(self) -> None:
-        """Roll back the transactions that wait for a statement."""
+        """Roll back all transactions, now or once their statement has run."""
+        self._is_ending_transactions = True
         for number, transaction in tuple(self._transactions.items()):
             if transaction.used_at is not None:
                 await self._end(number)
@@ -230,6 +232,8 @@
         self._transactions[number] = RelayedTransaction(
             connection=connection, used_at=self._clock()
         )
+        if self._is_ending_transactions:
+            await self._end(number)
         return self._with_transaction(reply, number)
 
     async def _run_in_transaction(
@@ -264,7 +268,7 @@
         if connection.is_broken or connection.phase == Phase.idle:
             self._transactions.pop(number, None)
             await self._pools.release(connection)
-        elif transaction.is_abandoned:
+        elif transaction.is_abandoned or self._is_ending_transactions:
             await self._end(number)
 
     async def _run_statement(
--- a/lavendergate/filters/sessions/local.py
+++ b/lavendergate/filters/sessions/local.py
@@ -48,7 +48,8 @@
             return refusal_answer(
                 request,
                 RefusalCode.aborted,
-                'the transaction was idle for too long; begin it again',
+                'the transaction was idle for too long, or this host stops; '
+                'begin it again',
             )
         if isinstance(statement, _TRANSACTION_BOUNDARIES):
             return await self._handle_boundary(request, forward)
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -29,6 +29,7 @@
     SessionRequest,
 )
 from lavendergate.filters.sessions.transaction import TransactionFilter
+from lavendergate.filters.sessions.unfinished import unfinished_answer
 from lavendergate.frontend.caller_channel import (
     CallerChannel,
     CallerDisconnectedError,
@@ -75,12 +76,15 @@
     receive_scope
         Cancel scope of the wait for the next statement; None while a
         statement runs.
+    run_scope
+        Cancel scope of the running statement; None while none runs.
     """
 
     state: CallerSession
     opened_at: float
     has_answered: bool = False
     receive_scope: anyio.CancelScope | None = None
+    run_scope: anyio.CancelScope | None = None
 
     def can_be_closed(self, now: float) -> bool:
         """Return whether the session can be closed without loss.
@@ -156,12 +160,18 @@
                 session.receive_scope.cancel()
 
     def end_transactions(self) -> None:
-        """Roll back transactions that are waiting for a statement."""
+        """Roll back all transactions, now or once their statement has run."""
         self._is_ending_transactions = True
         for session in self._open:
             if session.receive_scope is not None:
                 session.receive_scope.cancel()
 
+    def give_up_statements(self) -> None:
+        """Answer all running statements without waiting for their members."""
+        for session in self._open:
+            if session.run_scope is not None:
+                session.run_scope.cancel()
+
     async def serve(self, channel: CallerChannel) -> None:
         """Serve a caller until its session ends."""
         try:
@@ -242,7 +252,7 @@
                 received = await self._receive(channel, session)
                 if not isinstance(received, CallerRequest):
                     return
-                answer = await self._answer(received, state)
+                answer = await self._answer(received, session)
                 await channel.answer(answer)
                 session.has_answered = True
                 if _ends_session(answer):
@@ -259,8 +269,11 @@
         self, channel: CallerChannel, session: ServedSession
     ) -> CallerRequest | SessionEndRequest | None:
         """Return the next request; None if the session is to be closed."""
+        state = session.state
         while True:
-            state = session.state
+            if self._is_ending_transactions and state.phase != Phase.idle:
+                await self._expire_transaction(state)
+                return await self._receive_before_close(channel)
             has_connection = (
                 state.transaction is not None
                 and state.transaction.connection is not None
@@ -278,8 +291,6 @@
             if state.phase != Phase.in_transaction:
                 return await self._receive_before_close(channel)
             await self._expire_transaction(state)
-            if self._is_ending_transactions:
-                return None
 
     async def _receive_before_close(
         self, channel: CallerChannel
@@ -290,13 +301,16 @@
         return None
 
     async def _expire_transaction(self, state: CallerSession) -> None:
+        if state.phase != Phase.in_transaction:
+            return
         await self._transactions.end_transaction(state)
         state.phase = Phase.failed
         state.is_expired = True
 
     async def _answer(
-        self, received: CallerRequest, state: CallerSession
+        self, received: CallerRequest, session: ServedSession
     ) -> SessionAnswer:
+        state = session.state
         if received.statement is None:
             return SessionAnswer(
                 outcome=Refused(
@@ -314,7 +328,16 @@
             arrived_at_monotonic=arrived_at_monotonic,
             deadline=arrived_at_monotonic + _DEFAULT_TIMEOUT_S,
         )
-        answer = await self._chain(request)
+        run_scope = anyio.CancelScope()
+        with run_scope:
+            session.run_scope = run_scope
+            try:
+                answer = await self._chain(request)
+            finally:
+                session.run_scope = None
+        if run_scope.cancelled_caught:
+            answer = unfinished_answer(request)
+            state.phase = answer.phase
         self._record(request, answer)
         return answer
 
