Keep odd numbers, addresses and nesting out of connections

Callers of a proxy saw sessions end without an answer, and proxies end: one member with port 70000 raised OverflowError in `connect`, a status row or a position with thousands of digits ValueError in `int`, nested arrays in a frame between proxies RecursionError in the decoder.

Cause: `int`, `connect` and msgspec raise errors that the handlers of lost connections do not expect.

- Positions and numbers of status rows are ASCII digits of at most 64 bits.
- `split_address` raises `AddressError`, an `OSError`; members, homes and peers with such an address are unreachable.
- Frames and gRPC messages are decoded and encoded with msgspec's own errors only, which end the connection or the call.
- An id that is empty, not printable or longer than 255 characters names no statement: an empty one would have reached the member as `-`, the id of the system's own statements.

--- a/lavendergate/core/bounds/addresses.py
+++ b/lavendergate/core/bounds/addresses.py
@@ -4,12 +4,14 @@
 
 from lavendergate.core.bounds.ranges import (
     ADDRESS_PATTERN,
+    HOST_AND_PORT_PATTERN,
     PATTERN_FORMS,
     WORD_PATTERN,
 )
 from lavendergate.core.errors import quoted
 
 _ADDRESS = re.compile(ADDRESS_PATTERN, re.ASCII)
+_HOST_AND_PORT = re.compile(HOST_AND_PORT_PATTERN, re.ASCII)
 _WORD = re.compile(WORD_PATTERN)
 
 
@@ -51,3 +53,25 @@
         )
     ip, _, port = address.rpartition(':')
     return ip, int(port)
+
+
+def split_host_and_port(address: str) -> tuple[str, int]:
+    """Return the host, which may be a name, and the port to connect to.
+
+    Raises
+    ------
+    AddressError
+        If the text has no host, or no port of 1 to 65535.
+
+    Examples
+    --------
+    >>> split_host_and_port('localhost:80')
+    ('localhost', 80)
+    """
+    found = _HOST_AND_PORT.match(address)
+    if found is None:
+        raise AddressError(
+            f'invalid address {quoted(address)}: expected host:port with a '
+            'port up to 65535'
+        )
+    return found.group(1), int(found.group(2))
--- a/lavendergate/core/bounds/ranges.py
+++ b/lavendergate/core/bounds/ranges.py
@@ -34,6 +34,7 @@
 )
 IP_PATTERN: Final = rf'\A{_FIRST_OCTET}(?:\.{_OCTET}){{3}}\Z'
 ADDRESS_PATTERN: Final = rf'\A{_FIRST_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}\Z'
+HOST_AND_PORT_PATTERN: Final = rf'\A([!-~]+):({_PORT})\Z'
 NAME_PATTERN: Final = rf'\A[^{_UNPRINTABLE}]+\Z'
 WORD_PATTERN: Final = rf'\A[^\s{_UNPRINTABLE}]+\Z'
 
--- a/lavendergate/platform/callers.py
+++ b/lavendergate/platform/callers.py
@@ -22,7 +22,7 @@
     encode_answer,
     encode_ready,
     encode_refusal,
-    parse_statement,
+    parse_request,
 )
 from lavendergate.platform.line_stream import (
     LOST_CONNECTION_ERRORS,
@@ -82,8 +82,9 @@
             raise CallerDisconnectedError(repr(error)) from error
         if word == 'BYE':
             return SessionEndRequest()
-        request_id, _, text = rest.partition(' ')
-        statement = parse_statement(text) if word == 'QUERY' else None
+        request_id, statement = parse_request(rest)
+        if word != 'QUERY':
+            statement = None
         return CallerRequest(request_id=request_id, statement=statement)
 
     async def answer(self, answer: SessionAnswer) -> None:
--- a/lavendergate/platform/line_codec.py
+++ b/lavendergate/platform/line_codec.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Mapping
 
+from lavendergate.core.bounds.ranges import MAX_COUNT, MAX_NAME_CHARACTERS
+from lavendergate.core.errors import quoted
 from lavendergate.core.sessions.statements import (
     AccessKind,
     Begin,
@@ -63,6 +65,7 @@
 _ACCESS_KINDS = {word: access for access, word in _ACCESS_WORDS.items()}
 
 _REPORT_FIELD_COUNT = 7
+_MAX_DIGITS = len(str(MAX_COUNT))
 
 
 class LineError(Exception):
@@ -127,10 +130,13 @@
     """
     if text == EMPTY_FIELD:
         return None
-    term, dot, number = text.partition('.')
-    if not (dot and term.isdecimal() and number.isdecimal()):
-        raise LineError(f'invalid position {text!r}: expected TERM.NUMBER')
-    return LogPosition(term=Term(int(term)), position=int(number))
+    term, _, number = text.partition('.')
+    if _is_count(term) and _is_count(number):
+        return LogPosition(term=Term(int(term)), position=int(number))
+    raise LineError(
+        f'invalid position {quoted(text)}: expected TERM.NUMBER, each of at '
+        f'most {MAX_COUNT}'
+    )
 
 
 def encode_query(
@@ -175,7 +181,7 @@
     word, _, position = rest.partition(' ')
     phase = _PHASES.get(word)
     if phase is None:
-        raise LineError(f'invalid phase {word!r} in a READY line')
+        raise LineError(f'invalid phase {quoted(word)} in a READY line')
     return phase, parse_position(position)
 
 
@@ -193,31 +199,78 @@
     fields = row.split(' ')
     if len(fields) < _REPORT_FIELD_COUNT:
         raise LineError(
-            f'invalid status row {row!r}: expected at least 7 fields'
+            f'invalid status row {quoted(row)}: expected at least 7 fields'
         )
     role, term, received = fields[:3]
     paused, lag, busy, connections = fields[3:_REPORT_FIELD_COUNT]
     position = parse_position(received)
-    numbers = (term, paused, lag, busy, connections)
-    if position is None or not all(map(_is_number, numbers)):
-        raise LineError(
-            f'invalid status row {row!r}: expected a position and numbers'
-        )
+    if position is None:
+        raise LineError(f'invalid status row {quoted(row)}: no position')
     return MemberReport(
         is_primary=role == 'primary',
-        term=Term(int(term)),
+        term=Term(_parse_count('term', term)),
         received=position,
         # The term in which replication was paused. The protocol calls this
         # field "term held".
-        paused_term=Term(int(paused)),
-        lag_ms=int(float(lag)),
-        busy=int(float(busy)),
-        connections=int(float(connections)),
+        paused_term=Term(_parse_count('term held', paused)),
+        lag_ms=_parse_decimal('lag', lag),
+        busy=_parse_decimal('busy', busy),
+        connections=_parse_decimal('connections', connections),
+    )
+
+
+def parse_request(rest: str) -> tuple[str, CallerStatement | None]:
+    """Parse the fields of a caller's QUERY line.
+
+    Returns
+    -------
+    The id, shortened if it is too long, and the statement; None if the id or
+    the text is invalid.
+    """
+    request_id, _, text = rest.partition(' ')
+    is_valid = (
+        0 < len(request_id) <= MAX_NAME_CHARACTERS and request_id.isprintable()
+    )
+    return (
+        request_id[:MAX_NAME_CHARACTERS],
+        parse_statement(text) if is_valid else None,
     )
 
 
-def _is_number(text: str) -> bool:
-    return text.replace('.', '', 1).isdecimal()
+def _is_count(digits: str) -> bool:
+    """Return whether a text is a number of at most 64 bits.
+
+    `int` refuses texts of thousands of digits, and accepts digits of other
+    scripts, with which a member would not know its own position again.
+    """
+    return (
+        len(digits) <= _MAX_DIGITS
+        and digits.isascii()
+        and digits.isdecimal()
+        and (len(digits) < _MAX_DIGITS or int(digits) <= MAX_COUNT)
+    )
+
+
+def _parse_count(field: str, text: str) -> int:
+    if _is_count(text):
+        return int(text)
+    raise _field_error(field, text)
+
+
+def _parse_decimal(field: str, text: str) -> int:
+    """Parse a number with or without decimals; return its integer part."""
+    whole, _, decimals = text.partition('.')
+    digits = f'{whole}{decimals}'
+    if not (digits.isascii() and digits.isdecimal()):
+        raise _field_error(field, text)
+    return _parse_count(field, whole or '0')
+
+
+def _field_error(field: str, text: str) -> LineError:
+    return LineError(
+        f'invalid {field} {quoted(text)} in a status row: expected a number of '
+        f'at most {MAX_COUNT}'
+    )
 
 
 def _encode_outcome(outcome: Outcome) -> bytes:
--- a/lavendergate/platform/line_stream.py
+++ b/lavendergate/platform/line_stream.py
@@ -36,7 +36,7 @@
     anyio.DelimiterNotFound,
     LineError,
     OSError,
-    UnicodeDecodeError,
+    UnicodeError,
 )
 
 
--- a/lavendergate/platform/members.py
+++ b/lavendergate/platform/members.py
@@ -10,6 +10,8 @@
     MemberUnreachableError,
     ReportRequest,
 )
+from lavendergate.core.bounds.addresses import split_address
+from lavendergate.core.errors import quoted
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.sessions.context import (
     SYSTEM_CONTEXT,
@@ -107,7 +109,7 @@
                     )
                 case _:
                     raise LineError(
-                        f"unexpected line {word!r} in a member's answer"
+                        f"unexpected line {quoted(word)} in a member's answer"
                     )
 
 
@@ -145,8 +147,8 @@
     async def _open(
         self, member: MemberEntry, context: StatementContext
     ) -> tuple[MemberSession, LogPosition | None]:
-        ip, _, port = member.address.rpartition(':')
-        stream = LineStream(stream=await anyio.connect_tcp(ip, int(port)))
+        ip, port = split_address(member.address)
+        stream = LineStream(stream=await anyio.connect_tcp(ip, port))
         try:
             return await self._start(stream, member, context)
         except BaseException:
@@ -168,6 +170,8 @@
         if word == 'ERR':
             raise MemberRefusedError(refusal=parse_refusal(rest))
         if word != 'READY':
-            raise LineError(f'unexpected line {word!r} in answer to START')
+            raise LineError(
+                f'unexpected line {quoted(word)} in answer to START'
+            )
         _, position = parse_ready(rest)
         return LineMemberSession(stream=stream), position
--- a/lavendergate/rpc/peers.py
+++ b/lavendergate/rpc/peers.py
@@ -6,6 +6,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from lavendergate.core.bounds.addresses import AddressError
 from lavendergate.rpc.service import Method, call, open_channel
 
 RequestT = TypeVar('RequestT')
@@ -52,10 +53,7 @@
         PeerCallError
             If no valid reply arrives within the time limit.
         """
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = open_channel(address)
-            self._channels[address] = channel
+        channel = self._channel(address)
         try:
             return await call(channel, method, request, timeout_s=timeout_s)
         except _CALL_ERRORS as error:
@@ -66,6 +64,16 @@
                 error
             )
 
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            try:
+                channel = open_channel(address)
+            except AddressError as error:
+                raise PeerCallError(str(error)) from error
+            self._channels[address] = channel
+        return channel
+
     def _discard_channel(self, address: str, channel: Channel) -> None:
         if self._channels.get(address) is channel:
             self._channels.pop(address)
--- a/lavendergate/rpc/relay_stream.py
+++ b/lavendergate/rpc/relay_stream.py
@@ -15,6 +15,8 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from lavendergate.core.bounds.addresses import split_address
+from lavendergate.core.bounds.decoding import decode_msgpack, encode_msgpack
 from lavendergate.rpc.limit_service import (
     LimitReply,
     LimitRequest,
@@ -118,7 +120,7 @@
         return await self._buffer.receive_exactly(length)
 
     async def write(self, message: _RequestFrame | _ReplyFrame) -> None:
-        encoded = _encoder.encode(message)
+        encoded = encode_msgpack(_encoder, message)
         async with self._lock:
             length = len(encoded).to_bytes(_LENGTH_BYTES)
             await self._stream.send(length + encoded)
@@ -171,7 +173,7 @@
     async with anyio.create_task_group() as tasks:
         try:
             while True:
-                frame = _request_decoder.decode(await frames.read())
+                frame = decode_msgpack(_request_decoder, await frames.read())
                 tasks.start_soon(_answer, frames, handler, limits, frame)
         except _LOST_ERRORS:
             # Statements whose answers nobody reads are broken off, which makes
@@ -243,7 +245,9 @@
         """Distribute the replies until the connection is lost."""
         try:
             while True:
-                reply = _reply_decoder.decode(await self._frames.read())
+                reply = decode_msgpack(
+                    _reply_decoder, await self._frames.read()
+                )
                 answered = self._waiting.get(reply.number)
                 if answered is not None:
                     self._replies[reply.number] = reply
@@ -320,10 +324,9 @@
 
 
 async def _open(address: str) -> _Connection:
-    ip, _, port = address.rpartition(':')
     try:
         with anyio.fail_after(_CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(ip, int(port))
+            stream = await anyio.connect_tcp(*split_address(address))
     except OSError as error:
         raise RelayNotSentError(
             f'no connection to {address}: {error!r}'
--- a/lavendergate/rpc/service.py
+++ b/lavendergate/rpc/service.py
@@ -9,6 +9,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Stream
 
+from lavendergate.core.bounds.addresses import split_host_and_port
 from lavendergate.rpc.codec import MessagePackCodec
 
 RequestT = TypeVar('RequestT')
@@ -70,9 +71,14 @@
         Address of the host, ``ip:port``.
     tls
         Context for mutual TLS; None for plain connections.
+
+    Raises
+    ------
+    AddressError
+        If the address has no port, or one that is out of range.
     """
-    host, _, port = address.rpartition(':')
-    return Channel(host, int(port), codec=MessagePackCodec(), ssl=tls)
+    host, port = split_host_and_port(address)
+    return Channel(host, port, codec=MessagePackCodec(), ssl=tls)
 
 
 async def call(
--- a/lavendergate/rpc/transport.py
+++ b/lavendergate/rpc/transport.py
@@ -7,6 +7,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from lavendergate.core.bounds.addresses import AddressError
 from lavendergate.core.consensus.messages import Envelope
 from lavendergate.rpc.consensus_service import EXCHANGE, ExchangeRequest
 from lavendergate.rpc.service import call, open_channel
@@ -94,11 +95,10 @@
     def _get_channel(self, address: str) -> Channel:
         channel = self._channels.get(address)
         if channel is None:
-            if not address.rpartition(':')[2].isdecimal():
-                raise TransportError(
-                    f'address {address!r} is malformed; expected ip:port'
-                )
-            channel = open_channel(address, tls=self._tls)
+            try:
+                channel = open_channel(address, tls=self._tls)
+            except AddressError as error:
+                raise TransportError(str(error)) from error
             self._channels[address] = channel
         return channel
 
--- /dev/null
+++ b/lavendergate/tests/bounds/test_codec.py
@@ -0,0 +1,60 @@
+"""Tests of the codec of messages between hosts."""
+
+import unittest
+
+import anyio
+
+from lavendergate.core.bounds.decoding import (
+    InvalidValueError,
+    NotEncodableError,
+)
+from lavendergate.rpc.codec import MessagePackCodec
+from lavendergate.rpc.fleet_service import READ_ROUTES, FleetVersion
+from lavendergate.rpc.fleet_service import RoutesRequest as Request
+from lavendergate.rpc.peers import PeerCallError, PeerClient
+from lavendergate.rpc.transport import GrpcTransport, TransportError
+from lavendergate.tests.bounds.odd_messages import envelope
+
+_NESTED = b'\x93' + b'\xa1a' + b'\x01' + b'\x91' * 5000 + b'\xc0'
+
+
+class CodecTest(unittest.TestCase):
+    """Errors of the codec."""
+
+    def test_nested_message_is_refused(self) -> None:
+        """Guards against nesting that ends the receiver of a message."""
+        with self.assertRaises(InvalidValueError):
+            MessagePackCodec().decode(_NESTED, FleetVersion)
+
+    def test_value_beyond_the_format_is_refused(self) -> None:
+        """Guards against a large number that ends the sender."""
+        codec = MessagePackCodec()
+        for version in (1 << 70, -(1 << 70)):
+            message = FleetVersion(source='a', version=version)
+            with self.assertRaises(NotEncodableError):
+                codec.encode(message, FleetVersion)
+        with self.assertRaises(NotEncodableError):
+            codec.encode(FleetVersion(source='\ud800'), FleetVersion)
+
+
+class PeerAddressTest(unittest.TestCase):
+    """Calls to addresses that are none."""
+
+    def test_odd_address_of_a_host_is_unreachable(self) -> None:
+        """Guards against an odd address in an answer that ends a host."""
+
+        async def call() -> None:
+            peers, transport = PeerClient(), GrpcTransport()
+            for odd in (
+                '10.0.0.1',
+                '',
+                '10.0.0.1:70000',
+                'a:²',
+                'a:' + '9' * 99,
+            ):
+                with self.assertRaises(PeerCallError):
+                    await peers.call(odd, READ_ROUTES, Request(), timeout_s=1)
+                with self.assertRaises(TransportError):
+                    await transport.exchange(odd, envelope(), timeout_s=1)
+
+        anyio.run(call)
--- a/lavendergate/tests/test_platform_formats.py
+++ b/lavendergate/tests/test_platform_formats.py
@@ -16,6 +16,7 @@
 from lavendergate.core.sessions.statements import (
     Completed,
     Phase,
+    Read,
     RefusalCode,
     Refused,
     SessionAnswer,
@@ -35,6 +36,7 @@
     parse_ready,
     parse_refusal,
     parse_report,
+    parse_request,
     parse_statement,
 )
 from lavendergate.platform.settings_file import (
@@ -146,6 +148,47 @@
             except LineError:
                 continue
 
+    def test_odd_numbers_of_a_member_are_refused(self) -> None:
+        """Guards against an answer whose numbers end the process."""
+        huge = '9' * 5000
+        wide = str(1 << 63)
+        for number in ('', huge, wide, '-1', '²', '٣', '1e5', 'nan', '1_0'):
+            with self.subTest(number=number[:30]):
+                for text in (f'{number}.7', f'7.{number}'):
+                    with self.assertRaises(LineError):
+                        parse_position(text)
+                for fields in (
+                    f'{number} 3.1 0 12 2 17',
+                    f'3 3.1 {number} 12 2 17',
+                    f'3 3.1 0 {number} 2 17',
+                    f'3 3.1 0 12 {number} 17',
+                    f'3 3.1 0 12 2 {number}',
+                ):
+                    with self.assertRaises(LineError) as raised:
+                        parse_report(f'replica {fields}')
+                    self.assertLess(len(str(raised.exception)), 300)
+
+    def test_numbers_with_decimals_are_read(self) -> None:
+        """Guards against a valid status row that is refused."""
+        report = parse_report('primary 3 3.1209 0 12.7 2. .5')
+        self.assertEqual(report.lag_ms, 12)
+        self.assertEqual((report.busy, report.connections), (2, 0))
+        largest = (1 << 63) - 1
+        self.assertEqual(
+            parse_position(f'0.{largest}'),
+            LogPosition(term=Term(0), position=largest),
+        )
+
+    def test_odd_id_of_a_caller_names_no_statement(self) -> None:
+        """Guards against a caller's statement that runs as the system's."""
+        for request_id in ('', 'i' * 100_000, 'a\x00b', 'a\nb'):
+            parsed, statement = parse_request(f'{request_id} READ 1a4')
+            self.assertIsNone(statement)
+            self.assertLessEqual(len(parsed), 255)
+        self.assertEqual(
+            parse_request('id1 READ 1a4'), ('id1', Read(item='1a4'))
+        )
+
     def test_unknown_code_promises_nothing(self) -> None:
         """Guards against conclusions that the member's code does not allow."""
         refusal = parse_refusal('STRANGE text')
--- a/lavendergate/tests/test_platform_sockets.py
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -24,7 +24,7 @@
     SessionAnswer,
     Write,
 )
-from lavendergate.core.types import Term, UpstreamId
+from lavendergate.core.types import GroupId, Term, UpstreamId
 from lavendergate.frontend.caller_channel import (
     CallerChannel,
     CallerDisconnectedError,
@@ -99,6 +99,34 @@
 
         run_scenario(scenario)
 
+    def test_entry_without_a_usable_address_is_unreachable(self) -> None:
+        """Guards against an odd entry of an earlier build that ends a proxy."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            entry = SessionGroup(names=('a', 'b')).member('a').entry
+            for address in (
+                '127.0.0.1:70000',
+                '127.0.0.1:99999999999999999999999',
+                '127.0.0.1:-1',
+                '127.0.0.1:²',
+                '127.0.0.1:',
+                'localhost:8080',
+                '\x00:80',
+                'a' * 300 + ':80',
+                '',
+            ):
+                odd = msgspec.structs.replace(entry, address=address)
+                with self.assertRaises(MemberUnreachableError):
+                    await dialer().dial(odd)
+            odd = msgspec.structs.replace(
+                await start_member(tasks, SessionGroup(names=('a', 'b')), 'a'),
+                service=GroupId('\ud800'),
+            )
+            with self.assertRaises(MemberUnreachableError):
+                await dialer().dial(odd)
+
+        run_scenario(scenario)
+
     def test_address_of_another_member_is_refused(self) -> None:
         """Guards against a statement that runs on the wrong member.
 
--- a/lavendergate/tests/test_relay_stream.py
+++ b/lavendergate/tests/test_relay_stream.py
@@ -153,7 +153,12 @@
             tasks: TaskGroup,
         ) -> None:
             ip, _, port = address.rpartition(':')
-            for garbage in (b'\x00\x00\x00\x02\xc1\xc1', b'\xff' * 64):
+            nested = b'\x95\x01\xc0\xc0\xc0' + b'\x91' * 3000 + b'\xc0'
+            for garbage in (
+                b'\x00\x00\x00\x02\xc1\xc1',
+                b'\xff' * 64,
+                len(nested).to_bytes(4) + nested,
+            ):
                 stream = await anyio.connect_tcp(ip, int(port))
                 await stream.send(garbage)
                 with self.assertRaises(anyio.EndOfStream):
@@ -162,3 +167,18 @@
             self.assertEqual(reply.rows, ('x',))
 
         play(scenario)
+
+    def test_address_without_a_port_is_not_connected(self) -> None:
+        """Guards against an odd address of a home that ends a proxy."""
+
+        async def scenario(
+            handler: _Handler,
+            transport: StreamRelayTransport,
+            address: str,
+            tasks: TaskGroup,
+        ) -> None:
+            for odd in ('127.0.0.1:70000', '127.0.0.1', '', 'x:²'):
+                with self.assertRaises(RelayNotSentError):
+                    await transport.run(odd, request('x'))
+
+        play(scenario)
