Drop odd entries that other hosts and files hold, and keep the rest

A proxy or control host that met an odd entry of an earlier build had it for good: the directory file, the memory of its peers and forwarded announcements carried it on, and each process that used it ended again after its restart.

Cause: messages between hosts and the directory file had types without ranges. With ranges alone, one odd entry would make the whole answer unreadable, and its receiver would no longer follow the leader.

Fields of these messages now carry their range (entries of members, positions, terms, versions, terms and indexes of the log). Where a message is a list of parts (answers to synchronisation, forwarded entries, the directory file), an invalid part is dropped alone. The usual path decodes once, as before; only a message that fails is taken apart. The wire format is unchanged.

--- a/lavendergate/core/bounds/ranges.py
+++ b/lavendergate/core/bounds/ranges.py
@@ -48,27 +48,31 @@
     }
 )
 
+# Ranges for types that have a name of their own.
+IN_COUNT: Final = Meta(ge=0, le=MAX_COUNT)
+IN_NAME: Final = Meta(max_length=MAX_NAME_CHARACTERS, pattern=NAME_PATTERN)
+IN_WORD: Final = Meta(max_length=MAX_NAME_CHARACTERS, pattern=WORD_PATTERN)
+
+# Any integer of 64 bits, as MessagePack and the log hold it.
+Integer = Annotated[int, Meta(ge=-MAX_COUNT - 1, le=MAX_COUNT)]
 # Number of things, or a version, term, position or index.
-Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+Count = Annotated[int, IN_COUNT]
 PositiveCount = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 DurationMs = Annotated[int, Meta(ge=0, le=MAX_DURATION_MS)]
 # Time that must pass, as a time limit.
 PositiveMs = Annotated[int, Meta(ge=1, le=MAX_DURATION_MS)]
 DurationS = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
+Balance = Annotated[float, Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
 # Finite and not negative; NaN is neither.
 Amount = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
 # Statements that a member executes at the same time; divisors.
 Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 Port = Annotated[int, Meta(ge=1, le=MAX_PORT)]
 # Text for people, such as the name of a failure domain.
-Name = Annotated[
-    str, Meta(max_length=MAX_NAME_CHARACTERS, pattern=NAME_PATTERN)
-]
+Name = Annotated[str, IN_NAME]
 # Name that is a field of a line: it holds no blank.
-Word = Annotated[
-    str, Meta(max_length=MAX_NAME_CHARACTERS, pattern=WORD_PATTERN)
-]
+Word = Annotated[str, IN_WORD]
 # IPv4 address in its canonical form.
 Ip = Annotated[str, Meta(max_length=15, pattern=IP_PATTERN)]
 # ``ip:port`` of one host.
--- a/lavendergate/core/consensus/messages.py
+++ b/lavendergate/core/consensus/messages.py
@@ -1,7 +1,10 @@
 """Messages between nodes of the replicated log."""
 
+from typing import Annotated
+
 import msgspec
 
+from lavendergate.core.bounds.ranges import IN_COUNT, Count
 from lavendergate.core.consensus.types import (
     ConsensusTerm,
     Entry,
@@ -22,7 +25,7 @@
         Term of the sender; in a pre-vote, the term that it would begin.
     """
 
-    term: ConsensusTerm
+    term: Annotated[ConsensusTerm, IN_COUNT]
 
 
 class VoteRequest(_Message, frozen=True, kw_only=True, tag=True):
@@ -64,15 +67,15 @@
 
     previous: EntryId
     entries: tuple[Entry, ...]
-    commit_index: int
-    read_round: int
+    commit_index: Count
+    read_round: Count
 
 
 class SnapshotRequest(_Message, frozen=True, kw_only=True, tag=True):
     """Snapshot for a node that needs entries the leader has compacted."""
 
     snapshot: Snapshot
-    read_round: int
+    read_round: Count
 
 
 class AppendReply(_Message, frozen=True, kw_only=True, tag=True):
@@ -90,8 +93,8 @@
     """
 
     accepted: bool
-    match_index: int
-    read_round: int
+    match_index: Count
+    read_round: Count
 
 
 Message = (
--- a/lavendergate/core/consensus/types.py
+++ b/lavendergate/core/consensus/types.py
@@ -1,10 +1,11 @@
 """Value types of the replicated log."""
 
 from dataclasses import dataclass
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
+from lavendergate.core.bounds.ranges import IN_COUNT, Count
 from lavendergate.core.commands import ChangeVoters
 from lavendergate.core.types import HostId
 
@@ -45,8 +46,8 @@
     Two logs that contain the same `EntryId` are identical up to that entry.
     """
 
-    term: ConsensusTerm
-    index: int
+    term: Annotated[ConsensusTerm, IN_COUNT]
+    index: Count
 
 
 LOG_ORIGIN = EntryId(term=NO_CONSENSUS_TERM, index=0)
@@ -68,8 +69,8 @@
         entry is appended, not when it is committed.
     """
 
-    index: int
-    term: ConsensusTerm
+    index: Count
+    term: Annotated[ConsensusTerm, IN_COUNT]
     payload: bytes
     is_configuration: bool = False
 
@@ -94,7 +95,7 @@
         initialised separately by mistake do not mix.
     """
 
-    term: ConsensusTerm = NO_CONSENSUS_TERM
+    term: Annotated[ConsensusTerm, IN_COUNT] = NO_CONSENSUS_TERM
     voted_for: NodeId | None = None
     cluster_id: str = ''
 
--- a/lavendergate/core/control_records.py
+++ b/lavendergate/core/control_records.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from lavendergate.core.bounds.ranges import IN_COUNT, Count
 from lavendergate.core.commands import SettingChange
 from lavendergate.core.routes import NO_ROUTES, RoutesVersion
 from lavendergate.core.settings.document import SettingsDocument
@@ -140,7 +142,7 @@
         The table as the operator sent it, compressed.
     """
 
-    version: RoutesVersion = NO_ROUTES
+    version: Annotated[RoutesVersion, IN_COUNT] = NO_ROUTES
     content: bytes = b''
 
 
@@ -157,4 +159,4 @@
 
     upstream_id: UpstreamId
     holder: HostId
-    token: int
+    token: Count
--- a/lavendergate/core/fleet_directory.py
+++ b/lavendergate/core/fleet_directory.py
@@ -9,13 +9,23 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 from pyrsistent import PMap, pmap
 
+from lavendergate.core.bounds.ranges import (
+    IN_NAME,
+    IN_WORD,
+    MAX_COUNT,
+    Address,
+    Count,
+    Slots,
+    UnixMs,
+)
 from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
 
-_LAST_SEQUENCE = (1 << 63) - 1
+_LAST_SEQUENCE = MAX_COUNT
 
 
 @enum.unique
@@ -46,15 +56,15 @@
         Number of the announcement, counted from the member's start.
     """
 
-    upstream_id: UpstreamId
-    service: GroupId
-    address: str
-    failure_domain: FailureDomain
-    slots: int
+    upstream_id: Annotated[UpstreamId, IN_WORD]
+    service: Annotated[GroupId, IN_WORD]
+    address: Address
+    failure_domain: Annotated[FailureDomain, IN_NAME]
+    slots: Slots
     availability: MemberAvailability
     is_primary: bool
-    born: int
-    sequence: int
+    born: UnixMs
+    sequence: Count
 
     @property
     def freshness(self) -> tuple[int, int, bool]:
--- a/lavendergate/core/sessions/statements.py
+++ b/lavendergate/core/sessions/statements.py
@@ -7,7 +7,9 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Annotated
 
+from lavendergate.core.bounds.ranges import IN_COUNT, Count
 from lavendergate.core.types import LogPosition, Term
 
 
@@ -266,9 +268,9 @@
     """
 
     is_primary: bool
-    term: Term
+    term: Annotated[Term, IN_COUNT]
     received: LogPosition
-    paused_term: Term
-    lag_ms: int
-    busy: int
-    connections: int
+    paused_term: Annotated[Term, IN_COUNT]
+    lag_ms: Count
+    busy: Count
+    connections: Count
--- a/lavendergate/core/types.py
+++ b/lavendergate/core/types.py
@@ -2,7 +2,9 @@
 
 import enum
 from dataclasses import dataclass
-from typing import NewType
+from typing import Annotated, NewType
+
+from lavendergate.core.bounds.ranges import IN_COUNT, Count
 
 HostId = NewType('HostId', str)
 UpstreamId = NewType('UpstreamId', str)
@@ -31,8 +33,8 @@
         Index of the entry in the group's log, from 1; 0 is the empty log.
     """
 
-    term: Term
-    position: int
+    term: Annotated[Term, IN_COUNT]
+    position: Count
 
 
 LOG_START = LogPosition(term=NO_TERM, position=0)
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -13,6 +13,7 @@
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.session_pools import SessionPools
+from lavendergate.core.bounds.addresses import is_address
 from lavendergate.core.control_routes import unpack_routes
 from lavendergate.core.customers.lease import confirmation_time
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
@@ -187,7 +188,9 @@
         for address in changes.gone:
             known.domains.pop(address, None)
         for domain, addresses in changes.live.items():
-            known.domains.update(dict.fromkeys(addresses, domain))
+            # An odd offer on the leader must not keep the others away.
+            usable = filter(is_address, addresses)
+            known.domains.update(dict.fromkeys(usable, domain))
         known.version = changes.version
         # Changes of an earlier leader are not continued by the present one.
         self._proxies = {source: known}
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -23,11 +23,13 @@
 from lavendergate.controllers.log_storage.watch import StorageWatch
 from lavendergate.controllers.member_poller import MemberPoller
 from lavendergate.controllers.tolerance_watch import ToleranceWatch
+from lavendergate.core.bounds.ranges import MAX_COUNT
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.settings_file import HostSettings
@@ -81,7 +83,7 @@
 _SAVE_INTERVAL_S = 0.5
 _SOURCE_ID_BYTES = 8
 # Above all versions, so that no sync reply contains a route table.
-_ROUTES_VERSION_ABOVE_ALL = 1 << 62
+_ROUTES_VERSION_ABOVE_ALL = MAX_COUNT
 # Modules that are not needed to answer proxies. They are imported while
 # proxies are served already, because imports take most of the start time.
 _DEFERRED_MODULES = (
@@ -143,7 +145,10 @@
         self._tasks = tasks
         self._events = process.events
         self._host_id = HostId(settings.node_name)
-        self._peers = PeerClient()
+        self._odd_values = OddValueLog(
+            events=process.events, clock=anyio.current_time
+        )
+        self._peers = PeerClient(report=self._odd_values.report)
         directory = Path(settings.data_dir or '/tmp/control')  # noqa: S108
         storage, damage = open_or_reset(directory / 'log', self._host_id)
         if damage is not None:
@@ -209,7 +214,9 @@
         self._tolerance_watch = ToleranceWatch(
             node=self._node, events=self._events
         )
-        self._state_file = FleetStateFile(data_directory=directory)
+        self._state_file = FleetStateFile(
+            data_directory=directory, report=self._odd_values.report
+        )
         process.observe(self._change_settings)
 
     @property
@@ -245,7 +252,7 @@
         self._fleet.restore(saved.entries, saved.routes)
         server = Server(
             [self._node.service, self._fleet_service()],
-            codec=MessagePackCodec(),
+            codec=MessagePackCodec(report=self._odd_values.report),
         )
         await server.start(settings.ip, settings.internal_ports[0])
         # These names identify the tasks in the log, field `task`.
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -39,6 +39,7 @@
 from lavendergate.frontend.planned_stop import PlannedStop
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
+from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.readiness import serve_metrics, serve_readiness
@@ -71,7 +72,10 @@
         self._tasks = tasks
         self._events = process.events
         self._is_draining = False
-        self._peers = PeerClient()
+        odd_values = OddValueLog(
+            events=process.events, clock=anyio.current_time
+        )
+        self._peers = PeerClient(report=odd_values.report)
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
         self._view = FleetView(clock=anyio.current_time)
--- a/lavendergate/observability/process_events.py
+++ b/lavendergate/observability/process_events.py
@@ -77,6 +77,13 @@
         'If the reason is an error of the operating system, check the disk of '
         'the data directory or the reader of standard output.',
     )
+    odd_values_dropped = define(
+        7045,
+        Level.warning,
+        '{dropped} odd values were dropped from {place}: {reason}',
+        'A host of an earlier build holds them. They name no member; upgrade '
+        'that host.',
+    )
     credentials_missing = define(
         7033,
         Level.error,
--- a/lavendergate/platform/documents.py
+++ b/lavendergate/platform/documents.py
@@ -17,6 +17,7 @@
     Address,
     Count,
     DurationMs,
+    Integer,
     Name,
     PositiveCount,
     PositiveMs,
@@ -61,7 +62,7 @@
     timeout_ms: PositiveMs
     path_prefix: str = '/'
     target_latency_ms: DurationMs = 1000
-    priority: Count = 0
+    priority: Integer = 0
     max_staleness_ms: DurationMs = 0
     public: bool = False
 
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -4,8 +4,16 @@
 with their log positions.
 """
 
+from typing import Annotated, ClassVar
+
 import msgspec
 
+from lavendergate.core.bounds.ranges import (
+    IN_COUNT,
+    Count,
+    DurationS,
+    Integer,
+)
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.types import (
@@ -25,7 +33,7 @@
 
     service: GroupId
     upstream_id: UpstreamId
-    term: Term
+    term: Annotated[Term, IN_COUNT]
 
 
 class PositionNotice(
@@ -45,8 +53,8 @@
 
     service: GroupId
     position: LogPosition
-    age_ms: int
-    proved_age_ms: int | None = None
+    age_ms: Integer
+    proved_age_ms: Integer | None = None
 
 
 class PrimaryReachability(
@@ -72,7 +80,7 @@
     """
 
     source: str = ''
-    version: int = 0
+    version: Count = 0
 
 
 class RelayOffer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -92,7 +100,7 @@
     address: str
     failure_domain: FailureDomain
     is_stopping: bool
-    known_version: int
+    known_version: Count
 
 
 class ProxyChanges(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -109,7 +117,7 @@
         Addresses of proxies that are no longer live.
     """
 
-    version: int
+    version: Count
     live: dict[FailureDomain, tuple[str, ...]]
     gone: tuple[str, ...]
 
@@ -139,9 +147,9 @@
     host_id: HostId
     is_proxy: bool
     known: FleetVersion
-    routes_version: int
+    routes_version: Count
     reach: tuple[PrimaryReachability, ...]
-    wait_s: float
+    wait_s: DurationS
     withheld: tuple[GroupId, ...] = ()
     relay: RelayOffer | None = None
 
@@ -175,17 +183,23 @@
         Changes of the live proxies since the version in the request.
     """
 
+    separable_fields: ClassVar[tuple[str, ...]] = (
+        'entries',
+        'primaries',
+        'positions',
+    )
+
     version: FleetVersion
     is_leader: bool
     leader: str | None
     control_hosts: tuple[str, ...]
-    routes_version: int
+    routes_version: Count
     routes: bytes | None
     entries: tuple[MemberEntry, ...]
     primaries: tuple[PrimaryNotice, ...]
     positions: tuple[PositionNotice, ...]
-    proxies: int
-    lease_ms: int = 0
+    proxies: Integer
+    lease_ms: Integer = 0
     withheld: tuple[GroupId, ...] = ()
     replacing: tuple[GroupId, ...] = ()
     proxy_changes: ProxyChanges | None = None
@@ -194,6 +208,8 @@
 class MergeRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Forwards entries of members announced to another control host."""
 
+    separable_fields: ClassVar[tuple[str, ...]] = ('entries',)
+
     entries: tuple[MemberEntry, ...]
 
 
--- a/lavendergate/rpc/limit_service.py
+++ b/lavendergate/rpc/limit_service.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lavendergate.core.bounds.ranges import Balance, Integer
 from lavendergate.core.customers.table import CustomerName
 
 
@@ -19,8 +20,8 @@
     """
 
     customer: CustomerName
-    slot: int
-    wanted: int
+    slot: Integer
+    wanted: Integer
 
 
 class LimitAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -41,9 +42,9 @@
         answer to a question for a handover.
     """
 
-    granted: int
-    retry_after_ms: int = 0
-    tokens: float | None = None
+    granted: Integer
+    retry_after_ms: Integer = 0
+    tokens: Balance | None = None
     is_free: bool = False
 
 
--- a/lavendergate/rpc/peers.py
+++ b/lavendergate/rpc/peers.py
@@ -7,6 +7,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from lavendergate.core.bounds.addresses import AddressError
+from lavendergate.rpc.codec import ReportProblems
 from lavendergate.rpc.service import Method, call, open_channel
 
 RequestT = TypeVar('RequestT')
@@ -26,9 +27,17 @@
 
 
 class PeerClient:
-    """Calls other hosts and reuses one channel per host."""
+    """Calls other hosts and reuses one channel per host.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    report
+        Receives the problems of parts that were dropped from replies; see
+        `MessagePackCodec`.
+    """
+
+    def __init__(self, *, report: ReportProblems | None = None) -> None:
+        self._report = report
         self._channels: dict[str, Channel] = {}
 
     async def call(
@@ -68,7 +77,7 @@
         channel = self._channels.get(address)
         if channel is None:
             try:
-                channel = open_channel(address)
+                channel = open_channel(address, report=self._report)
             except AddressError as error:
                 raise PeerCallError(str(error)) from error
             self._channels[address] = channel
--- a/lavendergate/rpc/relay_service.py
+++ b/lavendergate/rpc/relay_service.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lavendergate.core.bounds.ranges import Count, Integer
 from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.sessions.context import StatementContext
 from lavendergate.core.sessions.statements import (
@@ -100,16 +101,16 @@
     """
 
     upstream_id: UpstreamId
-    born: int
+    born: Count
     statement: RelayedStatement
     values: dict[str, str]
     request_id: str | None
     after: LogPosition | None
-    transaction: int | None
-    expires_at_ms: int
+    transaction: Integer | None
+    expires_at_ms: Integer
     customer: CustomerName | None = None
-    customer_priority: int = 0
-    route_priority: int = 0
+    customer_priority: Integer = 0
+    route_priority: Integer = 0
 
     @property
     def context(self) -> StatementContext:
@@ -165,13 +166,13 @@
     """
 
     status: RelayStatus
-    now_ms: int
+    now_ms: Integer
     code: RefusalCode | None = None
     text: str = ''
     signature: str | None = None
     rows: tuple[str, ...] = ()
     phase: Phase = Phase.idle
     position: LogPosition | None = None
-    transaction: int | None = None
+    transaction: Integer | None = None
     report: MemberReport | None = None
-    retry_after_ms: int = 0
+    retry_after_ms: Integer = 0
--- a/lavendergate/rpc/relay_stream.py
+++ b/lavendergate/rpc/relay_stream.py
@@ -17,6 +17,7 @@
 
 from lavendergate.core.bounds.addresses import split_address
 from lavendergate.core.bounds.decoding import decode_msgpack, encode_msgpack
+from lavendergate.core.bounds.ranges import Integer
 from lavendergate.rpc.limit_service import (
     LimitReply,
     LimitRequest,
@@ -51,7 +52,7 @@
     It is a question for the time if it holds neither.
     """
 
-    number: int
+    number: Integer
     request: RelayRequest | None
     limit_request: LimitRequest | None = None
 
@@ -59,9 +60,9 @@
 class _ReplyFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Answer to the request with this number."""
 
-    number: int
+    number: Integer
     reply: RelayReply | None
-    now_ms: int
+    now_ms: Integer
     limit_reply: LimitReply | None = None
 
 
--- a/lavendergate/rpc/service.py
+++ b/lavendergate/rpc/service.py
@@ -10,7 +10,7 @@
 from grpclib.server import Stream
 
 from lavendergate.core.bounds.addresses import split_host_and_port
-from lavendergate.rpc.codec import MessagePackCodec
+from lavendergate.rpc.codec import MessagePackCodec, ReportProblems
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
@@ -62,7 +62,12 @@
         }
 
 
-def open_channel(address: str, *, tls: ssl.SSLContext | None = None) -> Channel:
+def open_channel(
+    address: str,
+    *,
+    tls: ssl.SSLContext | None = None,
+    report: ReportProblems | None = None,
+) -> Channel:
     """Return a channel to a host, which connects on its first call.
 
     Parameters
@@ -71,6 +76,8 @@
         Address of the host, ``ip:port``.
     tls
         Context for mutual TLS; None for plain connections.
+    report
+        Receives the problems of dropped parts; see `MessagePackCodec`.
 
     Raises
     ------
@@ -78,7 +85,7 @@
         If the address has no port, or one that is out of range.
     """
     host, port = split_host_and_port(address)
-    return Channel(host, port, codec=MessagePackCodec(), ssl=tls)
+    return Channel(host, port, codec=MessagePackCodec(report=report), ssl=tls)
 
 
 async def call(
--- a/lavendergate/storage/fleet_state_file.py
+++ b/lavendergate/storage/fleet_state_file.py
@@ -8,10 +8,14 @@
 """
 
 import os
+from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import ClassVar
 
 import msgspec
 
+from lavendergate.core.bounds.decoding import InvalidValueError
+from lavendergate.core.bounds.parts import decode_parts
 from lavendergate.core.control_records import RoutesRecord
 from lavendergate.core.fleet_directory import MemberEntry
 
@@ -29,6 +33,8 @@
         Newest committed route table that the host received.
     """
 
+    separable_fields: ClassVar[tuple[str, ...]] = ('entries',)
+
     entries: tuple[MemberEntry, ...] = ()
     routes: RoutesRecord = RoutesRecord()
 
@@ -44,17 +50,33 @@
     ----------
     data_directory
         Data directory; created if it is missing.
+    report
+        Receives the name of the file and why entries were dropped, as those
+        that an earlier build accepted and this one does not.
     """
 
-    def __init__(self, *, data_directory: Path) -> None:
+    def __init__(
+        self,
+        *,
+        data_directory: Path,
+        report: Callable[[str, Sequence[str]], None] | None = None,
+    ) -> None:
         self._path = data_directory / _FILE_NAME
+        self._report = report
 
     def load(self) -> SavedFleetState:
         """Return the saved content; empty if the file is missing or damaged."""
         try:
-            return _decoder.decode(self._path.read_bytes())
-        except (OSError, msgspec.MsgspecError):
+            separated = decode_parts(
+                _decoder,
+                self._path.read_bytes(),
+                SavedFleetState.separable_fields,
+            )
+        except (OSError, InvalidValueError):
             return SavedFleetState()
+        if separated.problems and self._report is not None:
+            self._report(_FILE_NAME, separated.problems)
+        return separated.message
 
     def save(self, saved: SavedFleetState) -> None:
         """Replace the file atomically and sync it.
