Tell an unreadable record from a damaged one, and keep tables in force

A proxy with such a table asked the leader again without a pause, since the leader answers at once while it has a newer table. A token with characters beyond ASCII, or an announcement signed by another build, raised UnicodeEncodeError or the decoder's error.

The lock of the directory is released. - Stored route tables are decompressed up to a limit and decoded leniently in fields that are not read, so a table of an earlier build stays in force. One that cannot be read is reported once for each version. - Tokens and signed announcements are decoded within their bounds.

--- a/lavendergate/cli/settings_input.py
+++ b/lavendergate/cli/settings_input.py
@@ -4,10 +4,10 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
 from result import Err, Ok
 
 from lavendergate.cli.errors import problem_error, usage_error
+from lavendergate.core.bounds.decoding import InvalidValueError, decode_json
 from lavendergate.core.commands import SettingChange
 from lavendergate.core.settings.document import SettingValue
 from lavendergate.core.settings.paths import path_problem
@@ -45,10 +45,8 @@
         If the file cannot be read or has another structure.
     """
     try:
-        nodes = msgspec.json.decode(
-            path.read_bytes(), type=dict[str, dict[str, Any]]
-        )
-    except (OSError, msgspec.MsgspecError) as error:
+        nodes = decode_json(path.read_bytes(), dict[str, dict[str, Any]])
+    except (OSError, InvalidValueError) as error:
         raise usage_error(
             f'file {path} cannot be read: {error}; expected a JSON object '
             'like {"/franken": {"read.max_age_ms": 500}}'
--- a/lavendergate/controllers/applied_state.py
+++ b/lavendergate/controllers/applied_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from lavendergate.controllers.log_storage.readable import readable
 from lavendergate.controllers.pending import PendingProposals
 from lavendergate.core.commands import Command
 from lavendergate.core.consensus.payload import decode_command
@@ -9,6 +10,9 @@
 from lavendergate.core.control_records import FindChangeProblem
 from lavendergate.core.control_state import ControlState, apply, decode_state
 
+# What the disk holds was checked at the start.
+_LEADER = 'the leader'
+
 
 class AppliedState:
     """State after all entries that have been applied.
@@ -38,7 +42,8 @@
 
     def restore(self, snapshot: Snapshot) -> None:
         """Replace the state with that of a snapshot."""
-        self._state = decode_state(snapshot.state)
+        with readable('the snapshot', _LEADER):
+            self._state = decode_state(snapshot.state)
 
     def validate(self, command: Command) -> None:
         """Apply a command to the state and discard the result.
@@ -52,11 +57,10 @@
     def apply(self, entries: Sequence[Entry]) -> None:
         """Apply committed entries and answer their proposals."""
         for entry in entries:
+            with readable(f'entry {entry.index}', _LEADER):
+                command = decode_command(entry.payload)
             applied, answer = apply(
-                self._state,
-                entry.index,
-                decode_command(entry.payload),
-                self._find_change_problem,
+                self._state, entry.index, command, self._find_change_problem
             )
             self._state = applied
             self._proposals.answer(entry.index, entry.term, answer)
--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -13,6 +13,7 @@
 from lavendergate.controllers.driver_options import DriverOptions
 from lavendergate.controllers.exchange import exchange
 from lavendergate.controllers.inbox import Inbox, InboxItem
+from lavendergate.controllers.log_storage.readable import check_stored
 from lavendergate.controllers.pending import (
     PendingProposals,
     PendingReads,
@@ -49,7 +50,7 @@
     encode_state,
 )
 from lavendergate.rpc.transport import Transport
-from lavendergate.storage.base import LogStorage
+from lavendergate.storage.base import LogStorage, StorageError
 from lavendergate.storage.effects import persist
 
 ResultT = TypeVar('ResultT')
@@ -144,9 +145,15 @@
         Raises
         ------
         StorageError
-            If the storage is damaged or in use.
+            If the storage is damaged or in use, or if this build cannot read
+            an entry.
         """
         stored = await self._call_blocking(self._storage.load)
+        try:
+            check_stored(stored, self._storage.location)
+        except StorageError:
+            self._storage.close()
+            raise
         if stored.snapshot is not None:
             self._applied.restore(stored.snapshot)
         now = anyio.current_time()
--- a/lavendergate/core/commands.py
+++ b/lavendergate/core/commands.py
@@ -3,11 +3,8 @@
 Commands are encoded with a tag, by which a decoder distinguishes them.
 """
 
-from typing import Annotated
-
 import msgspec
 
-from lavendergate.core.bounds.ranges import IN_COUNT
 from lavendergate.core.routes import RoutesVersion
 from lavendergate.core.settings.document import NodePath, SettingValue
 from lavendergate.core.types import (
@@ -141,7 +138,7 @@
         The table as the operator sent it, compressed.
     """
 
-    version: Annotated[RoutesVersion, IN_COUNT]
+    version: RoutesVersion
     content: bytes
 
 
--- a/lavendergate/core/consensus/payload.py
+++ b/lavendergate/core/consensus/payload.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
+from lavendergate.core.bounds.decoding import decode_msgpack
 from lavendergate.core.commands import ChangeVoters, Command, NoOperation
 
 _CLUSTER_ID_BYTES = 8
 
 _encoder = msgspec.msgpack.Encoder(order='deterministic')
 _decoder: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
+_configuration_decoder = msgspec.msgpack.Decoder(ChangeVoters)
 
 
 def encode_command(command: Command) -> bytes:
@@ -18,13 +20,25 @@
 
 
 def decode_command(payload: bytes) -> Command:
-    """Decode and validate a command."""
-    return _decoder.decode(payload)
+    """Decode and validate a command.
+
+    Raises
+    ------
+    InvalidValueError
+        If this build cannot read the command.
+    """
+    return decode_msgpack(_decoder, payload)
 
 
 def decode_configuration(payload: bytes) -> ChangeVoters:
-    """Decode the command of a configuration entry."""
-    return msgspec.msgpack.decode(payload, type=ChangeVoters)
+    """Decode the command of a configuration entry.
+
+    Raises
+    ------
+    InvalidValueError
+        If this build cannot read the command.
+    """
+    return decode_msgpack(_configuration_decoder, payload)
 
 
 def cluster_id_of(command: ChangeVoters) -> str:
--- a/lavendergate/core/control_records.py
+++ b/lavendergate/core/control_records.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Annotated
 
 import msgspec
 
-from lavendergate.core.bounds.ranges import IN_COUNT, Count
+from lavendergate.core.bounds.ranges import Count
 from lavendergate.core.commands import SettingChange
 from lavendergate.core.routes import NO_ROUTES, RoutesVersion
 from lavendergate.core.settings.document import SettingsDocument
@@ -142,7 +141,7 @@
         The table as the operator sent it, compressed.
     """
 
-    version: Annotated[RoutesVersion, IN_COUNT] = NO_ROUTES
+    version: RoutesVersion = NO_ROUTES
     content: bytes = b''
 
 
--- a/lavendergate/core/control_routes.py
+++ b/lavendergate/core/control_routes.py
@@ -1,10 +1,15 @@
 """Application of the commands that change routes and promotion orders."""
 
 import zlib
+from typing import Final
 
+from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.commands import OrderPromotion, PublishRoutes
 from lavendergate.core.control_records import PromotionRecord, RoutesRecord
 
+# Several times the longest body of a request, in bytes.
+_MAX_ROUTES_BYTES: Final = 16 * 1024 * 1024
+
 
 def pack_routes(content: bytes) -> bytes:
     """Compress a route table for the log and for transfer to other hosts.
@@ -16,8 +21,28 @@
 
 
 def unpack_routes(packed: bytes) -> bytes:
-    """Decompress a route table, giving it as the operator sent it."""
-    return zlib.decompress(packed) if packed else b''
+    """Decompress a route table, giving it as the operator sent it.
+
+    Raises
+    ------
+    InvalidValueError
+        If the content is no compressed table, or too long.
+    """
+    if not packed:
+        return b''
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(packed, _MAX_ROUTES_BYTES)
+    except zlib.error as error:
+        raise InvalidValueError(
+            f'the compressed route table is damaged: {error}'
+        ) from error
+    if not decompressor.eof:
+        raise InvalidValueError(
+            'the compressed route table is cut off, or longer than '
+            f'{_MAX_ROUTES_BYTES} bytes'
+        )
+    return content
 
 
 def publish_routes(
--- a/lavendergate/core/control_state.py
+++ b/lavendergate/core/control_state.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from lavendergate.core.bounds.decoding import decode_msgpack
 from lavendergate.core.commands import (
     BeginTerm,
     ChangeSettings,
@@ -223,8 +224,14 @@
 
 
 def decode_state(encoded: bytes) -> ControlState:
-    """Decode the state from a snapshot."""
-    stored = _decoder.decode(encoded)
+    """Decode the state from a snapshot.
+
+    Raises
+    ------
+    InvalidValueError
+        If this build cannot read the state.
+    """
+    stored = decode_msgpack(_decoder, encoded)
     return ControlState(
         applied_index=stored.applied_index,
         groups=stored.groups,
--- a/lavendergate/core/tokens.py
+++ b/lavendergate/core/tokens.py
@@ -11,6 +11,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from lavendergate.core.bounds.decoding import (
+    InvalidValueError,
+    decode_msgpack,
+)
+from lavendergate.core.bounds.ranges import Count
 from lavendergate.core.errors import TokenError, TokenLimitError, quoted
 from lavendergate.core.types import GroupId, LogPosition, Term
 
@@ -29,7 +34,7 @@
 )
 
 _KEY_ID = re.compile('[A-Za-z0-9_-]{1,32}')
-_Entry = tuple[str, int, int]
+_Entry = tuple[str, Count, Count]
 _decoder = msgspec.msgpack.Decoder(list[_Entry])
 _encoder = msgspec.msgpack.Encoder()
 
@@ -144,7 +149,8 @@
 ) -> Result[SessionToken, TokenError]:
     """Verify the signature of a token and decode the token."""
     parts = text.split('.')
-    if len(text) > TOKEN_LENGTH_LIMIT or len(parts) != _PART_COUNT:
+    is_readable = len(text) <= TOKEN_LENGTH_LIMIT and text.isascii()
+    if not is_readable or len(parts) != _PART_COUNT:
         return _token_error(text, 'is malformed', 'send the token unchanged')
     version, key_id, payload, signature = parts
     if version != TOKEN_VERSION:
@@ -165,8 +171,8 @@
 def _decode(text: str, payload: str) -> Result[SessionToken, TokenError]:
     raw = _unbase64(payload)
     try:
-        entries = _decoder.decode(raw or b'')
-    except msgspec.MsgspecError:
+        entries = decode_msgpack(_decoder, raw or b'')
+    except InvalidValueError:
         return _token_error(text, 'cannot be decoded', _NEW_SESSION_ADVICE)
     positions = {
         GroupId(group_id): LogPosition(term=Term(term), position=position)
--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -6,15 +6,16 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from result import Err
+from result import Ok
 
 from lavendergate.controllers.takeover import TakeoverController
 from lavendergate.controllers.tolerance_watch import ToleranceWatch
+from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.control_routes import pack_routes, unpack_routes
 from lavendergate.core.fleet_directory import MemberEntry, departed_entry
 from lavendergate.core.loss_tolerance import LossTolerance
-from lavendergate.core.routes import RoutesVersion, RouteTable
+from lavendergate.core.routes import NO_ROUTES, RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
@@ -24,7 +25,7 @@
     ControlCalls,
     ControlHttp,
 )
-from lavendergate.platform.documents import decode_routes
+from lavendergate.platform.documents import decode_accepted_routes
 from lavendergate.platform.promotion_calls import PlatformPromotions
 from lavendergate.platform.readiness import serve_metrics
 from lavendergate.rpc.fleet_service import (
@@ -65,6 +66,7 @@
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
         self._routes = RouteTable()
+        self._unreadable_version = NO_ROUTES
         settings = process.settings
         self._takeover = TakeoverController(
             node=self._node,
@@ -158,7 +160,14 @@
         else:
             forwarded = await self._control.call_leader(READ_ROUTES, request)
             reply = forwarded or RoutesReply(content=None)
-        return None if reply.content is None else unpack_routes(reply.content)
+        if reply.content is None:
+            return None
+        try:
+            return unpack_routes(reply.content)
+        except InvalidValueError as error:
+            # Another host may have the table; this one is not sure of it.
+            self._process.boundary.report('routes', error)
+            return None
 
     def _show_tolerance(self) -> None:
         watch = self._control.tolerance_watch
@@ -172,9 +181,14 @@
     def _current_routes(self) -> RouteTable:
         record = self._node.view.state.routes
         if record.version != self._routes.version:
-            decoded = decode_routes(unpack_routes(record.content))
-            if not isinstance(decoded, Err):
+            decoded = decode_accepted_routes(record.content)
+            if isinstance(decoded, Ok):
                 self._routes = decoded.ok_value
+            elif self._unreadable_version != record.version:
+                self._unreadable_version = record.version
+                self._process.boundary.report(
+                    'routes', InvalidValueError(decoded.err_value)
+                )
         return self._routes
 
 
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -14,7 +14,7 @@
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.bounds.addresses import is_address
-from lavendergate.core.control_routes import unpack_routes
+from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.customers.lease import confirmation_time
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
 from lavendergate.core.leases.granting import LEASE_S
@@ -22,7 +22,7 @@
 from lavendergate.core.types import FailureDomain, GroupId
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
-from lavendergate.platform.documents import decode_routes
+from lavendergate.platform.documents import decode_accepted_routes
 from lavendergate.rpc.fleet_service import (
     PositionNotice,
     PrimaryNotice,
@@ -95,6 +95,7 @@
         self._boundary = boundary
         self._published: dict[str, dict[GroupId, PrimaryNotice]] = {}
         self._withheld: tuple[GroupId, ...] = ()
+        self._unreadable_version = 0
 
     @property
     def withheld_leases(self) -> tuple[GroupId, ...]:
@@ -109,8 +110,12 @@
 
     @property
     def routes_version(self) -> int:
-        """Version of the route table in force."""
-        return self._view.routes.version
+        """Version of the route table in force.
+
+        A newer one that cannot be read counts, so that control hosts do not
+        answer each request at once with the same table.
+        """
+        return max(self._view.routes.version, self._unreadable_version)
 
     def primary_reach(self) -> tuple[PrimaryReachability, ...]:
         """Return the reachability of recently used primaries."""
@@ -144,7 +149,7 @@
         """Apply a sync reply of a control host."""
         if reply.is_leader:
             self._view.proxies = reply.proxies
-        self._adopt_routes(reply.routes, reply.version.source)
+        self._adopt_routes(reply)
         for entry in self._view.merge(reply.entries):
             self._forget_departed(entry)
         self._view.record_primaries(reply.primaries)
@@ -247,19 +252,20 @@
                 confirmation_time(sent_at, reply.lease_ms / _MS_PER_S, LEASE_S)
             )
 
-    def _adopt_routes(self, content: bytes | None, source: str) -> None:
-        if not content:
+    def _adopt_routes(self, reply: SyncReply) -> None:
+        if not reply.routes:
             return
-        table = decode_routes(unpack_routes(content))
+        table = decode_accepted_routes(reply.routes)
         if isinstance(table, Err):
             # Unexpected, because control hosts accept only valid documents.
-            self._boundary.report('routes', ValueError(table.err_value))
+            self._unreadable_version = reply.routes_version
+            self._boundary.report('routes', InvalidValueError(table.err_value))
             return
         if self._view.adopt_routes(table.ok_value):
             self._events.emit(
                 SessionEvent.routes_in_force,
                 version=table.ok_value.version,
-                source=source,
+                source=reply.version.source,
             )
 
     def _forget_departed(self, entry: MemberEntry) -> None:
--- a/lavendergate/observability/timeline.py
+++ b/lavendergate/observability/timeline.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lavendergate.core import hybrid_clock
+from lavendergate.core.bounds.decoding import CODEC_ERRORS
 from lavendergate.observability.event_type import FieldValue
 
 
@@ -184,5 +185,5 @@
 def _decode(raw: bytes) -> Line | None:
     try:
         return _decoder.decode(raw)
-    except msgspec.MsgspecError:
+    except CODEC_ERRORS:
         return None
--- a/lavendergate/platform/documents.py
+++ b/lavendergate/platform/documents.py
@@ -13,18 +13,19 @@
     decode_json,
 )
 from lavendergate.core.bounds.ranges import (
+    MAX_COUNT,
     MAX_NAME_CHARACTERS,
     Address,
     Count,
     DurationMs,
     Integer,
     Name,
-    PositiveCount,
     PositiveMs,
     Slots,
     UnixMs,
     Word,
 )
+from lavendergate.core.control_routes import unpack_routes
 from lavendergate.core.customers.table import (
     Customer,
     CustomerName,
@@ -84,7 +85,8 @@
 class _RouteTableDocument(
     msgspec.Struct, frozen=True, kw_only=True, rename='camel'
 ):
-    version: PositiveCount
+    # An earlier build accepted versions of 64 bits without a sign.
+    version: int
     routes: tuple[_RouteDocument, ...]
     services: tuple[_ServiceDocument, ...]
     limits: _LimitsDocument = _LimitsDocument()
@@ -128,19 +130,32 @@
     -------
     The route table, or an error message if the document is invalid.
     """
-    return _decode_routes(content, decode_json)
+    decoded = _decode_routes(content, decode_json)
+    if isinstance(decoded, Ok) and decoded.ok_value.version > MAX_COUNT:
+        version = quoted(str(decoded.ok_value.version))
+        return Err(f'version {version} is above {MAX_COUNT}')
+    return decoded
 
 
-def decode_accepted_routes(content: bytes) -> Result[RouteTable, str]:
+def decode_accepted_routes(packed: bytes) -> Result[RouteTable, str]:
     """Decode a route document that control hosts have accepted.
 
     An earlier build may have accepted fields, which are not read, with bytes
     that are no UTF-8 or with deep nesting. The document stays in force.
 
+    Parameters
+    ----------
+    packed
+        The document, compressed as in the log.
+
     Returns
     -------
     The route table, or an error message if it cannot be read.
     """
+    try:
+        content = unpack_routes(packed)
+    except InvalidValueError as error:
+        return Err(str(error))
     return _decode_routes(content, decode_accepted_json)
 
 
@@ -241,6 +256,8 @@
                 f'{route.path_prefix}'
             )
         served.add(target)
+    if document.version <= 0:
+        return f'version {document.version} is not above 0'
     return find_customer_problem(document.tenants or ())
 
 
--- a/lavendergate/rpc/announcement_signature.py
+++ b/lavendergate/rpc/announcement_signature.py
@@ -5,9 +5,14 @@
 
 import msgspec
 
+from lavendergate.core.bounds.decoding import (
+    InvalidValueError,
+    decode_msgpack,
+)
 from lavendergate.core.reports import Announcement
 
 _SIGNATURE_BYTES = 16
+_decoder = msgspec.msgpack.Decoder(Announcement)
 
 
 def sign_announcement(announcement: Announcement, key: bytes) -> bytes:
@@ -36,13 +41,17 @@
     Returns
     -------
     Announcement or None
-        None if the signature does not match.
+        None if the signature does not match, or if the announcement cannot be
+        read.
     """
     signature = signed[:_SIGNATURE_BYTES]
     payload = signed[_SIGNATURE_BYTES:]
     if not hmac.compare_digest(signature, _signature(payload, key)):
         return None
-    return msgspec.msgpack.decode(payload, type=Announcement)
+    try:
+        return decode_msgpack(_decoder, payload)
+    except InvalidValueError:
+        return None
 
 
 def _signature(payload: bytes, key: bytes) -> bytes:
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -147,7 +147,7 @@
     host_id: HostId
     is_proxy: bool
     known: FleetVersion
-    routes_version: Count
+    routes_version: int
     reach: tuple[PrimaryReachability, ...]
     wait_s: DurationS
     withheld: tuple[GroupId, ...] = ()
@@ -193,7 +193,7 @@
     is_leader: bool
     leader: str | None
     control_hosts: tuple[str, ...]
-    routes_version: Count
+    routes_version: int
     routes: bytes | None
     entries: tuple[MemberEntry, ...]
     primaries: tuple[PrimaryNotice, ...]
--- a/lavendergate/storage/base.py
+++ b/lavendergate/storage/base.py
@@ -49,6 +49,51 @@
         self.offset = offset
 
 
+class UnreadableRecordError(DamagedFileError):
+    """A record is complete, but this build cannot decode it.
+
+    Parameters
+    ----------
+    path
+        File that holds the record.
+    offset
+        Offset of the record in the file, in bytes.
+    reason
+        Why it cannot be decoded.
+    """
+
+    def __init__(self, *, path: str, offset: int, reason: str) -> None:
+        super().__init__(path=path, offset=offset)
+        self.reason = reason
+
+    def __str__(self) -> str:
+        """Return the message, which ends with the reason."""
+        return f'{super().__str__()}. The record cannot be read: {self.reason}'
+
+
+class UnreadableLogError(StorageError):
+    """An entry of the replicated log is intact, but cannot be decoded.
+
+    The other hosts of the group hold the same entry, so emptying the data
+    directories would lose the state of the group.
+
+    Parameters
+    ----------
+    location
+        Directory or peer that the entry comes from.
+    part
+        The entry, or the state of the snapshot.
+    reason
+        Why it cannot be decoded.
+    """
+
+    def __init__(self, *, location: str, part: str, reason: str) -> None:
+        super().__init__(
+            f'this build cannot read {part} from {location}: {reason}. Keep '
+            'the data directory, and start the build that wrote it'
+        )
+
+
 class LogStorage(ABC):
     """Durable storage of one node.
 
@@ -60,6 +105,11 @@
         """Whether the methods block and must run in a worker thread."""
         return True
 
+    @property
+    def location(self) -> str:
+        """Where the state is stored, for messages."""
+        return 'the storage'
+
     @abstractmethod
     def load(self) -> StoredState:
         """Read the stored state, or create an identity in an empty storage.
--- a/lavendergate/storage/files.py
+++ b/lavendergate/storage/files.py
@@ -12,7 +12,14 @@
 import os
 import secrets
 from pathlib import Path
+from typing import TypeVar
 
+import msgspec
+
+from lavendergate.core.bounds.decoding import (
+    InvalidValueError,
+    decode_msgpack,
+)
 from lavendergate.core.consensus.log import Log
 from lavendergate.core.consensus.types import (
     Entry,
@@ -27,6 +34,7 @@
     LogStorage,
     StorageError,
     StoredState,
+    UnreadableRecordError,
 )
 from lavendergate.storage.framing import (
     decode_frame,
@@ -43,6 +51,8 @@
 _NO_DESCRIPTOR = -1
 _INCARNATION_BYTES = 8
 
+RecordT = TypeVar('RecordT')
+
 
 class FileStorage(LogStorage):
     """Storage in a directory on a local disk.
@@ -63,6 +73,11 @@
         self._log_file = _NO_DESCRIPTOR
         self._lock_file = _NO_DESCRIPTOR
 
+    @property
+    def location(self) -> str:
+        """Path of the directory."""
+        return str(self._directory)
+
     def load(self) -> StoredState:
         """Read the stored state, or create an identity if there is none."""
         self._directory.mkdir(parents=True, exist_ok=True)
@@ -164,7 +179,9 @@
 
     def _read_identity(self) -> NodeId:
         content = self._read_single_record(_IDENTITY)
-        identity = records.identity_decoder.decode(content).identity
+        identity = self._decode(
+            records.identity_decoder, _IDENTITY, content
+        ).identity
         if identity.host_id != self._host_id:
             raise StorageError(
                 f'{self._directory} belongs to host {identity.host_id}, not '
@@ -176,10 +193,26 @@
     def _read_snapshot(self) -> Snapshot | None:
         if not self._path(_SNAPSHOT).exists():
             return None
-        return records.snapshot_decoder.decode(
-            self._read_single_record(_SNAPSHOT)
+        return self._decode(
+            records.snapshot_decoder,
+            _SNAPSHOT,
+            self._read_single_record(_SNAPSHOT),
         )
 
+    def _decode(
+        self,
+        decoder: msgspec.msgpack.Decoder[RecordT],
+        name: str,
+        content: bytes,
+        offset: int = 0,
+    ) -> RecordT:
+        try:
+            return decode_msgpack(decoder, content)
+        except InvalidValueError as error:
+            raise UnreadableRecordError(
+                path=str(self._path(name)), offset=offset, reason=str(error)
+            ) from error
+
     def _read_single_record(self, name: str) -> bytes:
         path = self._path(name)
         content = decode_frame(path.read_bytes(), 0).content
@@ -197,7 +230,10 @@
             if found.content is None:
                 self._truncate_incomplete_record(data, found.offset)
                 break
-            for change in records.change_decoder.decode(found.content):
+            changes = self._decode(
+                records.change_decoder, _LOG, found.content, found.offset
+            )
+            for change in changes:
                 replay.apply(change)
         return replay
 
--- a/lavendergate/storage/recovery.py
+++ b/lavendergate/storage/recovery.py
@@ -2,8 +2,6 @@
 
 from pathlib import Path
 
-import msgspec
-
 from lavendergate.core.types import HostId
 from lavendergate.storage.base import DamagedFileError
 from lavendergate.storage.files import FileStorage
@@ -34,7 +32,7 @@
     storage = FileStorage(directory=directory, host_id=host_id)
     try:
         storage.load()
-    except (DamagedFileError, msgspec.MsgspecError) as error:
+    except DamagedFileError as error:
         # The identity is deleted first: without it, the other files are
         # ignored, so a crash in between leaves a valid empty storage.
         for name in ('identity', 'log', 'snapshot'):
--- a/lavendergate/tests/test_fleet_view_receiver.py
+++ b/lavendergate/tests/test_fleet_view_receiver.py
@@ -8,6 +8,7 @@
 import trio
 from trio.testing import MockClock
 
+from lavendergate.core.control_routes import pack_routes
 from lavendergate.core.types import GroupId, LogPosition, Term
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.observability.log import MemoryEventLog
@@ -169,3 +170,32 @@
             self.assertEqual(sample.position.position, 7)
 
         play(scenario)
+
+
+class RoutesReplyTest(unittest.TestCase):
+    """Route tables in sync replies."""
+
+    def test_unreadable_table_is_not_asked_for_again_at_once(self) -> None:
+        """Guards against a proxy that asks its leader without a pause.
+
+        A control host answers a request at once while it has a newer table.
+        """
+
+        async def scenario(
+            proxy: SessionFixture, receiver: FleetViewReceiver
+        ) -> None:
+            held = receiver.routes_version
+            now = anyio.current_time()
+            for odd in (b'\xff', pack_routes(b'{'), pack_routes(b'[' * 5000)):
+                changed = reply(proxy, routes=odd, routes_version=held + 1)
+                receiver.apply(changed, now)
+                self.assertEqual(receiver.routes_version, held + 1)
+                self.assertEqual(proxy.view.routes.version, held)
+            table = b'{"version":%d,"routes":[],"services":[]}' % (held + 2)
+            changed = reply(
+                proxy, routes=pack_routes(table), routes_version=held + 2
+            )
+            receiver.apply(changed, now)
+            self.assertEqual(proxy.view.routes.version, held + 2)
+
+        play(scenario)
