Bound the fields of the settings file

A process whose settings file held a port above 65535, a name in place of an address, `nan` or `inf`, or deep nesting started and then ended in a traceback of `bind`, of a division or of the TOML reader, without naming the field.

The fields carry their range, and `load_settings` raises `SettingsFileError` only. Fields that are not used stay unbounded.

--- a/lavendergate/core/bounds/decoding.py
+++ b/lavendergate/core/bounds/decoding.py
@@ -103,6 +103,20 @@
         ) from error
 
 
+def decode_toml(content: bytes, message_type: type[MessageT]) -> MessageT:
+    """Decode a TOML document.
+
+    Raises
+    ------
+    InvalidValueError
+        If the document is malformed or a value is out of its bounds.
+    """
+    try:
+        return msgspec.toml.decode(content, type=message_type)
+    except CODEC_ERRORS as error:
+        raise InvalidValueError(_shorten(error)) from error
+
+
 def decode_msgpack(
     decoder: 'msgspec.msgpack.Decoder[MessageT]', content: bytes
 ) -> MessageT:
--- a/lavendergate/core/bounds/ranges.py
+++ b/lavendergate/core/bounds/ranges.py
@@ -61,6 +61,7 @@
 DurationMs = Annotated[int, Meta(ge=0, le=MAX_DURATION_MS)]
 # Time that must pass, as a time limit.
 PositiveMs = Annotated[int, Meta(ge=1, le=MAX_DURATION_MS)]
+PositiveS = Annotated[float, Meta(gt=0, le=MAX_DURATION_S)]
 DurationS = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
 Balance = Annotated[float, Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
@@ -77,3 +78,7 @@
 Ip = Annotated[str, Meta(max_length=15, pattern=IP_PATTERN)]
 # ``ip:port`` of one host.
 Address = Annotated[str, Meta(max_length=21, pattern=ADDRESS_PATTERN)]
+# An address, or an empty text for none.
+AddressOrNone = Annotated[
+    str, Meta(max_length=21, pattern=rf'\A\Z|{ADDRESS_PATTERN}')
+]
--- a/lavendergate/platform/settings_file.py
+++ b/lavendergate/platform/settings_file.py
@@ -5,6 +5,20 @@
 
 import msgspec
 
+from lavendergate.core.bounds.decoding import InvalidValueError, decode_toml
+from lavendergate.core.bounds.ranges import (
+    Address,
+    AddressOrNone,
+    Amount,
+    DurationMs,
+    DurationS,
+    Ip,
+    Name,
+    Port,
+    PositiveS,
+    Word,
+)
+
 SETTINGS_VARIABLE = 'LAVENDERGATE_BOOT'
 
 
@@ -30,14 +44,14 @@
         operations.
     """
 
-    grace_s: float = 6
+    grace_s: DurationS = 6
     drain_timeout_ms: int = 7000
     config_apply_ms: int = 4000
     strict_revoke: bool = False
-    revoke_ms: int = 5000
-    quota_window_s: float = 5
-    quota_overage: float = 0
-    quota_slack: float = 0
+    revoke_ms: DurationMs = 5000
+    quota_window_s: PositiveS = 5
+    quota_overage: Amount = 0
+    quota_slack: Amount = 0
 
 
 class ListenAddresses(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,9 +67,9 @@
         Address for the calls of members and operators.
     """
 
-    front: str | None = None
-    readiness: str | None = None
-    control: str | None = None
+    front: Address | None = None
+    readiness: Address | None = None
+    control: Address | None = None
 
 
 class PlatformApi(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -69,8 +83,8 @@
         Calls per second that the platform accepts from all hosts together.
     """
 
-    address: str = ''
-    duty_per_s: float = 1
+    address: AddressOrNone = ''
+    duty_per_s: Amount = 1
 
 
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -93,12 +107,12 @@
         Not used.
     """
 
-    node_name: str
-    ip: str
-    zone: str
-    region: str
-    internal_ports: tuple[int, int]
-    seeds: tuple[str, ...] = ()
+    node_name: Word
+    ip: Ip
+    zone: Name
+    region: Name
+    internal_ports: tuple[Port, Port]
+    seeds: tuple[Address, ...] = ()
     bootstrap: bool = False
     data_dir: str | None = None
     heartbeat_ms: int = 1000
@@ -131,7 +145,8 @@
     Raises
     ------
     SettingsFileError
-        If the file is missing, or a field is missing or has a wrong type.
+        If the file is missing, or a field is missing, has a wrong type or is
+        out of its bounds.
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if path is None:
@@ -141,8 +156,8 @@
         )
     try:
         content = Path(path).read_bytes()
-        return msgspec.toml.decode(content, type=HostSettings)
-    except (OSError, msgspec.MsgspecError, ValueError) as error:
+        return decode_toml(content, HostSettings)
+    except (OSError, InvalidValueError) as error:
         raise SettingsFileError(
             f'cannot load settings file {path}: {error}'
         ) from error
--- a/lavendergate/tests/test_platform_formats.py
+++ b/lavendergate/tests/test_platform_formats.py
@@ -437,3 +437,45 @@
                 path.write_text('nodeName = 5')
                 with self.assertRaisesRegex(SettingsFileError, 'nodeName'):
                     load_settings()
+
+    def test_odd_values_are_named_with_their_field(self) -> None:
+        """Guards against a start that fails in a traceback."""
+        changes = (
+            ('ip', 'ip = "10.1.0.8"', 'ip = "edge-1"'),
+            ('internalPorts[0]', '[7440, 7455]', '[0, 7455]'),
+            ('internalPorts[1]', '[7440, 7455]', '[7440, 74550]'),
+            ('internalPorts[0]', '[7440, 7455]', '[9999999999999999999999, 1]'),
+            ('seeds[1]', '10.2.0.8:8782', '10.2.0.8:87820'),
+            ('bindAddrs.front', '10.1.0.8:8784', '10.1.0.8'),
+            ('bounds.graceS', 'graceS = 6', 'graceS = nan'),
+            ('bounds.graceS', 'graceS = 6', 'graceS = inf'),
+            ('bounds.graceS', 'graceS = 6', 'graceS = -1'),
+            ('bounds.graceS', 'graceS = 6', f'graceS = 1{"0" * 400}'),
+            ('cloudApi.dutyPerS', '50.0', 'inf'),
+            ('cloudApi.address', '10.200.0.160:8783', 'nowhere'),
+            ('nodeName', 'edge-1', 'edge 1'),
+            ('zone', '"z1"', '""'),
+            ('recursion', 'unknownField = 1', f'x = {"[" * 3000}'),
+            ('', 'unknownField = 1', 'x = "\udcff"'),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'boot.toml'
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}):
+                for field, before, after in changes:
+                    with self.subTest(field=field, after=after[:40]):
+                        assert before in SETTINGS
+                        content = SETTINGS.replace(before, after)
+                        path.write_bytes(
+                            content.encode(errors='surrogateescape')
+                        )
+                        with self.assertRaises(SettingsFileError) as raised:
+                            load_settings()
+                        self.assertIn(field, str(raised.exception))
+
+    def test_settings_without_a_platform_api_are_read(self) -> None:
+        """Guards against a valid file that is refused."""
+        with tempfile.NamedTemporaryFile('w', suffix='.toml') as file:
+            file.write(SETTINGS.replace('10.200.0.160:8783', ''))
+            file.flush()
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: file.name}):
+                self.assertEqual(load_settings().cloud_api.address, '')
