--- a/lavendergate/core/bounds/decoding.py
+++ b/lavendergate/core/bounds/decoding.py
@@ -18,6 +18,8 @@
 # others can decode, too.
 MAX_NESTING: Final = 64
 
+_MAX_MESSAGE_CHARACTERS: Final = 240
+
 _PATH = re.compile(r' - at `(?:key in )?(\$[^`]*)`\Z')
 _STEP = re.compile(r'\.(\w+)|\[(\d+)\]')
 _NOT_BRACKETS = bytes(set(range(256)) - set(b'[]{}'))
@@ -193,4 +195,8 @@
     text = str(error)
     for pattern, form in PATTERN_FORMS.items():
         text = text.replace(f'matching regex {pattern!r}', f'that is {form}')
+    # msgspec quotes an unknown word in full; the path is at the end.
+    if len(text) > _MAX_MESSAGE_CHARACTERS:
+        half = _MAX_MESSAGE_CHARACTERS // 2
+        text = f'{text[:half]}… {text[-half:]}'
     return text
--- a/lavendergate/core/bounds/ranges.py
+++ b/lavendergate/core/bounds/ranges.py
@@ -11,6 +11,8 @@
 from msgspec import Meta
 
 MAX_COUNT: Final = (1 << 63) - 1
+# What MessagePack can hold.
+MAX_UNSIGNED: Final = (1 << 64) - 1
 # Largest integer that every JSON reader keeps exactly. Added to the time on a
 # clock, it stays within `MAX_COUNT`.
 MAX_DURATION_MS: Final = (1 << 53) - 1
--- a/lavendergate/platform/documents.py
+++ b/lavendergate/platform/documents.py
@@ -15,6 +15,7 @@
 from lavendergate.core.bounds.ranges import (
     MAX_COUNT,
     MAX_NAME_CHARACTERS,
+    MAX_UNSIGNED,
     Address,
     Count,
     DurationMs,
@@ -132,8 +133,7 @@
     """
     decoded = _decode_routes(content, decode_json)
     if isinstance(decoded, Ok) and decoded.ok_value.version > MAX_COUNT:
-        version = quoted(str(decoded.ok_value.version))
-        return Err(f'version {version} is above {MAX_COUNT}')
+        return Err(f'version {decoded.ok_value.version} is above {MAX_COUNT}')
     return decoded
 
 
@@ -256,8 +256,9 @@
                 f'{route.path_prefix}'
             )
         served.add(target)
-    if document.version <= 0:
-        return f'version {document.version} is not above 0'
+    if not 0 < document.version <= MAX_UNSIGNED:
+        version = quoted(str(document.version))
+        return f'version {version} is not between 0 and {MAX_UNSIGNED}'
     return find_customer_problem(document.tenants or ())
 
 
