Play odd values against running processes, with the expected answer

The cases checked that no process ends and that each caller gets an answer. Now each control host must also refuse the odd value with 400, and 98% of the callers' reads must succeed. New cases: missing fields, entries at the address of the primary, zones, numbers, states and roles out of their bounds, odd ids, and a configuration with a byte that is no UTF-8.

A call without an answer is now sent again, as operators do, twice.

--- a/faults/value_cases.py
+++ b/faults/value_cases.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -24,6 +25,10 @@
 _WATCH_S = 6.0
 _PAUSE_S = 0.05
 _NESTING = 3000
+_BAD_REQUEST = 400
+_ATTEMPTS = 3
+_LONG_TEXT = 'z' * 1_000_000
+_LEAST_DONE = 0.98
 _WIDE = 10**21
 _NESTED_JSON = b'[' * _NESTING + b']' * _NESTING
 # A request frame in MessagePack with one field more than a proxy reads, which
@@ -33,13 +38,27 @@
 Send = Callable[[Fleet, Service], Awaitable[object]]
 
 
-def announcement(**fields: object) -> Send:
-    """An entry of another writer, with some odd fields; None drops one."""
+def announcement(
+    path: str = '/instances/i-0dd',
+    is_at_primary: bool = False,
+    **fields: object,
+) -> Send:
+    """An entry of another writer, with some odd fields; None drops one.
+
+    Parameters
+    ----------
+    is_at_primary
+        Whether it has the address of the primary.
+    """
 
     async def send(fleet: Fleet, service: Service) -> object:
         entry: dict[str, object] = {
             'service': service.name,
-            'address': f'{fleet.ip()}:8080',
+            'address': (
+                service.primary.address
+                if is_at_primary
+                else f'{fleet.ip()}:8080'
+            ),
             'zone': 'zone-a',
             'version': 'v1',
             'capacity': 2,
@@ -53,7 +72,7 @@
         kept = {
             name: value for name, value in entry.items() if value is not None
         }
-        return await _put(fleet, '/instances/i-0dd', json.dumps(kept).encode())
+        return await _put(fleet, path, json.dumps(kept).encode())
 
     return send
 
@@ -76,6 +95,18 @@
     return await _put(fleet, '/config', configuration(_WIDE, [service]))
 
 
+async def unreadable_byte(fleet: Fleet, service: Service) -> object:
+    """A configuration with a byte that is no UTF-8, in an unread field."""
+    body = configuration(9, [service])
+    return await _put(fleet, '/config', body[:-1] + b',"odd":"\xff"}')
+
+
+async def unnamed_service(fleet: Fleet, service: Service) -> object:
+    """An entry of a service that no configuration names; it may be accepted."""
+    await announcement(service='elsewhere', dbRole='primary')(fleet, service)
+    return 'sent'
+
+
 async def nested_frame(fleet: Fleet, service: Service) -> object:
     """A frame with nested arrays on the port between proxies."""
     internal = fleet.ports['internal']
@@ -90,10 +121,23 @@
 
 
 async def _put(fleet: Fleet, path: str, body: bytes) -> object:
-    return [
-        (await http.call(host.control, 'PUT', path, body) or ('no answer',))[0]
-        for host in fleet.control
+    """Return what each control host answers instead of a refusal."""
+    answers = [
+        await _answer(host.control, path, body) for host in fleet.control
     ]
+    return [answer for answer in answers if answer != _BAD_REQUEST]
+
+
+async def _answer(address: tuple[str, int], path: str, body: bytes) -> object:
+    """Return the status; a call without an answer is sent again, as usual."""
+    pauses: list[float] = []
+    for _ in range(_ATTEMPTS):
+        began = time.monotonic()
+        answer = await http.call(address, 'PUT', path, body)
+        if answer is not None:
+            return answer[0]
+        pauses.append(round(time.monotonic() - began, 2))
+    return f'no answer after {pauses} s'
 
 
 VALUE_CASES: dict[str, Send] = {
@@ -106,6 +150,36 @@
     'address with port 70000': announcement(address='127.0.0.9:70000'),
     'address that is a name': announcement(address='localhost:8080'),
     'nested arrays between proxies': nested_frame,
+    'announcement without a zone at the primary': announcement(
+        zone=None, is_at_primary=True
+    ),
+    'announcement with an empty zone at the primary': announcement(
+        zone='', is_at_primary=True
+    ),
+    'announcement without five fields': announcement(
+        zone=None, version=None, capacity=None, warmupLeftMs=None, born=None
+    ),
+    'announcement with a zone of 1 MB': announcement(zone=_LONG_TEXT),
+    'announcement with a zone that is a number': announcement(zone=5),
+    'announcement with a negative sequence': announcement(sequence=-1),
+    'announcement with a negative start': announcement(born=-1),
+    'announcement with a capacity of 0': announcement(capacity=0),
+    'announcement with a capacity of NaN': announcement(capacity=math.nan),
+    'announcement with an infinite start': announcement(born=math.inf),
+    'announcement with an unknown state': announcement(state='resting'),
+    'announcement with an unknown role': announcement(dbRole='witness'),
+    'announcement of an unknown service': unnamed_service,
+    'announcement of a service with a line end': announcement(
+        service='svc1\r\nQUERY - DEMOTE 9', is_at_primary=True
+    ),
+    'id with bytes that are no UTF-8': announcement(
+        '/instances/i%FF%00', is_at_primary=True
+    ),
+    'id that is empty': announcement('/instances/', is_at_primary=True),
+    'id of 8,000 characters': announcement(
+        f'/instances/{"i" * 8000}', is_at_primary=True
+    ),
+    'configuration with an unreadable byte': unreadable_byte,
 }
 
 
@@ -148,7 +222,11 @@
         answers = await VALUE_CASES[name](fleet, service)
         await asyncio.sleep(_WATCH_S)
         ends = {p.name: len(p.own_ends) for p in fleet.programs if p.own_ends}
-        if not ends and not counts['no answer']:
+        done = counts['done'] / max(1, counts.total())
+        # A refusal leaves no host that answered otherwise.
+        is_refused = answers in ([], 'sent')
+        is_served = done >= _LEAST_DONE and not counts['no answer']
+        if not ends and is_refused and is_served:
             return ''
         return f'ends {ends}; answered {answers}; callers {dict(counts)}'
     finally:
