Keep the silence of a control host over a change of leader

With the leader killed meanwhile, the group still had four voters, one of them gone, when one more disk was lost.

The leader now tells the answering hosts who is silent and since when, and a new leader goes on counting once it has had no answer for 0.5 s itself. A learner that has caught up takes the place of a voter that is silent for 2.5 s in one round. The leader acts every 0.1 s while a change may follow.

--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -1,18 +1,29 @@
 """Creates the control group at the first start, and adds hosts later."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import anyio
 from result import Err, Ok
 
 from lavendergate.controllers.control_node import ControlNode
 from lavendergate.core.types import HostId
-from lavendergate.core.voter_changes import JoiningHost, next_configuration
+from lavendergate.core.voter_changes import (
+    REPLACED_VOTER_TIMEOUT_S,
+    JoiningHost,
+    NodeProgress,
+    next_configuration,
+)
 from lavendergate.core.voter_departures import (
     AnnouncedStop,
     leaving_hosts,
     without_returned,
 )
+from lavendergate.core.voter_silences import (
+    Silence,
+    longest_silences,
+    observed_silences,
+    with_silences,
+)
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.consensus_service import (
@@ -25,15 +36,26 @@
 from lavendergate.rpc.fleet_service import (
     JOIN,
     LEAVE,
+    REPORT_SILENCES,
     JoinReply,
     JoinRequest,
     LeaveReply,
     LeaveRequest,
+    SilenceReport,
+    SilentHost,
 )
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 
 _INTERVAL_S = 0.3
+# Interval while the group is changing, in seconds: a further host may be lost
+# until the change is complete.
+_CHANGING_INTERVAL_S = 0.1
+# Time after an event for which a change may follow from it, in seconds: the
+# silence of a voter, an election and the steps.
+_CHANGING_S = 8.0
 _CALL_TIMEOUT_S = 0.6
+# Interval of requests to join while a host has never been a member, in seconds.
+_JOIN_INTERVAL_S = 0.1
 # Time for which a request to join stays valid, in seconds.
 _JOIN_AGE_S = 2.0
 # Time without a known leader after which a host asks to join, in seconds.
@@ -43,6 +65,7 @@
 # A replacement takes two changes, a promotion and a removal. More than a few
 # in a row would point to a fault.
 _MAX_SUCCESSIVE_CHANGES = 4
+_MS_PER_S = 1000
 
 
 class GroupFormation:
@@ -79,6 +102,13 @@
         self._events = events
         self._join_requests: dict[HostId, tuple[JoiningHost, float]] = {}
         self._stops: dict[HostId, AnnouncedStop] = {}
+        self._silences: dict[HostId, Silence] = {}
+        # Voters in whose place this leader has promoted a learner.
+        self._replaced: frozenset[HostId] = frozenset()
+        self._has_reported_silences = False
+        self._reported_at = float('-inf')
+        self._changing_until = float('-inf')
+        self._led_term: int | None = None
         self._is_leaving = False
         self._changes = anyio.Lock()
         self._leader_seen_at = float('-inf')
@@ -96,6 +126,8 @@
         self._stops.pop(host.host_id, None)
         if not view.is_leader:
             return JoinReply(accepted=False, leader=view.leader_address)
+        if host.host_id not in self._join_requests:
+            self._expect_changes()
         joiner = JoiningHost(
             host_id=host.host_id,
             incarnation=host.incarnation,
@@ -111,6 +143,18 @@
         await self._maintain_voters()
         return LeaveReply(is_leader=is_leader)
 
+    async def handle_silences(self, request: SilenceReport) -> SilenceReport:
+        """Record which hosts do not answer the leader.
+
+        Returns
+        -------
+        What this host knew before, for a leader that was started meanwhile.
+        """
+        known = _encode_silences(self._silences, anyio.current_time())
+        if not self._node.view.is_leader:
+            self._silences = _decode_silences(request, anyio.current_time())
+        return known
+
     async def leave(self) -> None:
         """Announce to all control hosts that this host stops.
 
@@ -136,10 +180,27 @@
             await self._request_join()
         while True:
             await self._run_once()
-            await anyio.sleep(_INTERVAL_S)
+            await anyio.sleep(self._interval_s())
+
+    def _interval_s(self) -> float:
+        view = self._node.view
+        now = anyio.current_time()
+        if not view.is_leader:
+            return _INTERVAL_S if view.initialised else _JOIN_INTERVAL_S
+        return (
+            _CHANGING_INTERVAL_S if now < self._changing_until else _INTERVAL_S
+        )
+
+    def _expect_changes(self) -> None:
+        self._changing_until = anyio.current_time() + _CHANGING_S
 
     async def _run_once(self) -> None:
-        if self._node.view.is_leader:
+        view = self._node.view
+        if view.is_leader:
+            if view.term != self._led_term:
+                self._led_term = view.term
+                self._expect_changes()
+            await self._exchange_silences()
             await self._maintain_voters()
         elif self._may_create_group():
             await self._create_group()
@@ -264,6 +325,48 @@
             # The leader also finds the stop by the missing answers.
             return
 
+    async def _exchange_silences(self) -> None:
+        """Tell the other hosts who is silent, and learn what they knew."""
+        now = anyio.current_time()
+        known = self._silences.keys()
+        self._silences = observed_silences(
+            self._silences, self._node.node_progress(), now
+        )
+        if self._silences.keys() - known:
+            self._expect_changes()
+        if now - self._reported_at < _INTERVAL_S:
+            return
+        if not (self._silences or self._has_reported_silences):
+            return
+        # An empty report tells the others that all hosts answer again.
+        self._has_reported_silences = bool(self._silences)
+        self._reported_at = now
+        report = _encode_silences(self._silences, now)
+        with anyio.move_on_after(_INTERVAL_S):
+            async with anyio.create_task_group() as tasks:
+                for address in self._answering_hosts():
+                    tasks.start_soon(self._send_silences, address, report)
+
+    def _answering_hosts(self) -> set[str]:
+        configuration = self._node.view.configuration
+        if configuration is None:
+            return set()
+        addresses = configuration.command.addresses
+        return {
+            addresses[host_id] for host_id in addresses.keys() - self._silences
+        } - {self._address}
+
+    async def _send_silences(self, address: str, report: SilenceReport) -> None:
+        try:
+            reply = await self._peers.call(
+                address, REPORT_SILENCES, report, timeout_s=_CALL_TIMEOUT_S
+            )
+        except PeerCallError:
+            # The report is repeated in the next interval.
+            return
+        reported = _decode_silences(reply, anyio.current_time())
+        self._silences = longest_silences(self._silences, reported)
+
     async def _maintain_voters(self) -> None:
         """Change the voters step by step, as the leader."""
         async with self._changes:
@@ -282,16 +385,23 @@
             for joiner, asked_at in self._join_requests.values()
             if now - asked_at <= _JOIN_AGE_S
         )
-        progress = self._node.node_progress()
+        progress = with_silences(
+            self._node.node_progress(), self._silences, now
+        )
         self._stops = without_returned(self._stops, progress, now)
         change = next_configuration(
             view.configuration.command,
             progress,
             joiners,
-            leaving_hosts(self._stops, progress, now),
+            leaving_hosts(self._stops, progress, now)
+            | _silent_hosts(progress, self._replaced),
         )
         if change is None:
             return False
+        if change.voters > view.configuration.command.voters:
+            self._replaced = _silent_hosts(
+                progress, view.configuration.command.voters
+            )
         changed = await self._node.propose(change)
         self._events.emit(
             SessionEvent.group_changed,
@@ -308,3 +418,41 @@
     return ControlHost(
         host_id=reply.host_id, incarnation=reply.incarnation, address=address
     )
+
+
+def _silent_hosts(
+    progress: Mapping[HostId, NodeProgress], hosts: Collection[HostId]
+) -> frozenset[HostId]:
+    """Return those of the hosts that a learner may replace."""
+    return frozenset(
+        host_id
+        for host_id, node in progress.items()
+        if host_id in hosts and node.since_answer_s >= REPLACED_VOTER_TIMEOUT_S
+    )
+
+
+def _encode_silences(
+    silences: Mapping[HostId, Silence], now: float
+) -> SilenceReport:
+    return SilenceReport(
+        hosts=tuple(
+            SilentHost(
+                host_id=host_id,
+                incarnation=silence.incarnation,
+                silent_ms=round((now - silence.since) * _MS_PER_S),
+            )
+            for host_id, silence in silences.items()
+        )
+    )
+
+
+def _decode_silences(
+    report: SilenceReport, now: float
+) -> dict[HostId, Silence]:
+    return {
+        host.host_id: Silence(
+            incarnation=host.incarnation,
+            since=now - max(host.silent_ms, 0) / _MS_PER_S,
+        )
+        for host in report.hosts
+    }
--- a/lavendergate/core/voter_changes.py
+++ b/lavendergate/core/voter_changes.py
@@ -34,6 +34,10 @@
 # A voter that does not answer for this long is replaced or removed if the group
 # then bears more losses. A restart takes less time than this.
 _VOTER_TIMEOUT_S = 4.0
+# A voter that does not answer for this long gives its place to a learner that
+# has caught up: a host that joins meanwhile shows that it was replaced. Most
+# restarts take less time.
+REPLACED_VOTER_TIMEOUT_S = 2.5
 # A voter that did not announce its stop is counted among two that are removed
 # from an odd number of voters only after this time. The group of the remaining
 # ones bears fewer losses than the one with hosts that come back, and a machine
@@ -163,6 +167,8 @@
         ]
         if len(caught_up) < self._learners_required():
             return None
+        if self._awaits_silent_voter():
+            return None
         promoted = caught_up[0]
         return msgspec.structs.replace(
             current,
@@ -211,6 +217,22 @@
         # An even number of voters is only a step to the next odd one.
         return MAX_VOTERS - count if count < MAX_VOTERS else math.inf
 
+    def _awaits_silent_voter(self) -> bool:
+        """Return whether a voter must answer or be replaced first.
+
+        Beside a silent voter, an odd group that grows by one bears no more
+        losses, and if the leader is lost meanwhile it needs one more host.
+        """
+        voters = self.current.voters
+        if len(voters) % 2 == 0 or len(voters) >= TARGET_VOTERS:
+            return False
+        return any(
+            _MAX_ANSWER_AGE_S
+            < self._since_answer_s(host_id)
+            < REPLACED_VOTER_TIMEOUT_S
+            for host_id in voters - self.leaving
+        )
+
     def _departed_voters(self) -> list[HostId]:
         """Return voters that are stopping or have not answered for a while."""
         return self._longest_silent_first(
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -38,6 +38,7 @@
     MERGE,
     PROPOSE_ROUTES,
     READ_ROUTES,
+    REPORT_SILENCES,
     SYNC,
     JoinReply,
     JoinRequest,
@@ -332,6 +333,7 @@
                 READ_ROUTES: self.read_routes,
                 JOIN: self._handle_join,
                 LEAVE: self._formation.handle_leave,
+                REPORT_SILENCES: self._formation.handle_silences,
             }
         )
 
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -287,6 +287,26 @@
     is_leader: bool
 
 
+class SilentHost(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A control host that does not answer.
+
+    Parameters
+    ----------
+    silent_ms
+        Time since its last answer to any leader, in milliseconds.
+    """
+
+    host_id: HostId
+    incarnation: str
+    silent_ms: int
+
+
+class SilenceReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Silent control hosts that the leader, or the receiver, knows of."""
+
+    hosts: tuple[SilentHost, ...]
+
+
 SYNC = Method(
     path='/lavendergate.Fleet/Sync',
     request_type=SyncRequest,
@@ -317,3 +337,8 @@
     request_type=LeaveRequest,
     reply_type=LeaveReply,
 )
+REPORT_SILENCES = Method(
+    path='/lavendergate.Fleet/ReportSilences',
+    request_type=SilenceReport,
+    reply_type=SilenceReport,
+)
--- a/lavendergate/tests/control/test_departed_voters.py
+++ b/lavendergate/tests/control/test_departed_voters.py
@@ -16,7 +16,11 @@
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.routes import RoutesVersion
 from lavendergate.observability.log import MemoryEventLog
-from lavendergate.rpc.fleet_service import JoinRequest, LeaveRequest
+from lavendergate.rpc.fleet_service import (
+    JoinRequest,
+    LeaveRequest,
+    SilenceReport,
+)
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 from lavendergate.tests.control.cluster_fixture import Cluster
 
@@ -48,6 +52,8 @@
         with anyio.move_on_after(timeout_s):
             if isinstance(request, LeaveRequest):
                 return await formation.handle_leave(request)
+            if isinstance(request, SilenceReport):
+                return await formation.handle_silences(request)
             assert isinstance(request, JoinRequest)
             return formation.join(request)
         raise PeerCallError(f'no answer from {address}')
@@ -127,6 +133,13 @@
         for host_id in hosts:
             await self.start(host_id)
 
+    async def lose_disk(self, host_id: str) -> None:
+        """Stop one host, which comes back with an empty disk."""
+        await self.stop(host_id)
+        self._incarnations[host_id] += 1
+        await anyio.sleep(0.5)
+        await self.start(host_id)
+
     async def acknowledge(self) -> None:
         """Have one more change acknowledged."""
         version = self.acknowledged + 1
@@ -260,6 +273,38 @@
 
         self.run_hosts(3, scenario)
 
+    def test_leader_that_dies_during_an_unplanned_replacement(self) -> None:
+        """Guards against a silence that each new leader counts from zero.
+
+        The lost host was still a voter when its successor counted, and one
+        more lost disk ended control for good.
+        """
+
+        async def scenario(killed_after_s: float, hosts: _ControlHosts) -> None:
+            leader = await hosts.cluster.leader()
+            leader_id = str(leader.view.identity.host_id)
+            gone, other = (one for one in hosts.present if one != leader_id)
+            await _replace_unplanned(hosts, gone, 'n0')
+            started_at = anyio.current_time()
+            await anyio.sleep(killed_after_s)
+            await hosts.stop(leader_id)
+            await anyio.sleep(0.5)
+            await hosts.start(leader_id)
+            # The successor counts 4 s after its start.
+            await anyio.sleep(started_at + 4.1 - anyio.current_time())
+            await hosts.lose_disk(other)
+            leads = None
+            with anyio.move_on_after(_RECOVERY_S):
+                leads = await hosts.cluster.leader()
+                state = (await leads.read_state()).unwrap()
+            if leads is None:
+                self.fail(f'no leader, killed after {killed_after_s} s')
+            self.assertEqual(state.routes.version, hosts.acknowledged)
+
+        for tenths in range(2, 23):
+            with self.subTest(tenths=tenths):
+                self.run_hosts(3, partial(scenario, tenths / 10))
+
     def check_replacements(
         self, replace: Callable[[_ControlHosts, str, str], Awaitable[None]]
     ) -> None:
