--- a/lavendergate/rpc/service.py
+++ b/lavendergate/rpc/service.py
@@ -9,7 +9,8 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Stream
 
-from lavendergate.rpc.codec import MessagePackCodec
+from lavendergate.core.bounds.addresses import split_host_and_port
+from lavendergate.rpc.codec import MessagePackCodec, ReportProblems
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
@@ -61,7 +62,12 @@
         }
 
 
-def open_channel(address: str, *, tls: ssl.SSLContext | None = None) -> Channel:
+def open_channel(
+    address: str,
+    *,
+    tls: ssl.SSLContext | None = None,
+    report: ReportProblems | None = None,
+) -> Channel:
     """Return a channel to a host, which connects on its first call.
 
     Parameters
@@ -70,9 +76,16 @@
         Address of the host, ``ip:port``.
     tls
         Context for mutual TLS; None for plain connections.
+    report
+        Receives the problems of dropped parts; see `MessagePackCodec`.
+
+    Raises
+    ------
+    AddressError
+        If the address has no port, or one that is out of range.
     """
-    host, _, port = address.rpartition(':')
-    return Channel(host, int(port), codec=MessagePackCodec(), ssl=tls)
+    host, port = split_host_and_port(address)
+    return Channel(host, port, codec=MessagePackCodec(report=report), ssl=tls)
 
 
 async def call(
