Survive closed standard output and count lines that a full pipe drops

With standard output closed at the start, the first log line ended the process, and the next socket would have got its number. A full pipe dropped lines without counting them, since an unbuffered file returns None instead of raising, and a line longer than the atomic size of a pipe was cut and the next one appended to it.

Closed standard descriptors are opened on the null device first of all, and a stream of whole lines keeps the end of a cut line and writes it before the next one.

--- a/lavendergate/daemon/hosted.py
+++ b/lavendergate/daemon/hosted.py
@@ -1,6 +1,5 @@
 """Entry point of the daemon on the hosting platform."""
 
-import os
 import signal
 import sys
 import time
@@ -15,6 +14,11 @@
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.rate_limited_log import RateLimitedEventLog
+from lavendergate.observability.standard_output import (
+    STANDARD_OUTPUT,
+    LineStream,
+    reserve_standard_descriptors,
+)
 from lavendergate.platform.settings_file import (
     HostSettings,
     SettingsFileError,
@@ -25,13 +29,13 @@
 EXIT_START = 1
 
 _VERSION = '0.1.0'
-_STDOUT_FD = 1
 
 RunRole = Callable[[HostedProcess], Awaitable[None]]
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the role given as the only argument, ``proxy`` or ``control``."""
+    reserve_standard_descriptors()
     # SIGHUP would end a process that has not installed its handler yet. A
     # reload that is ignored here is not lost, because the settings file is
     # polled every second.
@@ -85,12 +89,10 @@
 
 
 def _open_log(settings: HostSettings) -> EventLog:
-    # A stalled reader of stdout must not block the process: lines that do
-    # not fit into the pipe are dropped and counted.
-    os.set_blocking(_STDOUT_FD, False)
-    stream = os.fdopen(_STDOUT_FD, 'wb', buffering=0, closefd=False)
     target = JsonEventLog(
-        host=HostId(settings.node_name), clock=ProcessClock(), stream=stream
+        host=HostId(settings.node_name),
+        clock=ProcessClock(),
+        stream=LineStream(STANDARD_OUTPUT),
     )
     return RateLimitedEventLog(target=target, clock=time.monotonic)
 
--- a/lavendergate/observability/file_log.py
+++ b/lavendergate/observability/file_log.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import IO, Any
+from typing import IO, Any, Protocol
 
 from eliot import FileDestination, log_message
 
@@ -29,6 +29,16 @@
 _ASCENDING_LEVELS = tuple(Level)
 
 
+class ByteStream(Protocol):
+    """Receives the lines of an event log."""
+
+    def write(self, line: bytes, /) -> int:
+        """Write one line; raises `OSError` if that fails."""
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+
+
 class _CountingLogger:
     """Eliot logger with one destination; counts failures instead of raising."""
 
@@ -70,7 +80,7 @@
         *,
         host: HostId,
         clock: ProcessClock,
-        stream: IO[bytes],
+        stream: ByteStream | IO[bytes],
         min_level: Level = Level.info,
         wall_clock: Callable[[], datetime] = lambda: datetime.now(UTC),
     ) -> None:
