Tell why a process ended, and contain errors that no task handles

Operators saw a restart without any line about its cause: an error that reached the top wrote a traceback to standard error, or nothing if that was closed. An error in one observer of changed settings ended the process, and a settings file that turned invalid was logged every second.

An unexpected error of a role is now the last line (7057), with its cause, place and exit status 3; a control host records its end in dataDir, without a sync, and logs it first at the next start (7058 to 7060). Errors of the event loop, of finalizers and of threads go through the boundary; warnings of libraries are events (7061). The boundary writes at most 5 lines a second of each place and bounds their length.

--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -64,6 +64,7 @@
         self._tasks = tasks
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
+        self._metrics.show_start(process.end.started_at, process.end.previous)
         self._routes = RouteTable()
         settings = process.settings
         self._takeover = TakeoverController(
--- a/lavendergate/daemon/hosted.py
+++ b/lavendergate/daemon/hosted.py
@@ -74,6 +74,7 @@
 async def _run(run_role: RunRole, settings: HostSettings, role: str) -> None:
     events = _open_log(settings)
     process = HostedProcess(settings=settings, events=events)
+    process.end.report_previous()
     events.emit(
         ProcessEvent.process_started,
         software_version=_VERSION,
@@ -82,10 +83,7 @@
         failure_domain=settings.zone,
         address=settings.internal_address,
     )
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(process.watch_signals)
-        tasks.start_soon(process.watch_file)
-        await run_role(process)
+    await process.run(run_role)
 
 
 def _open_log(settings: HostSettings) -> EventLog:
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -78,6 +78,7 @@
         self._peers = PeerClient()
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
+        self._metrics.show_start(process.end.started_at, process.end.previous)
         self._view = FleetView(clock=anyio.current_time)
         bounds = settings.bounds
         self._customers = CustomerRegistry(
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -131,6 +131,31 @@
             ('place',),
             registry=registry,
         )
+        self._start_time = Gauge(
+            'lavendergate_process_start_time_seconds',
+            'Unix time at which the process started; a change is a restart',
+            registry=registry,
+        )
+        self._previous_end = Gauge(
+            'lavendergate_previous_end',
+            '1 for the way in which the process before this one ended',
+            ('outcome',),
+            registry=registry,
+        )
+
+    def show_start(self, started_at: float, previous_end: str) -> None:
+        """Show when the process started and how the one before it ended.
+
+        Parameters
+        ----------
+        started_at
+            Unix time, in seconds.
+        previous_end
+            Outcome of the former process; empty if nothing is known.
+        """
+        self._start_time.set(started_at)
+        if previous_end:
+            self._previous_end.labels(previous_end).set(1)
 
     def count_contained_error(self, place: str) -> None:
         """Count an unexpected error that ended one activity."""
--- a/lavendergate/observability/process_events.py
+++ b/lavendergate/observability/process_events.py
@@ -68,7 +68,7 @@
         Level.error,
         '{task} failed: {reason}',
         'Report the lines around this event to the developers.',
-        extra=('traceback',),
+        extra=('traceback', 'suppressed'),
     )
     events_dropped = define(
         7032,
@@ -83,3 +83,36 @@
         'account {account} is not configured',
         'Set the environment variable that the page of options names.',
     )
+    process_failed = define(
+        7057,
+        Level.error,
+        'the process ends with status {status}: {reason}',
+        'Report this line to the developers.',
+        extra=('place', 'traceback'),
+    )
+    previous_stop = define(
+        7058,
+        Level.info,
+        'the previous process of this host was stopped at {ended_at}: {reason}',
+    )
+    previous_failure = define(
+        7059,
+        Level.warning,
+        'the previous process of this host ended by itself at {ended_at} with '
+        'status {status}: {reason}',
+        'Report this line to the developers.',
+        extra=('place',),
+    )
+    previous_end_unknown = define(
+        7060,
+        Level.warning,
+        'the previous process of this host left no record of its end: {reason}',
+        'Look for a kill, a loss of power, or a process over its memory limit.',
+    )
+    library_warning = define(
+        7061,
+        Level.warning,
+        '{library} reported: {reason}',
+        'Nothing, unless statements fail at the same time.',
+        extra=('suppressed',),
+    )
--- a/lavendergate/supervision/boundary.py
+++ b/lavendergate/supervision/boundary.py
@@ -5,7 +5,7 @@
 all its sessions.
 """
 
-import traceback
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from contextlib import contextmanager
@@ -14,12 +14,14 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from lavendergate.observability.line_budget import LineBudget
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_events import ProcessEvent
+from lavendergate.supervision.error_text import reason_of, traceback_of
 
 _RESTART_DELAY_S = 0.2
-_TRACEBACK_ENTRIES = 4
-_MAX_TRACEBACK_CHARACTERS = 1500
+# Formatting a traceback takes about as long as a statement.
+_LINES_PER_S = 5
 
 ArgumentTs = TypeVarTuple('ArgumentTs')
 
@@ -33,11 +35,21 @@
     Parameters
     ----------
     events
-        Receives each error as `ProcessEvent.task_failed`.
+        Receives errors as `ProcessEvent.task_failed`, a few of each place in
+        a second. All of them are counted.
+    clock
+        Monotonic time, in seconds.
     """
 
-    def __init__(self, *, events: EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        events: EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._events = events
+        self._clock = clock
+        self._budgets: dict[str, LineBudget] = {}
         self._counts: Counter[str] = Counter()
         self._observers: list[Callable[[str], None]] = []
 
@@ -62,17 +74,24 @@
             it is the label of a metric.
         """
         self._counts[place] += 1
-        self._events.emit(
-            ProcessEvent.task_failed,
-            task=place,
-            reason=repr(error),
-            traceback=''.join(
-                traceback.format_exception(error)[-_TRACEBACK_ENTRIES:]
-            )[-_MAX_TRACEBACK_CHARACTERS:],
-        )
+        self._log(place, error)
         for observer in self._observers:
             observer(place)
 
+    def _log(self, place: str, error: BaseException) -> None:
+        budget = self._budgets.get(place)
+        if budget is None:
+            budget = LineBudget(clock=self._clock, lines_per_s=_LINES_PER_S)
+            self._budgets[place] = budget
+        if budget.take():
+            self._events.emit(
+                ProcessEvent.task_failed,
+                task=place,
+                reason=reason_of(error),
+                traceback=traceback_of(error),
+                suppressed=budget.reset(),
+            )
+
     @contextmanager
     def contain(self, place: str) -> Iterator[None]:
         """Contain the errors of a block, which may await.
