--- a/lavendergate/daemon/process_end.py
+++ b/lavendergate/daemon/process_end.py
@@ -5,15 +5,13 @@
 import time
 from datetime import UTC, datetime
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_events import ProcessEvent
-from lavendergate.storage.end_record import (
-    EndRecord,
-    EndRecordFile,
-    FirstStart,
-    NoRecord,
-)
+
+if TYPE_CHECKING:
+    from lavendergate.storage.end_record import EndRecord, PreviousEnd
 
 # A disk that does not answer must not delay the end of the process.
 _SAVE_LIMIT_S = 0.2
@@ -31,9 +29,7 @@
     """
 
     def __init__(self, *, data_dir: str | None, events: EventLog) -> None:
-        self._file = (
-            EndRecordFile(data_directory=Path(data_dir)) if data_dir else None
-        )
+        self._data_dir = data_dir
         self._events = events
         self._started_at = time.time()
         self._previous = ''
@@ -50,9 +46,20 @@
 
     def report_previous(self) -> None:
         """Log how the previous process ended."""
-        if self._file is None:
+        if not self._data_dir:
             return
-        match self._file.take():
+        # Imported only where there is a data directory, because imports take
+        # most of the start time.
+        from lavendergate.storage.end_record import (  # noqa: WPS433
+            EndRecord,
+            EndRecordFile,
+            FirstStart,
+            NoRecord,
+        )
+
+        directory = Path(self._data_dir)
+        previous: PreviousEnd = EndRecordFile(data_directory=directory).take()
+        match previous:
             case FirstStart():
                 self._previous = 'none'
             case NoRecord(reason=reason):
@@ -79,8 +86,10 @@
 
     def save(self, *, status: int, reason: str, place: str = '') -> None:
         """Record the end of this process; a slow disk is not waited for."""
-        if self._file is None:
+        if not self._data_dir:
             return
+        from lavendergate.storage.end_record import EndRecord  # noqa: WPS433
+
         record = EndRecord(
             status=status,
             reason=reason,
@@ -88,12 +97,15 @@
             ended_at=datetime.now(UTC).isoformat(timespec='milliseconds'),
         )
         saving = threading.Thread(
-            target=self._write, args=(self._file, record), daemon=True
+            target=_write, args=(Path(self._data_dir), record), daemon=True
         )
         saving.start()
         saving.join(_SAVE_LIMIT_S)
 
-    def _write(self, file: EndRecordFile, record: EndRecord) -> None:
-        # A full or read-only disk costs the record, nothing else.
-        with contextlib.suppress(OSError):
-            file.save(record)
+
+def _write(directory: Path, record: 'EndRecord') -> None:
+    from lavendergate.storage.end_record import EndRecordFile  # noqa: WPS433
+
+    # A full or read-only disk costs the record, nothing else.
+    with contextlib.suppress(OSError):
+        EndRecordFile(data_directory=directory).save(record)
