Keep accept errors and failing requests inside their listener

Callers saw all their sessions cut: a process with fewer descriptors than connections ended with status 1 (OSError 24 left listener.serve), and so did one whose HTTP handler or relayed statement raised an unexpected error.

Listener accepts for the HTTP, relay and caller ports. A failing HTTP handler is answered with 500. A failing relayed statement gets a reply without content, which the other proxy reads as unknown, and the other statements on the connection go on. Calls to a home end when the reader of their connection fails unexpectedly; before, they waited for ever. At most 4,096 statements of one connection run at a time.

--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -93,6 +93,7 @@
                 settings.bind_addrs.control,
                 ControlHttp(calls=self).handle,
                 max_body_bytes=MAX_BODY_BYTES,
+                boundary=self._process.boundary,
             )
         )
         self._metrics.is_leader.set_function(
@@ -106,7 +107,12 @@
         )
         self._show_tolerance()
         await self._tasks.start(
-            serve_metrics, settings.ip, self._metrics.render
+            partial(
+                serve_metrics,
+                settings.ip,
+                self._metrics.render,
+                boundary=self._process.boundary,
+            )
         )
         self._tasks.start_soon(
             self._process.boundary.keep_running,
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -1,5 +1,7 @@
 """The proxy role on the hosting platform."""
 
+from functools import partial
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -184,30 +186,46 @@
             raise ValueError(
                 'bindAddrs.front or readiness is missing in the settings file'
             )
-        await self._tasks.start(serve_callers, addresses.front, self._serve)
+        boundary = self._process.boundary
+        await self._tasks.start(
+            partial(
+                serve_callers, addresses.front, self._serve, boundary=boundary
+            )
+        )
         await self._tasks.start(
-            serve_readiness, addresses.readiness, lambda: self.is_ready
+            partial(
+                serve_readiness,
+                addresses.readiness,
+                lambda: self.is_ready,
+                boundary=boundary,
+            )
         )
         self._metrics.routes_version.set_function(
             lambda: self._view.routes.version
         )
         await self._tasks.start(
-            serve_metrics, self._process.settings.ip, self._metrics.render
+            partial(
+                serve_metrics,
+                self._process.settings.ip,
+                self._metrics.render,
+                boundary=boundary,
+            )
         )
         await self._tasks.start(
-            serve_relays,
-            self._process.settings.internal_address,
-            self._home,
-            self._limit_owner,
+            partial(
+                serve_relays,
+                self._process.settings.internal_address,
+                self._home,
+                self._limit_owner,
+                boundary=boundary,
+            )
         )
         for name, run in (
             ('feed', self._sync_client.run),
             ('pools', self._pools.run),
             ('home', self._home.run),
         ):
-            self._tasks.start_soon(
-                self._process.boundary.keep_running, name, run
-            )
+            self._tasks.start_soon(boundary.keep_running, name, run)
         await self._process.wait_for_stop()
         await self._drain()
 
--- a/lavendergate/platform/callers.py
+++ b/lavendergate/platform/callers.py
@@ -29,6 +29,8 @@
     LOST_OR_TIMEOUT_ERRORS,
     LineStream,
 )
+from lavendergate.supervision.boundary import Boundary
+from lavendergate.supervision.listener import Listener
 
 _BACKLOG = 4096
 # Time within which a new connection must send its START line, in seconds.
@@ -105,6 +107,7 @@
     address: str,
     serve: ServeCaller,
     *,
+    boundary: Boundary,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accept and serve callers until cancelled.
@@ -115,8 +118,14 @@
         Address to listen on, ``ip:port``.
     serve
         Serves one caller until its session ends.
+    boundary
+        Receives unexpected errors.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on.
     """
-    ip, _, port = address.rpartition(':')
 
     async def handle(stream: SocketStream) -> None:  # noqa: WPS430
         channel = LineCallerChannel(stream=LineStream(stream=stream))
@@ -128,8 +137,5 @@
         finally:
             await channel.close()
 
-    listener = await anyio.create_tcp_listener(
-        local_host=ip, local_port=int(port), backlog=_BACKLOG
-    )
-    task_status.started()
-    await listener.serve(handle)
+    listener = Listener(place='callers', serve=handle, boundary=boundary)
+    await listener.run(address, backlog=_BACKLOG, task_status=task_status)
--- a/lavendergate/platform/readiness.py
+++ b/lavendergate/platform/readiness.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskStatus
 
 from lavendergate.rpc.http import HttpRequest, HttpResponse, serve_http
+from lavendergate.supervision.boundary import Boundary
 
 _READY = HttpResponse(status=200)
 _NOT_READY = HttpResponse(status=503)
@@ -21,6 +22,7 @@
     address: str,
     is_ready: Callable[[], bool],
     *,
+    boundary: Boundary,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer the platform's readiness checks until cancelled.
@@ -31,6 +33,8 @@
         Address to listen on, ``ip:port``.
     is_ready
         Returns whether callers may be sent to this host.
+    boundary
+        Receives unexpected errors.
     """
 
     async def handle(request: HttpRequest) -> HttpResponse:  # noqa: WPS430
@@ -42,6 +46,7 @@
         address,
         handle,
         max_body_bytes=_MAX_BODY_BYTES,
+        boundary=boundary,
         task_status=task_status,
     )
 
@@ -50,6 +55,7 @@
     ip: str,
     render: Callable[[], bytes],
     *,
+    boundary: Boundary,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve metrics on `METRICS_PORT` until cancelled.
@@ -60,6 +66,8 @@
         IP address of the host.
     render
         Returns all metrics in the text exposition format.
+    boundary
+        Receives unexpected errors.
     """
 
     async def handle(request: HttpRequest) -> HttpResponse:  # noqa: WPS430
@@ -71,5 +79,6 @@
         f'{ip}:{METRICS_PORT}',
         handle,
         max_body_bytes=_MAX_BODY_BYTES,
+        boundary=boundary,
         task_status=task_status,
     )
--- a/lavendergate/rpc/http.py
+++ b/lavendergate/rpc/http.py
@@ -12,6 +12,9 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
+from lavendergate.supervision.boundary import Boundary
+from lavendergate.supervision.listener import Listener
+
 _READ_SIZE_BYTES = 65_536
 # Time for a complete request to arrive, in seconds. Also closes a persistent
 # connection that stays idle for this long.
@@ -23,6 +26,7 @@
 _JSON = 'application/json'
 _BAD_REQUEST = 400
 _CONTENT_TOO_LARGE = 413
+_INTERNAL_ERROR = 500
 
 _CONNECTION_ERRORS = (
     anyio.EndOfStream,
@@ -70,10 +74,13 @@
     handle: RequestHandler,
     *,
     max_body_bytes: int,
+    boundary: Boundary,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve requests until cancelled.
 
+    An unexpected error of the handler is answered with status 500.
+
     Parameters
     ----------
     address
@@ -83,8 +90,19 @@
     max_body_bytes
         Maximum length of a request body in bytes; a longer one is answered
         with status 413.
+    boundary
+        Receives unexpected errors.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on.
     """
-    ip, _, port = address.rpartition(':')
+
+    async def respond(request: HttpRequest) -> HttpResponse:  # noqa: WPS430
+        with boundary.contain('http request'):
+            return await handle(request)
+        return HttpResponse(status=_INTERNAL_ERROR)
 
     async def serve(stream: SocketStream) -> None:  # noqa: WPS430
         async with stream:
@@ -92,17 +110,14 @@
                 stream=stream, max_body_bytes=max_body_bytes
             )
             try:
-                await connection.serve(handle)
+                await connection.serve(respond)
             except _PEER_ERRORS:
                 # The peer disconnected, timed out or violated HTTP. Only
                 # this connection ends.
                 return
 
-    listener = await anyio.create_tcp_listener(
-        local_host=ip, local_port=int(port), backlog=_BACKLOG
-    )
-    task_status.started()
-    await listener.serve(serve)
+    listener = Listener(place='http', serve=serve, boundary=boundary)
+    await listener.run(address, backlog=_BACKLOG, task_status=task_status)
 
 
 async def call_http(
--- a/lavendergate/rpc/relay_stream.py
+++ b/lavendergate/rpc/relay_stream.py
@@ -12,7 +12,7 @@
 
 import anyio
 import msgspec
-from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup, TaskStatus
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from lavendergate.rpc.limit_service import (
@@ -26,7 +26,14 @@
     RelayNotSentError,
     RelayTransport,
 )
-
+from lavendergate.supervision.boundary import Boundary
+from lavendergate.supervision.listener import Listener
+
+_BACKLOG = 1024
+# Statements that one connection may have running. Above it no further ones
+# are read, so that a proxy that sends without end fills no memory here. A
+# proxy sends at most one statement for each of its callers.
+_MAX_RUNNING = 4096
 _LENGTH_BYTES = 4
 # Time after which the kernel checks whether the peer of an idle connection is
 # still there, in seconds.
@@ -133,6 +140,7 @@
     handler: RelayHandler,
     limits: LimitHandler | None = None,
     *,
+    boundary: Boundary,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run the statements of other proxies until cancelled.
@@ -143,66 +151,110 @@
         Address to listen on, ``ip:port``.
     limits
         Answers questions about limits; None if this host owns none.
+    boundary
+        Receives unexpected errors.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on.
     """
-    ip, _, port = address.rpartition(':')
 
     async def serve(stream: SocketStream) -> None:  # noqa: WPS430
         async with stream:
+            connection = _ServedConnection(
+                frames=_FrameStream(stream=stream),
+                handler=handler,
+                limits=limits,
+                boundary=boundary,
+            )
             try:
-                await _serve_connection(
-                    _FrameStream(stream=stream), handler, limits
-                )
+                await connection.run()
             except _LOST_ERRORS:
                 # Only this connection ends.
                 return
 
-    listener = await anyio.create_tcp_listener(
-        local_host=ip, local_port=int(port), backlog=1024
-    )
-    task_status.started()
-    await listener.serve(serve)
+    listener = Listener(place='relay', serve=serve, boundary=boundary)
+    await listener.run(address, backlog=_BACKLOG, task_status=task_status)
 
 
-async def _serve_connection(
-    frames: _FrameStream,
-    handler: RelayHandler,
-    limits: LimitHandler | None,
-) -> None:
-    async with anyio.create_task_group() as tasks:
-        try:
-            while True:
-                frame = _request_decoder.decode(await frames.read())
-                tasks.start_soon(_answer, frames, handler, limits, frame)
-        except _LOST_ERRORS:
-            # Statements whose answers nobody reads are broken off, which makes
-            # their members roll back.
-            tasks.cancel_scope.cancel()
+class _ServedConnection:
+    """Connection of another proxy, whose statements this one runs."""
 
+    def __init__(
+        self,
+        *,
+        frames: _FrameStream,
+        handler: RelayHandler,
+        limits: LimitHandler | None,
+        boundary: Boundary,
+    ) -> None:
+        self._frames = frames
+        self._handler = handler
+        self._limits = limits
+        self._boundary = boundary
+        self._running = 0
+        self._has_room = anyio.Event()
 
-async def _answer(
-    frames: _FrameStream,
-    handler: RelayHandler,
-    limits: LimitHandler | None,
-    frame: _RequestFrame,
-) -> None:
-    request = frame.request
-    reply = None if request is None else await handler.handle(request)
-    asked = frame.limit_request
-    limit_reply = (
-        None if asked is None or limits is None else await limits.handle(asked)
-    )
-    try:
-        await frames.write(
-            _ReplyFrame(
-                number=frame.number,
-                reply=reply,
-                now_ms=handler.now_ms(),
-                limit_reply=limit_reply,
-            )
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            try:
+                await self._read_requests(tasks)
+            except _LOST_ERRORS:
+                # Statements whose answers nobody reads are broken off, which
+                # makes their members roll back.
+                tasks.cancel_scope.cancel()
+
+    async def _read_requests(self, tasks: TaskGroup) -> None:
+        while True:
+            while self._running >= _MAX_RUNNING:
+                self._has_room = anyio.Event()
+                await self._has_room.wait()
+            frame = _request_decoder.decode(await self._frames.read())
+            self._running += 1
+            tasks.start_soon(self._answer, frame)
+
+    async def _answer(self, frame: _RequestFrame) -> None:
+        try:
+            with self._boundary.contain('relayed request'):
+                await self._write(await self._reply_to(frame))
+                return
+            # The other proxy can't know whether the statement ran, and must
+            # not wait for its answer. A reply without content tells that.
+            with self._boundary.contain('relayed request'):
+                await self._write(self._reply(frame))
+        finally:
+            self._running -= 1
+            self._has_room.set()
+
+    async def _reply_to(self, frame: _RequestFrame) -> _ReplyFrame:
+        request = frame.request
+        reply = None if request is None else await self._handler.handle(request)
+        asked = frame.limit_request
+        limits = self._limits
+        if asked is None or limits is None:
+            return self._reply(frame, reply)
+        return self._reply(frame, reply, await limits.handle(asked))
+
+    def _reply(
+        self,
+        frame: _RequestFrame,
+        reply: RelayReply | None = None,
+        limit_reply: LimitReply | None = None,
+    ) -> _ReplyFrame:
+        return _ReplyFrame(
+            number=frame.number,
+            reply=reply,
+            now_ms=self._handler.now_ms(),
+            limit_reply=limit_reply,
         )
-    except _LOST_ERRORS:
-        # The reader of this connection notices the loss, too.
-        return
+
+    async def _write(self, reply: _ReplyFrame) -> None:
+        try:
+            await self._frames.write(reply)
+        except _LOST_ERRORS:
+            # The reader of this connection notices the loss, too.
+            return
 
 
 class _Connection:
@@ -249,8 +301,10 @@
                     self._replies[reply.number] = reply
                     answered.set()
         except _LOST_ERRORS:
-            self.fail()
+            return
         finally:
+            # Also after an unexpected error: calls must not wait for ever.
+            self.fail()
             await self._frames.close()
 
     def fail(self) -> None:
--- a/lavendergate/supervision/boundary.py
+++ b/lavendergate/supervision/boundary.py
@@ -52,7 +52,9 @@
         for place in self._counts.elements():
             observer(place)
 
-    def report(self, place: str, error: BaseException) -> None:
+    def report(
+        self, place: str, error: BaseException, *, is_logged: bool = True
+    ) -> None:
         """Log and count an error that was caught elsewhere.
 
         Parameters
@@ -60,16 +62,19 @@
         place
             Name of the failed activity: a few fixed words, no value, since
             it is the label of a metric.
+        is_logged
+            Whether to log it; False if a similar error was logged just now.
         """
         self._counts[place] += 1
-        self._events.emit(
-            ProcessEvent.task_failed,
-            task=place,
-            reason=repr(error),
-            traceback=''.join(
-                traceback.format_exception(error)[-_TRACEBACK_ENTRIES:]
-            )[-_MAX_TRACEBACK_CHARACTERS:],
-        )
+        if is_logged:
+            self._events.emit(
+                ProcessEvent.task_failed,
+                task=place,
+                reason=repr(error),
+                traceback=''.join(
+                    traceback.format_exception(error)[-_TRACEBACK_ENTRIES:]
+                )[-_MAX_TRACEBACK_CHARACTERS:],
+            )
         for observer in self._observers:
             observer(place)
 
--- a/lavendergate/tests/socket_fixture.py
+++ b/lavendergate/tests/socket_fixture.py
@@ -7,6 +7,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from lavendergate.observability.log import MemoryEventLog
+from lavendergate.supervision.boundary import Boundary
+
 
 def free_address() -> str:
     """Return a loopback address, ``ip:port``, on which nothing listens."""
@@ -16,6 +19,11 @@
     return f'127.0.0.1:{port}'
 
 
+def make_boundary() -> Boundary:
+    """Return a boundary whose log nobody reads."""
+    return Boundary(events=MemoryEventLog())
+
+
 def run_scenario(scenario: Callable[[TaskGroup], Awaitable[None]]) -> None:
     """Run a scenario with a task group that is cancelled at its end.
 
--- a/lavendergate/tests/test_http.py
+++ b/lavendergate/tests/test_http.py
@@ -15,7 +15,11 @@
     call_http,
     serve_http,
 )
-from lavendergate.tests.socket_fixture import free_address, run_scenario
+from lavendergate.tests.socket_fixture import (
+    free_address,
+    make_boundary,
+    run_scenario,
+)
 
 _MAX_BODY = 1000
 
@@ -40,6 +44,7 @@
                 address,
                 handle,
                 max_body_bytes=_MAX_BODY,
+                boundary=make_boundary(),
                 **options,  # type: ignore[arg-type]
             )
 
@@ -102,6 +107,7 @@
                 address,
                 handle,
                 max_body_bytes=_MAX_BODY,
+                boundary=make_boundary(),
                 **options,  # type: ignore[arg-type]
             )
 
@@ -139,6 +145,7 @@
                 address,
                 handle,
                 max_body_bytes=_MAX_BODY,
+                boundary=make_boundary(),
                 **options,  # type: ignore[arg-type]
             )
 
--- a/lavendergate/tests/test_platform_sockets.py
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from functools import partial
 
 import msgspec
 from anyio.abc import TaskGroup
@@ -38,7 +39,11 @@
     HttpRequest,
     call_http,
 )
-from lavendergate.tests.socket_fixture import free_address, run_scenario
+from lavendergate.tests.socket_fixture import (
+    free_address,
+    make_boundary,
+    run_scenario,
+)
 from standin.line_member import serve_member
 from standin.session_group import GroupDialer, SessionGroup
 
@@ -161,7 +166,9 @@
 
         async def scenario(tasks: TaskGroup) -> None:
             address = free_address()
-            await tasks.start(serve_callers, address, echo)
+            await tasks.start(
+                partial(serve_callers, address, echo, boundary=make_boundary())
+            )
             reader, writer = await asyncio.open_connection(*address.split(':'))
             writer.write(b'START known u1\r\nQUERY 1 READ x\r\n')
             writer.write(b'QUERY 2 \xc3\xa4 ?\r\nBYE\r\n')
@@ -187,7 +194,9 @@
 
         async def scenario(tasks: TaskGroup) -> None:
             address = free_address()
-            await tasks.start(serve_callers, address, echo)
+            await tasks.start(
+                partial(serve_callers, address, echo, boundary=make_boundary())
+            )
             for sent, expected in (
                 (b'START other u1\r\n', b'ERR NODB -\r\n'),
                 (b'\xff\xfe\r\n', b''),
@@ -280,7 +289,14 @@
 
         async def scenario(tasks: TaskGroup) -> None:
             address = free_address()
-            await tasks.start(serve_readiness, address, ready.pop)
+            await tasks.start(
+                partial(
+                    serve_readiness,
+                    address,
+                    ready.pop,
+                    boundary=make_boundary(),
+                )
+            )
             statuses = [
                 (
                     await call_http(
--- a/lavendergate/tests/test_relay_stream.py
+++ b/lavendergate/tests/test_relay_stream.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -16,6 +17,7 @@
 )
 from lavendergate.rpc.relay_stream import StreamRelayTransport, serve_relays
 from lavendergate.rpc.relay_transport import RelayLostError, RelayNotSentError
+from lavendergate.tests.socket_fixture import make_boundary
 
 
 def free_address() -> str:
@@ -68,7 +70,11 @@
         address = free_address()
         handler = _Handler()
         async with anyio.create_task_group() as tasks:
-            await tasks.start(serve_relays, address, handler)
+            await tasks.start(
+                partial(
+                    serve_relays, address, handler, boundary=make_boundary()
+                )
+            )
             transport = StreamRelayTransport(tasks=tasks)
             with anyio.fail_after(10):
                 await scenario(handler, transport, address, tasks)
