--- a/lavendergate/supervision/boundary.py
+++ b/lavendergate/supervision/boundary.py
@@ -64,7 +64,9 @@
         for place in self._counts.elements():
             observer(place)
 
-    def report(self, place: str, error: BaseException) -> None:
+    def report(
+        self, place: str, error: BaseException, *, is_logged: bool = True
+    ) -> None:
         """Log and count an error that was caught elsewhere.
 
         Parameters
@@ -72,9 +74,12 @@
         place
             Name of the failed activity: a few fixed words, no value, since
             it is the label of a metric.
+        is_logged
+            Whether to log it; False if a similar error was logged just now.
         """
         self._counts[place] += 1
-        self._log(place, error)
+        if is_logged:
+            self._log(place, error)
         for observer in self._observers:
             observer(place)
 
