Handle signals before the imports of a role

What callers saw: a host that was told to read its settings again in the first 0.3 to 0.5 s after its start ended by the signal.

Cause: SIGHUP was ignored only after anyio, msgspec and eliot had been imported, and SIGTERM and SIGINT had the default actions until the event loop ran.

Change: the entry point is a package whose __main__ sets the signals first.

--- a/lavendergate/daemon/hosted.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -1,7 +1,6 @@
-"""Entry point of the daemon on the hosting platform."""
+"""Runs a role of the daemon on the hosting platform."""
 
 import os
-import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -32,10 +31,6 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the role given as the only argument, ``proxy`` or ``control``."""
-    # SIGHUP would end a process that has not installed its handler yet. A
-    # reload that is ignored here is not lost, because the settings file is
-    # polled every second.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     words = sys.argv[1:] if arguments is None else arguments
     role = words[0] if len(words) == 1 else ''
     if role not in {'proxy', 'control'}:
@@ -93,7 +88,3 @@
         host=HostId(settings.node_name), clock=ProcessClock(), stream=stream
     )
     return RateLimitedEventLog(target=target, clock=time.monotonic)
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/lavendergate/tests/test_start_signals.py
+++ b/lavendergate/tests/test_start_signals.py
@@ -26,15 +26,16 @@
 address = "127.0.0.1:8783"
 """
 _SIGNALLED_START = """
-import os, signal, sys
-from lavendergate.daemon import hosted
+import os, runpy, signal, sys
+from lavendergate.daemon.hosted import start
 
 def load_role(role):
     os.kill(os.getpid(), signal.SIGHUP)
     sys.exit(7)
 
-hosted._load_role = load_role
-hosted.main(['control'])
+start._load_role = load_role
+sys.argv = ['hosted', 'control']
+runpy.run_module('lavendergate.daemon.hosted', run_name='__main__')
 """
 
 
