Read the settings file again until it holds

What callers saw: a host whose settings file was empty or half written at its start ended with status 1, and met the same file after its restart. A file cut after a complete line was taken for whole: seeds, grace period and the platform's address fell back to their defaults, also on a reload.

Cause: one reading, and a check of types only.

A file must hold the keys that the platform always writes; the tables at its end tell a whole file from a part. A reload must hold every key of the settings in force. An address that the role needs is part of the settings. Errors that refuse a start end the process with a status of their own; the event names it.

A complete file is not waited for.

--- a/lavendergate/daemon/hosted/start.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -4,11 +4,18 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 
 from lavendergate.core.types import HostId
+from lavendergate.daemon.hosted.settings_wait import (
+    WaitedSettings,
+    wait_for_settings,
+    write_error,
+)
 from lavendergate.daemon.hosted_process import HostedProcess
+from lavendergate.daemon.start_refusal import ExitCode, StartRefusedError
 from lavendergate.observability.file_log import JsonEventLog
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_clock import ProcessClock
@@ -17,14 +24,11 @@
 from lavendergate.platform.settings_file import (
     HostSettings,
     SettingsFileError,
-    load_settings,
 )
 
-EXIT_USAGE = 2
-EXIT_START = 1
-
 _VERSION = '0.1.0'
 _STDOUT_FD = 1
+_MS_PER_S = 1000
 
 RunRole = Callable[[HostedProcess], Awaitable[None]]
 
@@ -34,17 +38,49 @@
     words = sys.argv[1:] if arguments is None else arguments
     role = words[0] if len(words) == 1 else ''
     if role not in {'proxy', 'control'}:
-        sys.stderr.write(
-            f'unknown role {role!r}: expected "proxy" or "control"\n'
-        )
-        return EXIT_USAGE
+        write_error(f'unknown role {role!r}: expected "proxy" or "control"')
+        return ExitCode.usage
     try:
-        settings = load_settings()
+        waited = wait_for_settings(role)
     except SettingsFileError as error:
-        sys.stderr.write(f'{error}\n')
-        return EXIT_START
-    anyio.run(_run, _load_role(role), settings, role)
-    return 0
+        write_error(
+            f'the process ends with status {ExitCode.settings}: {error}'
+        )
+        return ExitCode.settings
+    run_role = partial(_run_or_refuse, _load_role(role), waited)
+    anyio.run(_run, run_role, waited.settings, role)
+    return ExitCode.stopped
+
+
+async def _run_or_refuse(
+    run_role: RunRole, waited: WaitedSettings, process: HostedProcess
+) -> None:
+    """Run a role; end the process if the role cannot be served."""
+    if waited.reason:
+        process.events.emit(
+            ProcessEvent.settings_late,
+            duration_ms=round(waited.waited_s * _MS_PER_S),
+            reason=waited.reason,
+        )
+    try:
+        await run_role(process)
+    except* StartRefusedError as refused:
+        refusal = _first_refusal(refused)
+        process.events.emit(
+            ProcessEvent.start_refused,
+            status=refusal.exit_code,
+            reason=str(refusal),
+        )
+        write_error(str(refusal))
+        os._exit(refusal.exit_code)  # noqa: WPS437
+
+
+def _first_refusal(
+    error: BaseExceptionGroup[StartRefusedError] | StartRefusedError,
+) -> StartRefusedError:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
 
 
 def _load_role(role: str) -> RunRole:
--- a/lavendergate/daemon/hosted_process.py
+++ b/lavendergate/daemon/hosted_process.py
@@ -97,7 +97,7 @@
             Whether to log nothing if the settings are unchanged.
         """
         try:
-            settings = load_settings()
+            settings = load_settings(self._settings)
         except SettingsFileError as error:
             self._events.emit(
                 SessionEvent.settings_reloaded, outcome=str(error)
--- a/lavendergate/observability/process_events.py
+++ b/lavendergate/observability/process_events.py
@@ -83,3 +83,26 @@
         'account {account} is not configured',
         'Set the environment variable that the page of options names.',
     )
+    settings_late = define(
+        7050,
+        Level.warning,
+        'the settings file was read again for {duration_ms} ms: {reason}',
+        'Replace the settings file by renaming a complete one into its place.',
+    )
+    address_taken = define(
+        7051,
+        Level.warning,
+        'cannot listen on {address} yet: {reason}',
+        'End the process that holds the port; the host tries again.',
+    )
+    address_free = define(
+        7052,
+        Level.info,
+        'listens on {address} after {duration_ms} ms',
+    )
+    start_refused = define(
+        7053,
+        Level.error,
+        'the process ends with status {status}: {reason}',
+        'Follow the reason; docs/operations/exit-codes.md lists the statuses.',
+    )
--- a/lavendergate/platform/settings_file.py
+++ b/lavendergate/platform/settings_file.py
@@ -1,12 +1,31 @@
 """Settings file that the platform provides to each process."""
 
 import os
+from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 SETTINGS_VARIABLE = 'LAVENDERGATE_BOOT'
 
+# Keys that the platform writes into every file. The last tables stand at its
+# end, so that a file of which only the begin has been written lacks one.
+_EXPECTED_KEYS = frozenset(
+    (
+        'seeds',
+        'bootstrap',
+        'bindAddrs',
+        'bounds',
+        'bounds.graceS',
+        'cloudApi',
+        'cloudApi.address',
+    )
+)
+# Taken for a key of a file whose last line is complete, so that a later file
+# whose last number was cut off is recognised.
+_FINAL_LINE_END = 'the end of its last line'
+
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
     """Limits that the platform imposes on the system.
@@ -91,6 +110,8 @@
         Whether this is the first start of the whole system.
     heartbeat_ms
         Not used.
+    given_keys
+        Keys that the file held, those of tables as ``table.key``.
     """
 
     node_name: str
@@ -105,6 +126,7 @@
     bind_addrs: ListenAddresses = ListenAddresses()
     bounds: Bounds = Bounds()
     cloud_api: PlatformApi = PlatformApi()
+    given_keys: frozenset[str] = frozenset()
 
     @property
     def internal_address(self) -> str:
@@ -125,24 +147,73 @@
     """The settings file is missing or invalid."""
 
 
-def load_settings() -> HostSettings:
+class SettingsVariableError(SettingsFileError):
+    """The process was not told where its settings file is."""
+
+
+class IncompleteSettingsError(SettingsFileError):
+    """The settings file is valid, but lacks keys that it should hold.
+
+    Parameters
+    ----------
+    settings
+        The settings, with default values for the missing keys.
+    """
+
+    def __init__(self, message: str, *, settings: HostSettings) -> None:
+        super().__init__(message)
+        self.settings = settings
+
+
+def load_settings(previous: HostSettings | None = None) -> HostSettings:
     """Read the settings file.
 
+    Parameters
+    ----------
+    previous
+        Settings in force. A file must hold every key that theirs held, so
+        that one of which only the begin has been written sets no value back
+        to its default.
+
     Raises
     ------
     SettingsFileError
-        If the file is missing, or a field is missing or has a wrong type.
+        If the file is missing, a field is missing or has a wrong type, or the
+        file is incomplete.
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if path is None:
-        raise SettingsFileError(
+        raise SettingsVariableError(
             f'{SETTINGS_VARIABLE} is not set: set it to the path of the '
             'settings file'
         )
     try:
         content = Path(path).read_bytes()
-        return msgspec.toml.decode(content, type=HostSettings)
+        fields = msgspec.toml.decode(content)
+        settings = msgspec.convert(fields, HostSettings, str_keys=True)
     except (OSError, msgspec.MsgspecError, ValueError) as error:
         raise SettingsFileError(
             f'cannot load settings file {path}: {error}'
         ) from error
+    given_keys = _keys_of(fields)
+    if content.endswith(b'\n'):
+        given_keys |= {_FINAL_LINE_END}
+    settings = msgspec.structs.replace(settings, given_keys=given_keys)
+    expected = _EXPECTED_KEYS if previous is None else previous.given_keys
+    missing = sorted(expected - settings.given_keys)
+    if missing:
+        raise IncompleteSettingsError(
+            f'settings file {path} is incomplete, it lacks '
+            f'{", ".join(missing)}: write all keys, and rename a complete '
+            'file into its place',
+            settings=settings,
+        )
+    return settings
+
+
+def _keys_of(fields: Mapping[str, Any]) -> frozenset[str]:
+    keys = set(fields)
+    for name, table in fields.items():
+        if isinstance(table, dict):
+            keys.update(f'{name}.{key}' for key in table)
+    return frozenset(keys)
