Try again for a port that is taken at the start

What callers saw: a process ended with status 1 and a traceback while another one held the port of its metrics or one that it serves, for however short.

Cause: each listener was opened once; the metrics in the order of the others.

Change: a listener that the role needs is tried again for 60 s, every 0.1 s, with an event at the first failure and at the end; then the process ends with status 5 and names address and remedy. The port of the metrics is served aside and tried without an end. A stop signal ends the process meanwhile. This includes the gRPC server of control hosts and the listener for relays.

--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -18,6 +18,7 @@
 from lavendergate.core.types import HostId, UpstreamId
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.daemon.listening import listen, serve_aside
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.platform.control_calls import (
     MAX_BODY_BYTES,
@@ -26,7 +27,7 @@
 )
 from lavendergate.platform.documents import decode_routes
 from lavendergate.platform.promotion_calls import PlatformPromotions
-from lavendergate.platform.readiness import serve_metrics
+from lavendergate.platform.readiness import METRICS_PORT, serve_metrics
 from lavendergate.rpc.fleet_service import (
     PROPOSE_ROUTES,
     READ_ROUTES,
@@ -87,13 +88,16 @@
             raise ValueError(
                 'bindAddrs.control is missing in the settings file'
             )
-        await self._tasks.start(
-            partial(
-                serve_http,
-                settings.bind_addrs.control,
-                ControlHttp(calls=self).handle,
-                max_body_bytes=MAX_BODY_BYTES,
-            )
+        serve = partial(
+            serve_http,
+            settings.bind_addrs.control,
+            ControlHttp(calls=self).handle,
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+        await listen(
+            self._process,
+            settings.bind_addrs.control,
+            partial(self._tasks.start, serve),
         )
         self._metrics.is_leader.set_function(
             lambda: int(self._fleet.is_leading)
@@ -105,14 +109,13 @@
             lambda: self._node.storage_wait_s
         )
         self._show_tolerance()
-        await self._tasks.start(
-            serve_metrics, settings.ip, self._metrics.render
-        )
-        self._tasks.start_soon(
-            self._process.boundary.keep_running,
-            'takeover',
-            self._takeover.run,
-        )
+        for name, run in (
+            ('metrics', self._serve_metrics),
+            ('takeover', self._takeover.run),
+        ):
+            self._tasks.start_soon(
+                self._process.boundary.keep_running, name, run
+            )
 
     async def announce(self, entry: MemberEntry) -> bool:
         """Merge an announcement; see the base class."""
@@ -160,6 +163,14 @@
             reply = forwarded or RoutesReply(content=None)
         return None if reply.content is None else unpack_routes(reply.content)
 
+    async def _serve_metrics(self) -> None:
+        ip = self._process.settings.ip
+        await serve_aside(
+            self._process,
+            f'{ip}:{METRICS_PORT}',
+            partial(serve_metrics, ip, self._metrics.render),
+        )
+
     def _show_tolerance(self) -> None:
         watch = self._control.tolerance_watch
         for gauge, value_of in (
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -1,6 +1,7 @@
 """The control role on the hosting platform."""
 
 import os
+from functools import partial
 from importlib import import_module
 from pathlib import Path
 from typing import TypeVar
@@ -28,6 +29,7 @@
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.daemon.listening import listen
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.settings_file import HostSettings
@@ -247,7 +249,11 @@
             [self._node.service, self._fleet_service()],
             codec=MessagePackCodec(),
         )
-        await server.start(settings.ip, settings.internal_ports[0])
+        await listen(
+            self._process,
+            settings.internal_address,
+            partial(server.start, settings.ip, settings.internal_ports[0]),
+        )
         # These names identify the tasks in the log, field `task`.
         for name, run in (
             ('formation', self._formation.run),
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -1,5 +1,8 @@
 """The proxy role on the hosting platform."""
 
+from collections.abc import Awaitable, Callable
+from functools import partial
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -26,6 +29,7 @@
 from lavendergate.core.types import FailureDomain, HostId
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.daemon.listening import listen, serve_aside
 from lavendergate.filters.chain import compose
 from lavendergate.filters.customers.identification import IdentificationFilter
 from lavendergate.filters.limits.charge import LimitFilter
@@ -40,7 +44,11 @@
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.members import LineMemberDialer
-from lavendergate.platform.readiness import serve_metrics, serve_readiness
+from lavendergate.platform.readiness import (
+    METRICS_PORT,
+    serve_metrics,
+    serve_readiness,
+)
 from lavendergate.platform.settings_file import HostSettings
 from lavendergate.rpc.fleet_service import (
     RelayOffer,
@@ -184,23 +192,28 @@
             raise ValueError(
                 'bindAddrs.front or readiness is missing in the settings file'
             )
-        await self._tasks.start(serve_callers, addresses.front, self._serve)
-        await self._tasks.start(
-            serve_readiness, addresses.readiness, lambda: self.is_ready
+        await self._listen(
+            addresses.front, serve_callers, addresses.front, self._serve
+        )
+        await self._listen(
+            addresses.readiness,
+            serve_readiness,
+            addresses.readiness,
+            lambda: self.is_ready,
         )
         self._metrics.routes_version.set_function(
             lambda: self._view.routes.version
         )
-        await self._tasks.start(
-            serve_metrics, self._process.settings.ip, self._metrics.render
-        )
-        await self._tasks.start(
+        internal_address = self._process.settings.internal_address
+        await self._listen(
+            internal_address,
             serve_relays,
-            self._process.settings.internal_address,
+            internal_address,
             self._home,
             self._limit_owner,
         )
         for name, run in (
+            ('metrics', self._serve_metrics),
             ('feed', self._sync_client.run),
             ('pools', self._pools.run),
             ('home', self._home.run),
@@ -211,6 +224,23 @@
         await self._process.wait_for_stop()
         await self._drain()
 
+    async def _listen(
+        self,
+        address: str,
+        serve: Callable[..., Awaitable[None]],
+        *arguments: object,
+    ) -> None:
+        start = partial(self._tasks.start, serve, *arguments)
+        await listen(self._process, address, start)
+
+    async def _serve_metrics(self) -> None:
+        ip = self._process.settings.ip
+        await serve_aside(
+            self._process,
+            f'{ip}:{METRICS_PORT}',
+            partial(serve_metrics, ip, self._metrics.render),
+        )
+
     async def _serve(self, channel: CallerChannel) -> None:
         try:
             await self._session_service.serve(channel)
--- /dev/null
+++ b/lavendergate/daemon/listening.py
@@ -0,0 +1,117 @@
+"""Starts listeners whose address may be taken for a moment.
+
+A process that just ended, or a connection of another program, can hold a port
+at the start, and the address of a host can appear after its processes.
+"""
+
+import errno
+import math
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import anyio
+
+from lavendergate.daemon.hosted_process import HostedProcess
+from lavendergate.daemon.start_refusal import ExitCode, StartRefusedError
+from lavendergate.observability.process_events import ProcessEvent
+
+# Time for which a listener that the role needs is tried again, in seconds.
+ADDRESS_WAIT_S = 60.0
+
+_RETRY_INTERVAL_S = 0.1
+_MS_PER_S = 1000
+_TAKEN = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+
+StartListener = Callable[[], Awaitable[object]]
+
+
+async def listen(
+    process: HostedProcess,
+    address: str,
+    start: StartListener,
+    *,
+    limit_s: float = ADDRESS_WAIT_S,
+) -> None:
+    """Start a listener; try again while its address is taken.
+
+    A stop signal ends the process meanwhile.
+
+    Parameters
+    ----------
+    address
+        Address of the listener, ``ip:port``, for the log.
+    start
+        Starts the listener and returns once it listens.
+    limit_s
+        Time for which an address may be taken, in seconds.
+
+    Raises
+    ------
+    StartRefusedError
+        If the address is taken for longer, or cannot be used at all.
+    """
+    began_at = anyio.current_time()
+    is_reported = False
+    while True:
+        try:
+            await start()
+        except OSError as error:
+            _check_retry(
+                address, error, anyio.current_time() - began_at, limit_s
+            )
+            if not is_reported:
+                process.events.emit(
+                    ProcessEvent.address_taken,
+                    address=address,
+                    reason=error.strerror or repr(error),
+                )
+            is_reported = True
+        else:
+            break
+        await pause(process, _RETRY_INTERVAL_S)
+    if is_reported:
+        waited_s = anyio.current_time() - began_at
+        process.events.emit(
+            ProcessEvent.address_free,
+            address=address,
+            duration_ms=round(waited_s * _MS_PER_S),
+        )
+
+
+async def serve_aside(
+    process: HostedProcess,
+    address: str,
+    serve: Callable[..., Awaitable[object]],
+) -> None:
+    """Serve until cancelled; try for an address that is taken without end.
+
+    Parameters
+    ----------
+    serve
+        Listens and serves, and reports through `task_status` that it listens.
+    """
+    async with anyio.create_task_group() as tasks:
+        start = partial(tasks.start, serve)
+        await listen(process, address, start, limit_s=math.inf)
+
+
+async def pause(process: HostedProcess, duration_s: float) -> None:
+    """Sleep during the start; a stop signal ends the process."""
+    with anyio.move_on_after(duration_s):
+        await process.wait_for_stop()
+        process.exit()
+
+
+def _check_retry(
+    address: str, error: OSError, waited_s: float, limit_s: float
+) -> None:
+    if error.errno in _TAKEN and waited_s < limit_s:
+        return
+    raise StartRefusedError(
+        exit_code=ExitCode.address,
+        reason=(
+            f'cannot listen on {address} after {waited_s:.0f} s: {error}: end '
+            'the process that holds the port, or correct the address in the '
+            'settings file'
+        ),
+    ) from error
