--- a/lavendergate/daemon/hosted.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -1,14 +1,21 @@
-"""Entry point of the daemon on the hosting platform."""
+"""Runs a role of the daemon on the hosting platform."""
 
-import signal
+import os
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 
 from lavendergate.core.types import HostId
+from lavendergate.daemon.hosted.settings_wait import (
+    WaitedSettings,
+    wait_for_settings,
+    write_error,
+)
 from lavendergate.daemon.hosted_process import HostedProcess
+from lavendergate.daemon.start_refusal import ExitCode, StartRefusedError
 from lavendergate.observability.file_log import JsonEventLog
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_clock import ProcessClock
@@ -22,13 +29,10 @@
 from lavendergate.platform.settings_file import (
     HostSettings,
     SettingsFileError,
-    load_settings,
 )
 
-EXIT_USAGE = 2
-EXIT_START = 1
-
 _VERSION = '0.1.0'
+_MS_PER_S = 1000
 
 RunRole = Callable[[HostedProcess], Awaitable[None]]
 
@@ -36,24 +40,53 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the role given as the only argument, ``proxy`` or ``control``."""
     reserve_standard_descriptors()
-    # SIGHUP would end a process that has not installed its handler yet. A
-    # reload that is ignored here is not lost, because the settings file is
-    # polled every second.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     words = sys.argv[1:] if arguments is None else arguments
     role = words[0] if len(words) == 1 else ''
     if role not in {'proxy', 'control'}:
-        sys.stderr.write(
-            f'unknown role {role!r}: expected "proxy" or "control"\n'
-        )
-        return EXIT_USAGE
+        write_error(f'unknown role {role!r}: expected "proxy" or "control"')
+        return ExitCode.usage
     try:
-        settings = load_settings()
+        waited = wait_for_settings(role)
     except SettingsFileError as error:
-        sys.stderr.write(f'{error}\n')
-        return EXIT_START
-    anyio.run(_run, _load_role(role), settings, role)
-    return 0
+        write_error(
+            f'the process ends with status {ExitCode.settings}: {error}'
+        )
+        return ExitCode.settings
+    run_role = partial(_run_or_refuse, _load_role(role), waited)
+    anyio.run(_run, run_role, waited.settings, role)
+    return ExitCode.stopped
+
+
+async def _run_or_refuse(
+    run_role: RunRole, waited: WaitedSettings, process: HostedProcess
+) -> None:
+    """Run a role; end the process if the role cannot be served."""
+    if waited.reason:
+        process.events.emit(
+            ProcessEvent.settings_late,
+            duration_ms=round(waited.waited_s * _MS_PER_S),
+            reason=waited.reason,
+        )
+    try:
+        await run_role(process)
+    except* StartRefusedError as refused:
+        refusal = _first_refusal(refused)
+        process.events.emit(
+            ProcessEvent.start_refused,
+            status=refusal.exit_code,
+            reason=str(refusal),
+        )
+        process.end.save(status=refusal.exit_code, reason=str(refusal))
+        write_error(str(refusal))
+        os._exit(refusal.exit_code)  # noqa: WPS437
+
+
+def _first_refusal(
+    error: BaseExceptionGroup[StartRefusedError] | StartRefusedError,
+) -> StartRefusedError:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
 
 
 def _load_role(role: str) -> RunRole:
@@ -93,7 +126,3 @@
         stream=LineStream(STANDARD_OUTPUT),
     )
     return RateLimitedEventLog(target=target, clock=time.monotonic)
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/lavendergate/daemon/hosted_process.py
+++ b/lavendergate/daemon/hosted_process.py
@@ -13,7 +13,9 @@
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.settings_file import (
+    SETTLE_S,
     HostSettings,
+    IncompleteSettingsError,
     SettingsFileError,
     load_settings,
 )
@@ -55,6 +57,8 @@
         # Why the settings file is invalid now, and when to log it again.
         self._problem = ''
         self._next_report = float('-inf')
+        self._incomplete: HostSettings | None = None
+        self._incomplete_since = float('-inf')
 
     @property
     def settings(self) -> HostSettings:
@@ -141,7 +145,12 @@
             Whether to log nothing if the settings are unchanged.
         """
         try:
-            settings = load_settings()
+            settings = load_settings(self._settings)
+        except IncompleteSettingsError as error:
+            self._report_invalid(str(error), quiet=quiet)
+            if not self._has_settled(error.settings):
+                return
+            settings = error.settings
         except SettingsFileError as error:
             self._report_invalid(str(error), quiet=quiet)
             return
@@ -156,6 +165,14 @@
                 with self._boundary.contain('settings observer'):
                     observer(settings)
 
+    def _has_settled(self, incomplete: HostSettings) -> bool:
+        """Return whether a file without some former keys stays as it is."""
+        now = anyio.current_time()
+        if incomplete != self._incomplete:
+            self._incomplete = incomplete
+            self._incomplete_since = now
+        return now - self._incomplete_since >= SETTLE_S
+
     def _handle_signal(self, signal_number: signal.Signals) -> None:
         if signal_number == signal.SIGHUP:
             self.reload()
--- a/lavendergate/rpc/relay_stream.py
+++ b/lavendergate/rpc/relay_stream.py
@@ -16,7 +16,11 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from lavendergate.core.bounds.addresses import split_address
-from lavendergate.core.bounds.decoding import decode_msgpack, encode_msgpack
+from lavendergate.core.bounds.decoding import (
+    NotEncodableError,
+    decode_msgpack,
+    encode_msgpack,
+)
 from lavendergate.core.bounds.ranges import Integer
 from lavendergate.rpc.limit_service import (
     LimitReply,
@@ -256,6 +260,9 @@
     async def _write(self, reply: _ReplyFrame) -> None:
         try:
             await self._frames.write(reply)
+        except NotEncodableError:
+            # Nothing was sent, and the connection is whole.
+            raise
         except _LOST_ERRORS:
             # The reader of this connection notices the loss, too.
             return
--- a/lavendergate/tests/supervision/process_fixture.py
+++ b/lavendergate/tests/supervision/process_fixture.py
@@ -59,6 +59,8 @@
             'nodeName = "core-1"\nip = "127.0.0.1"\nzone = "z"\n'
             f'region = "r"\ninternalPorts = [{port}, {port}]\n'
             f'bootstrap = true\ndataDir = "{self.data}"\n'
+            'seeds = []\n[bindAddrs]\n[bounds]\ngraceS = 6\n'
+            '[cloudApi]\naddress = "127.0.0.1:9"\n'
         )
 
     def run_role(self, role: str) -> tuple[int, list[dict[str, Any]], str]:
--- a/lavendergate/tests/supervision/test_reloads.py
+++ b/lavendergate/tests/supervision/test_reloads.py
@@ -9,7 +9,11 @@
 from lavendergate.daemon.hosted_process import HostedProcess
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.observability.session_events import SessionEvent
-from lavendergate.platform.settings_file import HostSettings, SettingsFileError
+from lavendergate.platform.settings_file import (
+    HostSettings,
+    IncompleteSettingsError,
+    SettingsFileError,
+)
 
 _SETTINGS = HostSettings(
     node_name='a',
@@ -54,6 +58,18 @@
         self.reload(_SETTINGS)
         self.assertEqual(self.outcomes()[2:], ['unchanged'])
 
+    async def test_file_that_stays_without_a_former_key_is_taken(self) -> None:
+        """Guards against settings that can never drop a key again."""
+        changed = msgspec.structs.replace(_SETTINGS, seeds=('127.0.0.1:1',))
+        with mock.patch('anyio.current_time') as clock:
+            for second in range(3):
+                clock.return_value = second
+                self.reload(IncompleteSettingsError('', settings=changed))
+                self.assertEqual(self.process.settings, _SETTINGS)
+            clock.return_value = 3
+            self.reload(IncompleteSettingsError('', settings=changed))
+        self.assertEqual(self.process.settings, changed)
+
     def reload(self, loaded: HostSettings | SettingsFileError) -> None:
         with mock.patch.object(
             hosted_process, 'load_settings', side_effect=[loaded]
