--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -1,6 +1,7 @@
 """The control role on the hosting platform."""
 
 import os
+from functools import partial
 from importlib import import_module
 from pathlib import Path
 from typing import TypeVar
@@ -29,6 +30,7 @@
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.daemon.listening import listen
 from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
@@ -40,6 +42,7 @@
     MERGE,
     PROPOSE_ROUTES,
     READ_ROUTES,
+    REPORT_SILENCES,
     SYNC,
     JoinReply,
     JoinRequest,
@@ -254,7 +257,11 @@
             [self._node.service, self._fleet_service()],
             codec=MessagePackCodec(report=self._odd_values.report),
         )
-        await server.start(settings.ip, settings.internal_ports[0])
+        await listen(
+            self._process,
+            settings.internal_address,
+            partial(server.start, settings.ip, settings.internal_ports[0]),
+        )
         # These names identify the tasks in the log, field `task`.
         for name, run in (
             ('formation', self._formation.run),
@@ -339,6 +346,7 @@
                 READ_ROUTES: self.read_routes,
                 JOIN: self._handle_join,
                 LEAVE: self._formation.handle_leave,
+                REPORT_SILENCES: self._formation.handle_silences,
             }
         )
 
