Log fields that JSON does not hold, and the place of errors in libraries

The soak sent integers beyond 64 bits: the line that named one was dropped, as the serializer refuses it. Such a line is written again with its fields as text. An error of accept named a line of the library only; the function of this package around it follows now. Errors that a library logs with their exception are counted by the name of its logger.

--- a/lavendergate/observability/file_log.py
+++ b/lavendergate/observability/file_log.py
@@ -51,11 +51,24 @@
         self, dictionary: dict[str, Any], serializer: object = None
     ) -> None:
         try:
-            self._destination(dictionary)
+            self._write(dictionary)
         except (OSError, TypeError, ValueError) as error:
             self.dropped += 1
             self.problem = str(error)
 
+    def _write(self, dictionary: dict[str, Any]) -> None:
+        try:
+            self._destination(dictionary)
+        except (TypeError, ValueError):
+            # JSON of the library has no integers beyond 64 bits, and no
+            # characters that are halves of others.
+            fields = {
+                name: ascii(field)
+                for name, field in dictionary['fields'].items()
+            }
+            text = ascii(dictionary['text'])
+            self._destination({**dictionary, 'text': text, 'fields': fields})
+
 
 class JsonEventLog(EventLog):
     """Writes events of one process as JSON lines.
--- a/lavendergate/supervision/error_text.py
+++ b/lavendergate/supervision/error_text.py
@@ -37,16 +37,24 @@
 def place_of(error: BaseException) -> str:
     """Return file, line and function of an error; empty if unknown.
 
-    The innermost function of this package counts, since those of libraries
-    tell less.
+    Where it is a function of a library, the innermost one of this package
+    follows, which may be outside of the group that holds the error.
     """
-    leaf = next(leaf_errors(error))
-    frames = traceback.extract_tb(leaf.__traceback__)
+    frames: list[traceback.FrameSummary] = []
+    inner: BaseException | None = error
+    while inner is not None:
+        frames.extend(traceback.extract_tb(inner.__traceback__))
+        inner = (
+            inner.exceptions[0]
+            if isinstance(inner, BaseExceptionGroup)
+            else None
+        )
     own = [frame for frame in frames if _OWN_PACKAGE in frame.filename]
-    return ''.join(
+    places = [
         f'{frame.filename}:{frame.lineno} {frame.name}'
-        for frame in (own or frames)[-1:]
-    )
+        for frame in (*frames[-1:], *own[-1:])
+    ]
+    return ' in '.join(dict.fromkeys(places))
 
 
 def traceback_of(error: BaseException) -> str:
--- a/lavendergate/supervision/unhandled.py
+++ b/lavendergate/supervision/unhandled.py
@@ -73,10 +73,12 @@
 
     def _handle_warning(self, record: logging.LogRecord) -> None:
         error = record.exc_info[1] if record.exc_info else None
-        text = record.getMessage()
-        if error is not None:
-            text = f'{text}: {error!r}'
-        self._call_in_loop(self._report_warning, record.name, text)
+        if isinstance(error, Exception):
+            self._call_in_loop(self._boundary.report, record.name, error)
+        else:
+            self._call_in_loop(
+                self._report_warning, record.name, record.getMessage()
+            )
 
     def _report_warning(self, library: str, text: str) -> None:
         if self._budget.take():
--- a/lavendergate/tests/observability/test_standard_output.py
+++ b/lavendergate/tests/observability/test_standard_output.py
@@ -86,6 +86,15 @@
         )
         log.emit(ProcessEvent.process_stopped)
 
+    def test_field_that_json_does_not_hold_is_written_as_text(self) -> None:
+        """Guards against the loss of just the line that names an odd value."""
+        self.emit('half a character: \ud800')
+        self.log.emit(ProcessEvent.events_dropped, dropped=10**21, reason='')
+        half, wide = map(json.loads, self.read().splitlines())
+        os.close(self.reader)
+        self.assertIn('ud800', half['fields']['reason'])
+        self.assertEqual(wide['fields']['dropped'], str(10**21))
+
     def emit(self, reason: str) -> None:
         self.log.emit(ProcessEvent.process_stopped, reason=reason)
 
--- a/lavendergate/tests/supervision/test_process_end.py
+++ b/lavendergate/tests/supervision/test_process_end.py
@@ -8,6 +8,7 @@
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.storage.end_record import EndRecord, EndRecordFile
+from lavendergate.supervision.error_text import place_of
 from lavendergate.tests.supervision.process_fixture import ProcessTestCase
 
 _FAILING = """
@@ -44,6 +45,16 @@
             lines[0]['fields']['reason'], "ValueError('odd value')"
         )
 
+    def test_place_is_in_this_package_where_a_library_fails(self) -> None:
+        """Guards against a place that names only a function of a library."""
+        error: Exception = ExceptionGroup('tasks', [OSError(24, 'accept')])
+        try:
+            raise error
+        except ExceptionGroup as raised:
+            place = place_of(raised)
+        self.assertIn('test_process_end.py', place)
+        self.assertIn('test_place_is_in_this_package', place)
+
     def test_stop_by_a_signal_is_told_at_the_next_start(self) -> None:
         """Guards against a planned stop that looks like a crash."""
         status, lines = self.signal_role(signal.SIGTERM)
--- a/lavendergate/tests/supervision/test_unhandled.py
+++ b/lavendergate/tests/supervision/test_unhandled.py
@@ -31,6 +31,10 @@
     logging.getLogger('hpack').warning('odd %s', 'header')
     logging.getLogger('hpack').warning('odd %s %s', 'header')
     warnings.warn('odd call', RuntimeWarning)
+    try:
+        raise ValueError('library')
+    except ValueError:
+        logging.getLogger('grpclib.server').exception('Application error')
     await anyio.sleep(0.2)
     print(sorted(process.boundary.counts.items()), file=sys.stderr)
     process.exit()
@@ -46,7 +50,8 @@
         self.assertEqual(status, 0)
         self.assertEqual(
             errors.strip(),
-            "[('event loop', 2), ('finalizer', 1), ('thread', 1)]",
+            "[('event loop', 2), ('finalizer', 1), "
+            "('grpclib.server', 1), ('thread', 1)]",
         )
         failed = [
             line['fields']['reason']
@@ -57,7 +62,13 @@
             sorted(failed),
             [
                 f'ValueError({kind!r})'
-                for kind in ('callback', 'finalizer', 'task', 'thread')
+                for kind in (
+                    'callback',
+                    'finalizer',
+                    'library',
+                    'task',
+                    'thread',
+                )
             ],
         )
         warned = [
