Add a soak of real processes

One seed plays about 20 s: three control hosts, two to eight proxies, callers that keep their connections, and disturbances in series that overlap: signals, settings files cut in half, odd values, more connections than descriptors, frozen and killed processes, ports taken at a restart, output without a reader, a group killed at its first start. It checks that no process ends by itself, that each statement is answered or its connection closed within 5 s, that acknowledged writes are kept, and that all proxies serve at the end.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo measure environment
+.PHONY: test demo measure soak environment
 
 environment:
 	tools/make_environment
@@ -11,3 +11,8 @@
 
 measure: environment
 	.venv/bin/python -m benchmarks $(NAME)
+
+SEEDS = 50
+soak:
+	sh deploy/build
+	python3 -m faults.soak --seeds $(SEEDS)
