--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -1,5 +1,7 @@
 """The proxy role on the hosting platform."""
 
+from functools import partial
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -39,6 +41,7 @@
 from lavendergate.frontend.planned_stop import PlannedStop
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
+from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.readiness import serve_metrics, serve_readiness
@@ -71,7 +74,10 @@
         self._tasks = tasks
         self._events = process.events
         self._is_draining = False
-        self._peers = PeerClient()
+        odd_values = OddValueLog(
+            events=process.events, clock=anyio.current_time
+        )
+        self._peers = PeerClient(report=odd_values.report)
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
         self._metrics.show_start(process.end.started_at, process.end.previous)
@@ -181,30 +187,46 @@
             raise ValueError(
                 'bindAddrs.front or readiness is missing in the settings file'
             )
-        await self._tasks.start(serve_callers, addresses.front, self._serve)
+        boundary = self._process.boundary
         await self._tasks.start(
-            serve_readiness, addresses.readiness, lambda: self.is_ready
+            partial(
+                serve_callers, addresses.front, self._serve, boundary=boundary
+            )
+        )
+        await self._tasks.start(
+            partial(
+                serve_readiness,
+                addresses.readiness,
+                lambda: self.is_ready,
+                boundary=boundary,
+            )
         )
         self._metrics.routes_version.set_function(
             lambda: self._view.routes.version
         )
         await self._tasks.start(
-            serve_metrics, self._process.settings.ip, self._metrics.render
+            partial(
+                serve_metrics,
+                self._process.settings.ip,
+                self._metrics.render,
+                boundary=boundary,
+            )
         )
         await self._tasks.start(
-            serve_relays,
-            self._process.settings.internal_address,
-            self._home,
-            self._limit_owner,
+            partial(
+                serve_relays,
+                self._process.settings.internal_address,
+                self._home,
+                self._limit_owner,
+                boundary=boundary,
+            )
         )
         for name, run in (
             ('feed', self._sync_client.run),
             ('pools', self._pools.run),
             ('home', self._home.run),
         ):
-            self._tasks.start_soon(
-                self._process.boundary.keep_running, name, run
-            )
+            self._tasks.start_soon(boundary.keep_running, name, run)
         await self._process.wait_for_stop()
         await self._drain()
 
