Found the control group after a first start that was killed

What callers saw: when all control hosts were killed in the first half second after their first start, they came back without bootstrap and never formed a group, so no change was ever acknowledged.

Cause: the right to found the group was known to the process of the first start only.

Change: a first start writes a founding record with its seeds before the other imports, in a thread. A later process founds with the seeds of its record if every one of them answers that it belongs to no group and has the same record. A disk that was lost and a log that was reset have none.

--- a/lavendergate/controllers/control_node.py
+++ b/lavendergate/controllers/control_node.py
@@ -64,6 +64,8 @@
         Returns why a change of the settings is invalid, or None.
     options
         Timeouts and limits of the driver.
+    founding_seeds
+        Sorted seeds of the founding record; empty without a record.
     random
         Returns random numbers from 0 to 1, for election timeouts.
 
@@ -90,10 +92,12 @@
         storage: LogStorage | None = None,
         find_change_problem: FindChangeProblem = empty_change_problem,
         options: DriverOptions | None = None,
+        founding_seeds: tuple[str, ...] = (),
         random: Callable[[], float] = system_random.random,
     ) -> None:
         self._host_id = host_id
         self._address = address
+        self._founding_seeds = founding_seeds
         self._driver = ConsensusDriver(
             storage=storage
             or FileStorage(directory=data_directory, host_id=host_id),
@@ -200,6 +204,7 @@
             host_id=view.identity.host_id,
             incarnation=view.identity.incarnation,
             initialised=view.initialised,
+            founding_seeds=self._founding_seeds,
         )
 
     async def initialise(self, request: ClusterInitRequest) -> ClusterReply:
--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -1,11 +1,12 @@
 """Creates the control group at the first start, and adds hosts later."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 from result import Err, Ok
 
 from lavendergate.controllers.control_node import ControlNode
+from lavendergate.core.group_founding import Founder, Founding, SeedAnswer
 from lavendergate.core.types import HostId
 from lavendergate.core.voter_changes import JoiningHost, next_configuration
 from lavendergate.core.voter_departures import (
@@ -34,6 +35,10 @@
 
 _INTERVAL_S = 0.3
 _CALL_TIMEOUT_S = 0.6
+# Answers of seeds are used together only if they came within this time, in
+# seconds. A host that was frozen meanwhile could combine an answer from before
+# the loss of a disk with one from after it.
+_MAX_ROUND_S = 0.7
 # Time for which a request to join stays valid, in seconds.
 _JOIN_AGE_S = 2.0
 # Time without a known leader after which a host asks to join, in seconds.
@@ -56,9 +61,10 @@
         Address of this host for the other control hosts, ``ip:port``.
     seeds
         Addresses of some control hosts, ``ip:port``.
-    bootstrap
-        Whether the whole system starts for the first time, so that the group
-        may be created.
+    founder
+        Right of this host to create the group.
+    real_clock
+        Time in seconds that includes suspension of the machine.
     """
 
     def __init__(
@@ -67,14 +73,16 @@
         node: ControlNode,
         address: str,
         seeds: Sequence[str],
-        bootstrap: bool,
+        founder: Founder,
         peers: PeerClient,
         events: EventLog,
+        real_clock: Callable[[], float] = anyio.current_time,
     ) -> None:
         self._node = node
+        self._real_clock = real_clock
         self._address = address
         self._seeds = tuple(seeds)
-        self._bootstrap = bootstrap
+        self._founder = founder
         self._peers = peers
         self._events = events
         self._join_requests: dict[HostId, tuple[JoiningHost, float]] = {}
@@ -141,34 +149,37 @@
     async def _run_once(self) -> None:
         if self._node.view.is_leader:
             await self._maintain_voters()
-        elif self._may_create_group():
+        elif self._founder.seeds and not self._node.view.initialised:
             await self._create_group()
         elif not self._is_leaving:
             await self._join_if_leaderless()
 
-    def _may_create_group(self) -> bool:
-        return (
-            self._bootstrap
-            and self._address in self._seeds
-            and not self._node.view.initialised
-        )
-
     async def _create_group(self) -> None:
-        """Write the first configuration once all seeds have answered.
+        """Write the first configuration if the seeds' answers allow it.
 
         Every seed writes the same configuration, so the order does not
         matter. If a seed belongs to a group already, this host asks to join
         that group instead.
         """
         identities: dict[str, HostIdentityReply] = {}
+        began_at = self._real_clock()
         async with anyio.create_task_group() as tasks:
-            for seed in self._seeds:
+            for seed in self._founder.seeds:
                 tasks.start_soon(self._identify, seed, identities)
-        if any(reply.initialised for reply in identities.values()):
-            await self._request_join()
-            return
-        if len(identities) < len(self._seeds):
+        if self._real_clock() - began_at > _MAX_ROUND_S:
             return
+        answers = {
+            address: _answer(reply) for address, reply in identities.items()
+        }
+        decision = self._founder.decide(answers)
+        if decision is Founding.found:
+            await self._write_configuration(identities)
+        elif decision is Founding.join or not self._founder.is_first_start:
+            await self._request_join()
+
+    async def _write_configuration(
+        self, identities: Mapping[str, HostIdentityReply]
+    ) -> None:
         voters = tuple(
             _voter(address, reply)
             for address, reply in sorted(identities.items())
@@ -304,6 +315,12 @@
         return isinstance(changed, Ok)
 
 
+def _answer(reply: HostIdentityReply) -> SeedAnswer:
+    return SeedAnswer(
+        is_initialised=reply.initialised, founding_seeds=reply.founding_seeds
+    )
+
+
 def _voter(address: str, reply: HostIdentityReply) -> ControlHost:
     return ControlHost(
         host_id=reply.host_id, incarnation=reply.incarnation, address=address
--- a/lavendergate/daemon/hosted/start.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
+from threading import Thread
 
 import anyio
 
@@ -33,8 +34,16 @@
 RunRole = Callable[[HostedProcess], Awaitable[None]]
 
 
-def main(arguments: list[str] | None = None) -> int:
-    """Run the role given as the only argument, ``proxy`` or ``control``."""
+def main(
+    arguments: list[str] | None = None, *, founding: Thread | None = None
+) -> int:
+    """Run the role given as the only argument, ``proxy`` or ``control``.
+
+    Parameters
+    ----------
+    founding
+        Thread that writes the founding record; awaited before the role runs.
+    """
     words = sys.argv[1:] if arguments is None else arguments
     role = words[0] if len(words) == 1 else ''
     if role not in {'proxy', 'control'}:
@@ -48,6 +57,8 @@
         )
         return ExitCode.settings
     run_role = partial(_run_or_refuse, _load_role(role), waited)
+    if founding is not None:
+        founding.join()
     anyio.run(_run, run_role, waited.settings, role)
     return ExitCode.stopped
 
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -1,6 +1,7 @@
 """The control role on the hosting platform."""
 
 import os
+from contextlib import suppress
 from functools import partial
 from importlib import import_module
 from pathlib import Path
@@ -27,6 +28,7 @@
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.group_founding import founder_of
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.listening import listen
@@ -59,6 +61,11 @@
     FleetStateFile,
     SavedFleetState,
 )
+from lavendergate.storage.founding_record import (
+    read_founding_record,
+    remove_founding_record,
+    write_founding_record,
+)
 from lavendergate.storage.recovery import open_or_reset
 
 RequestT = TypeVar('RequestT')
@@ -147,9 +154,11 @@
         self._host_id = HostId(settings.node_name)
         self._peers = PeerClient()
         directory = Path(settings.data_dir or '/tmp/control')  # noqa: S108
-        storage, damage = open_or_reset(directory / 'log', self._host_id)
+        self._log_directory = directory / 'log'
+        storage, damage = open_or_reset(self._log_directory, self._host_id)
         if damage is not None:
             self._events.emit(SessionEvent.log_replaced, reason=damage)
+        recorded_seeds = self._read_founding_record(is_reset=bool(damage))
         self._node = ControlNode(
             host_id=self._host_id,
             address=settings.internal_address,
@@ -164,6 +173,7 @@
                 entries_per_snapshot=_ENTRIES_PER_SNAPSHOT,
                 retained_entries=_RETAINED_ENTRIES,
             ),
+            founding_seeds=recorded_seeds,
         )
         self._leases = LeaseGrants(
             node=self._node, real_clock=boottime_s, events=self._events
@@ -189,9 +199,15 @@
             node=self._node,
             address=settings.internal_address,
             seeds=settings.internal_control_addresses,
-            bootstrap=settings.bootstrap,
+            founder=founder_of(
+                settings.internal_address,
+                bootstrap=settings.bootstrap,
+                seeds=settings.internal_control_addresses,
+                recorded_seeds=recorded_seeds,
+            ),
             peers=self._peers,
             events=self._events,
+            real_clock=boottime_s,
         )
         self._sync_client = ControlSyncClient(
             host_id=self._host_id,
@@ -243,6 +259,9 @@
         """Serve until the process receives a stop signal."""
         settings = self._process.settings
         await self._tasks.start(self._node.run)
+        if self._node.view.initialised:
+            with suppress(OSError):
+                remove_founding_record(self._log_directory)
         saved = self._state_file.load()
         self._fleet.restore(saved.entries, saved.routes)
         server = Server(
@@ -316,6 +335,16 @@
         except PeerCallError:
             return None
 
+    def _read_founding_record(self, *, is_reset: bool) -> tuple[str, ...]:
+        settings = self._process.settings
+        seeds = settings.internal_control_addresses
+        is_founder = settings.bootstrap and settings.internal_address in seeds
+        if is_founder and not is_reset:
+            # Usually it has been written before the imports.
+            with suppress(OSError):
+                write_founding_record(self._log_directory, seeds)
+        return read_founding_record(self._log_directory)
+
     async def _start_operations(self) -> None:
         for name in _DEFERRED_MODULES:
             import_module(name)
--- a/lavendergate/rpc/consensus_service.py
+++ b/lavendergate/rpc/consensus_service.py
@@ -46,11 +46,15 @@
         Identifier of the host's data directory.
     initialised
         Whether the host already belongs to a cluster of control hosts.
+    founding_seeds
+        Sorted seeds of the host's founding record. Hosts without one, and
+        those of earlier builds, name none.
     """
 
     host_id: HostId
     incarnation: str
     initialised: bool
+    founding_seeds: tuple[str, ...] = ()
 
 
 class ControlHost(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/lavendergate/storage/framing.py
+++ b/lavendergate/storage/framing.py
@@ -1,13 +1,17 @@
 """Encoding of records as frames: length, checksum, content."""
 
-import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-import xxhash
+from lavendergate.storage.frame_encoding import HEADER, checksum, encode_frame
 
-_HEADER = struct.Struct('<IQ')
-_LENGTH = struct.Struct('<I')
+__all__ = (
+    'Frame',
+    'decode_frame',
+    'decode_frames',
+    'encode_frame',
+    'has_valid_frame_after',
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,11 +32,6 @@
     content: bytes | None
 
 
-def encode_frame(content: bytes) -> bytes:
-    """Return a frame: the header followed by the content."""
-    return _HEADER.pack(len(content), _checksum(content)) + content
-
-
 def decode_frames(data: bytes) -> Iterator[Frame]:
     """Decode frames up to and including the first invalid one."""
     offset = 0
@@ -46,15 +45,15 @@
 
 def decode_frame(data: bytes, offset: int) -> Frame:
     """Decode the frame at an offset, in bytes."""
-    start = offset + _HEADER.size
+    start = offset + HEADER.size
     invalid = Frame(offset=offset, end=len(data), content=None)
     if start > len(data):
         return invalid
-    length, checksum = _HEADER.unpack_from(data, offset)
+    length, expected = HEADER.unpack_from(data, offset)
     content = data[start : start + length]
     # Empty frames are never written. A length of zero means that the file
     # system extended the file, but the frame was not written before a crash.
-    if not length or len(content) < length or _checksum(content) != checksum:
+    if not length or len(content) < length or checksum(content) != expected:
         return invalid
     return Frame(offset=offset, end=start + length, content=content)
 
@@ -67,11 +66,5 @@
     """
     return any(
         decode_frame(data, start).content is not None
-        for start in range(offset + 1, len(data) - _HEADER.size)
+        for start in range(offset + 1, len(data) - HEADER.size)
     )
-
-
-def _checksum(content: bytes) -> int:
-    # The checksum covers the length, so that a damaged length is detected.
-    length = _LENGTH.pack(len(content))
-    return xxhash.xxh3_64_intdigest(length + content)
--- a/lavendergate/storage/recovery.py
+++ b/lavendergate/storage/recovery.py
@@ -7,6 +7,7 @@
 from lavendergate.core.types import HostId
 from lavendergate.storage.base import DamagedFileError
 from lavendergate.storage.files import FileStorage
+from lavendergate.storage.founding_record import remove_founding_record
 
 
 def open_or_reset(
@@ -35,6 +36,8 @@
     try:
         storage.load()
     except (DamagedFileError, msgspec.MsgspecError) as error:
+        # The reset host may have helped to found a group that it forgot.
+        remove_founding_record(directory)
         # The identity is deleted first: without it, the other files are
         # ignored, so a crash in between leaves a valid empty storage.
         for name in ('identity', 'log', 'snapshot'):
--- a/lavendergate/tests/control/test_departed_voters.py
+++ b/lavendergate/tests/control/test_departed_voters.py
@@ -14,6 +14,7 @@
 
 from lavendergate.controllers.group_formation import GroupFormation
 from lavendergate.core.commands import PublishRoutes
+from lavendergate.core.group_founding import Founder
 from lavendergate.core.routes import RoutesVersion
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.rpc.fleet_service import JoinRequest, LeaveRequest
@@ -84,7 +85,7 @@
             node=self.cluster.nodes[host_id],
             address=host_id,
             seeds=self.present,
-            bootstrap=False,
+            founder=Founder(),
             peers=cast(
                 PeerClient,
                 _Peers(
