Play odd entries in the directory files of an earlier build

State that left is met by a restart of the control hosts: their directory files hold 13 odd entries of the service that callers use.

--- a/faults/value_cases.py
+++ b/faults/value_cases.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
+import msgspec
 from kit import http
 from kit.clients import (
     LostError,
@@ -19,6 +20,7 @@
 from kit.members import Platform, Service
 
 from faults.processes import Fleet, Record
+from lavendergate.tests.bounds.odd_messages import ODD_FIELDS, earlier_entry
 
 _PROXIES = 2
 _CALLERS = 12
@@ -183,6 +185,33 @@
 }
 
 
+def write_directory_files(fleet: Fleet) -> None:
+    """Leave odd entries of the service, as the build f0f2d71 stored them."""
+    entries = [
+        earlier_entry(**({'upstream_id': f'i-odd-{number}'} | fields))
+        for number, fields in enumerate(
+            {'service': 'svc1'} | odd for odd in ODD_FIELDS
+        )
+    ]
+    content = {'entries': entries, 'routes': {'version': 0, 'content': b''}}
+    for host in fleet.control:
+        folder = fleet.folder / host.name / 'data'
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / 'directory').write_bytes(msgspec.msgpack.encode(content))
+
+
+async def _nothing(fleet: Fleet, service: Service) -> object:
+    return 'sent'
+
+
+_STORED = 'odd entries in the directory files of an earlier build'
+VALUE_CASES[_STORED] = _nothing
+# What is done before the fleet starts.
+PREPARATIONS: dict[str, Callable[[Fleet], None]] = {
+    _STORED: write_directory_files
+}
+
+
 async def _call_repeatedly(
     fleet: Fleet, record: Record, number: int, counts: Counter[str]
 ) -> None:
@@ -210,6 +239,9 @@
     counts: Counter[str] = Counter()
     tasks: list[asyncio.Task[None]] = []
     try:
+        prepare = PREPARATIONS.get(name)
+        if prepare is not None:
+            prepare(fleet)
         fleet.start()
         tasks.append(asyncio.create_task(platform.send_heartbeats(fleet)))
         await publish(fleet, configuration(1, [service]))
