Pause between two attempts of a takeover

While proxies may still hold leases and a new member has not been polled yet, a takeover checked again without a pause. The control leader then did nothing else: it polled no member, so that the condition could not end, and answered no call until the leases had run out, or for ever if it had lost its term meanwhile.

Cause: the pause was left out while leases remain, since another branch waited for them; the check of the members comes before that branch. The loop now waits once after each attempt.

test_new_member_during_a_lease_does_not_stop_the_process failed before (no order within 3 s) and passes now.

--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -200,8 +200,7 @@
                 if ended is not None:
                     outcome = ended
                     break
-                if not self._leases.remaining_s(service):
-                    await anyio.sleep(_RETRY_S)
+                await anyio.sleep(self._retry_s(service))
         finally:
             self._running.discard(service)
             self._leases.end_replacing(service)
@@ -213,6 +212,10 @@
             duration_ms=round((self._clock() - began_at) * _MS_PER_S),
         )
 
+    def _retry_s(self, service: GroupId) -> float:
+        lease_s = self._leases.remaining_s(service)
+        return min(lease_s, _LEASE_WAIT_S) if lease_s else _RETRY_S
+
     async def _try_promotion(self, service: GroupId) -> str | None:
         """Try once to replace the primary.
 
@@ -229,12 +232,10 @@
                 service, 'a new member has not been polled yet', None
             )
             return None
-        lease_s = self._leases.remaining_s(service)
-        if lease_s:
+        if self._leases.remaining_s(service):
             self._report_wait(
                 service, 'proxies may still hold leases on the primary', None
             )
-            await anyio.sleep(min(lease_s, _LEASE_WAIT_S))
             return None
         proved_at = self._real_clock()
         candidate = choose_candidate(
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -1,17 +1,29 @@
 """Tests of takeovers with members, orders and a log in memory."""
 
 import unittest
+from unittest import mock
 
 import anyio
+import msgspec
 
 from lavendergate.core.commands import OrderPromotion
-from lavendergate.core.fleet_directory import departed_entry
-from lavendergate.core.types import HostId, Term
+from lavendergate.core.fleet_directory import MemberEntry, departed_entry
+from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.fleet_service import PrimaryReachability
 from lavendergate.tests.takeover_fixture import TakeoverFixture, run_scenario
 
 
+def odd_entry(control: TakeoverFixture) -> MemberEntry:
+    """Return an entry for an id and an address that no member has."""
+    return msgspec.structs.replace(
+        control.group.member('b').entry,
+        upstream_id=UpstreamId('odd'),
+        address='10.0.0.99:80',
+        born=2,
+    )
+
+
 class TakeoverTest(unittest.TestCase):
     """Failures of members and of the control host that leads."""
 
@@ -255,6 +267,31 @@
 
         run_scenario(scenario)
 
+    def test_new_member_during_a_lease_does_not_stop_the_process(self) -> None:
+        """Guards against a takeover that checks again without a pause."""
+        checks = 0
+
+        async def scenario(control: TakeoverFixture) -> None:
+            is_complete = control.poller.is_complete
+
+            def count_checks(service: GroupId) -> bool:
+                nonlocal checks
+                checks += 1
+                if checks > 1000:
+                    raise RuntimeError('no pause between two checks')
+                return is_complete(service)
+
+            await anyio.sleep(2)
+            control.start_leaving('a')
+            while not control.events.fields_of(SessionEvent.takeover_begun):
+                await anyio.sleep(0.01)
+            with mock.patch.object(control.poller, 'is_complete', count_checks):
+                control.fleet.merge((odd_entry(control),))
+                await anyio.sleep(3)
+            self.assertEqual(len(control.orders.orders), 1)
+
+        run_scenario(scenario)
+
     def test_crash_is_no_longer_for_the_leases(self) -> None:
         """Guards against a failover that waits for leases after detection.
 
