--- a/lavendergate/backends/sessions.py
+++ b/lavendergate/backends/sessions.py
@@ -32,6 +32,10 @@
     """No connection to a member was opened, so nothing ran there."""
 
 
+class MemberAbsentError(MemberUnreachableError):
+    """No process listens at the member's address."""
+
+
 class MemberRefusedError(Exception):
     """A member refused a connection.
 
--- a/lavendergate/controllers/fleet_state.py
+++ b/lavendergate/controllers/fleet_state.py
@@ -9,10 +9,13 @@
 from lavendergate.controllers.relays.directory import ProxyDirectory
 from lavendergate.controllers.waiters import Signal
 from lavendergate.core.control_records import RoutesRecord
+from lavendergate.core.departures.ledger import Departure, DepartureLedger
 from lavendergate.core.fleet_directory import (
+    DepartureStage,
     FleetDirectory,
     MemberAvailability,
     MemberEntry,
+    departed_entry,
     merge,
 )
 from lavendergate.core.sessions.freshness import SAMPLE_AGE_LIMIT_S
@@ -113,7 +116,9 @@
             clock=clock, lifetime_s=_PROXY_LIFETIME_S
         )
         self._leading_since: float | None = None
-        self._departures: dict[GroupId, float] = {}
+        self._departures = DepartureLedger()
+        # Members that announced their departure and may still run.
+        self._departing: dict[GroupId, set[UpstreamId]] = {}
         self._changed = Signal()
         self._restored_routes = RoutesRecord()
         self._positions: dict[GroupId, tuple[LogPosition, float]] = {}
@@ -159,12 +164,56 @@
         self._restored_routes = routes
         self.merge(entries)
 
-    def last_departure_at(self, service: GroupId) -> float | None:
-        """Return when a member of a service last left or changed its `born`.
+    def departures(self, service: GroupId) -> tuple[Departure, ...]:
+        """Return the ended replicas whose commits may be missing elsewhere.
 
-        Monotonic time in seconds; None if that has not happened.
+        The newest primary is not among them: its commits count as confirmed
+        by others. It is among them after the next promotion.
         """
-        return self._departures.get(service)
+        notice = self._primaries.get(service)
+        primary = None if notice is None else notice.upstream_id
+        return tuple(
+            departure
+            for departure in self._departures.of_service(service)
+            if departure.upstream_id != primary
+        )
+
+    def departing(self, service: GroupId) -> frozenset[UpstreamId]:
+        """Return the members that are gone but may still run."""
+        return frozenset(self._departing.get(service, ()))
+
+    def record_end(self, entry: MemberEntry) -> None:
+        """Record that a start has ended, as its address has shown.
+
+        A later announcement of the same start revokes it.
+        """
+        self.merge(
+            (departed_entry(entry, is_final=False, stage=DepartureStage.ended),)
+        )
+
+    def settle_departures(
+        self, service: GroupId, received: LogPosition
+    ) -> None:
+        """Forget the ended starts whose commits are on all members.
+
+        Parameters
+        ----------
+        received
+            Lowest position among all members of the service.
+        """
+        for departure in self._departures.settle(service, received):
+            entry = self._directory.entries[departure.upstream_id]
+            is_gone = entry.availability == MemberAvailability.gone
+            if is_gone and entry.born == departure.born:
+                self.merge(
+                    (
+                        departed_entry(
+                            entry,
+                            is_final=False,
+                            stage=DepartureStage.settled,
+                        ),
+                    )
+                )
 
     def reachability_reports(
         self, service: GroupId
@@ -187,9 +236,7 @@
         for entry in changed:
             self._version += 1
             self._entry_versions[entry.upstream_id] = self._version
-            known = former.get(entry.upstream_id)
-            if _has_departed(known, entry):
-                self._departures[entry.service] = self._clock()
+            self._update_departures(former.get(entry.upstream_id), entry)
             self._events.emit(
                 SessionEvent.member_changed,
                 upstream=entry.upstream_id,
@@ -204,6 +251,37 @@
             self._changed.notify()
         return bool(changed)
 
+    def _update_departures(
+        self, known: MemberEntry | None, entry: MemberEntry
+    ) -> None:
+        if known is not None:
+            self._departing.get(known.service, set()).discard(entry.upstream_id)
+            if not known.is_same_instance(entry):
+                self._record_departure(known)
+        is_gone = entry.availability == MemberAvailability.gone
+        if is_gone and entry.may_run:
+            self._departing.setdefault(entry.service, set()).add(
+                entry.upstream_id
+            )
+        elif is_gone and entry.departure == DepartureStage.ended:
+            self._record_departure(entry)
+        else:
+            self._departures.discard(
+                entry.service, entry.upstream_id, entry.born
+            )
+
+    def _record_departure(self, entry: MemberEntry) -> None:
+        if entry.departure == DepartureStage.settled:
+            return
+        self._departures.record(
+            entry.service,
+            Departure(
+                upstream_id=entry.upstream_id,
+                born=entry.born,
+                ended_at=self._real_clock(),
+            ),
+        )
+
     def last_known_primary(self, service: GroupId) -> UpstreamId | None:
         """Return the last known primary of a service, if any."""
         notice = self._primaries.get(service)
@@ -246,6 +324,28 @@
             When the request was sent, on the real clock, in seconds.
         """
         self._positions[service] = (position, asked_at)
+        self._departures.record_primary(service, position, asked_at)
+
+    def record_notices(
+        self, notices: tuple[PositionNotice, ...], sent_at: float
+    ) -> None:
+        """Use the primaries' positions that the leader sent to this host.
+
+        After an election, this host then knows what a departed member can
+        have confirmed even if the primary is lost, too.
+
+        Parameters
+        ----------
+        sent_at
+            When this host asked the leader, on the real clock, in seconds.
+            The leader's answer came later, so the ages count from here.
+        """
+        for notice in notices:
+            self._departures.record_primary(
+                notice.service,
+                notice.position,
+                sent_at - notice.age_ms / _MS_PER_S,
+            )
 
     def record_proof(self, service: GroupId, proved_at: float) -> None:
         """Record that all other members knew no newer primary at a time.
@@ -409,9 +509,3 @@
             now - record.asked_at <= _PROXY_LIFETIME_S
             for record in self._proxies.values()
         )
-
-
-def _has_departed(known: MemberEntry | None, entry: MemberEntry) -> bool:
-    if entry.availability == MemberAvailability.gone:
-        return True
-    return known is not None and known.born != entry.born
--- a/lavendergate/controllers/member_poller.py
+++ b/lavendergate/controllers/member_poller.py
@@ -1,5 +1,6 @@
 """Status polling of all members by the leader of the control hosts."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 
 from lavendergate.backends.sessions import (
     AnswerLostError,
+    MemberAbsentError,
     MemberDialer,
     MemberRefusedError,
     MemberSession,
@@ -30,6 +32,7 @@
 )
 from lavendergate.core.sessions.statements import (
     MemberReport,
+    RefusalCode,
     Refused,
     ReportStatus,
 )
@@ -51,12 +54,20 @@
 # failed, and it is read again then.
 _REPLICA_INTERVAL_S = 1.5
 _REQUEST_TIMEOUT_S = 0.6
+# A member that announced its departure and neither answers nor announces
+# itself for this long has ended, in seconds: it exits right after that call.
+# This is longer than a partition lasts on the sites that we know. It says
+# nothing about its commits; those need the bound of the ledger.
+_SILENT_EXIT_S = 15.0
 _REQUEST_ERRORS = (
     TimeoutError,
     AnswerLostError,
     MemberRefusedError,
     MemberUnreachableError,
 )
+# The primary and two replicas. A departed replica is forgotten only once this
+# many members have its commits, so that the loss of one of them loses none.
+_SETTLED_MEMBERS = 3
 _NEVER = float('-inf')
 
 
@@ -85,6 +96,13 @@
         See `MemberObservation`.
     asked_at
         When the last report was requested, on the real clock, in seconds.
+    absent_since
+        Since when no process listens at the address, on the real clock, in
+        seconds; None while one does or it is not known.
+    bound
+        See `MemberObservation`.
+    is_contested
+        Whether another member announced the same address.
     """
 
     entry: MemberEntry
@@ -98,6 +116,9 @@
     followed_term: Term = NO_TERM
     waiting_since: float | None = None
     asked_at: float = _NEVER
+    absent_since: float | None = None
+    bound: LogPosition | None = None
+    is_contested: bool = False
 
     def record_report(self, report: MemberReport, now: float) -> None:
         """Record a status report."""
@@ -131,12 +152,29 @@
         """Record that the member answered."""
         self.answered_at = now
         self.failing_since = None
+        self.record_presence()
 
     def record_failure(self, now: float) -> None:
         """Record that the member did not answer."""
         if self.failing_since is None:
             self.failing_since = now
 
+    def record_presence(self) -> None:
+        """Record that a process may listen at the address."""
+        self.absent_since = None
+        self.bound = None
+
+    def record_absence(self, real_now: float) -> None:
+        """Record that the member is not at its address."""
+        if self.absent_since is None:
+            self.absent_since = real_now
+
+    def record_primary(self, position: LogPosition, asked_at: float) -> None:
+        """Bound the commits of an absent member by the primary's position."""
+        since = self.absent_since
+        if self.bound is None and since is not None and since <= asked_at:
+            self.bound = position
+
 
 class MemberPoller:
     """Polls the status of all members while this host leads.
@@ -173,7 +211,6 @@
         self._dialer = dialer
         self._clock = clock
         self._members: dict[UpstreamId, PolledMember] = {}
-        self._primary_seen: dict[GroupId, float] = {}
 
     async def run(self) -> None:
         """Poll the members until cancelled."""
@@ -185,7 +222,6 @@
                     self._start_polling(tasks)
                 else:
                     self._members = {}
-                    self._primary_seen = {}
                 await anyio.sleep(_RETRY_S)
 
     def observe(self, service: GroupId) -> ServiceObservation:
@@ -195,7 +231,9 @@
             for member in self._members.values()
             if member.entry.service == service
         ]
-        primary = _primary_among(members) or self._unanswering_primary(service)
+        primary = self._newest_primary(
+            service, members
+        ) or self._unanswering_primary(service)
         return ServiceObservation(
             primary=primary,
             members=tuple(self._observation(known) for known in members),
@@ -208,10 +246,23 @@
                 )
                 if reach.upstream_id == primary
             ),
-            departed_at=self._fleet.last_departure_at(service),
-            primary_seen_at=self._primary_seen.get(service),
+            departures=self._fleet.departures(service),
+            had_primary=self._fleet.newest_term(service) > NO_TERM,
         )
 
+    def _newest_primary(
+        self, service: GroupId, members: list[PolledMember]
+    ) -> UpstreamId | None:
+        """Return the primary, unless a newer one was known and has ended."""
+        leading = _primary_among(members)
+        if leading is None:
+            return None
+        report = self._members[leading].report
+        newest_term = self._fleet.newest_term(service)
+        if report is None or report.term < newest_term:
+            return None
+        return leading
+
     def _unanswering_primary(self, service: GroupId) -> UpstreamId | None:
         """Return the last known primary, if it never answered this host."""
         believed = self._fleet.last_known_primary(service)
@@ -220,12 +271,30 @@
         return believed if is_unseen else None
 
     def is_complete(self, service: GroupId) -> bool:
-        """Return whether all members of a service are being polled."""
+        """Return whether all members of a service are being polled.
+
+        Members that announced their departure and may still run belong to
+        them.
+        """
+        entries = self._fleet.directory.entries
+        departing = self._fleet.departing(service)
         return all(
-            entry.upstream_id in self._members
-            for entry in self._fleet.directory.members_of(service)
+            self._is_polled(entry)
+            for entry in (
+                *self._fleet.directory.members_of(service),
+                *(entries[upstream_id] for upstream_id in departing),
+            )
         )
 
+    def born(self, upstream_id: UpstreamId) -> int | None:
+        """Return which start of a member is being polled; None if none is."""
+        member = self._members.get(upstream_id)
+        return None if member is None else member.entry.born
+
+    def _is_polled(self, entry: MemberEntry) -> bool:
+        member = self._members.get(entry.upstream_id)
+        return member is not None and member.entry.is_same_instance(entry)
+
     async def ask(
         self, upstream_id: UpstreamId, request: ReportRequest
     ) -> MemberReport | None:
@@ -245,11 +314,12 @@
                 async with member.lock:
                     member.waiting_since = self._clock()
                     return await self._ask(member, request)
-        except _REQUEST_ERRORS:
+        except _REQUEST_ERRORS as error:
             # The connection may be broken although the member is up, so the
             # next request opens a new one.
             await self._close(member)
             member.record_failure(self._clock())
+            self._update_presence(member, error)
             return None
         except Exception as error:
             # An answer that nobody expected must not end the polling of the
@@ -266,6 +336,40 @@
         finally:
             member.waiting_since = None
 
+    def _update_presence(self, member: PolledMember, error: Exception) -> None:
+        """Record whether a failure shows that the member is not there."""
+        is_elsewhere = (
+            isinstance(error, MemberRefusedError)
+            and error.refusal.code == RefusalCode.misrouted
+        )
+        if is_elsewhere or isinstance(error, MemberAbsentError):
+            member.record_absence(self._real_clock())
+        else:
+            member.record_presence()
+        entry = member.entry
+        if not self._fleet.is_leading or not self._is_polled(
+            self._fleet.directory.entries[entry.upstream_id]
+        ):
+            return
+        if is_elsewhere or (
+            self._has_ended(member)
+            and entry.availability != MemberAvailability.ready
+        ):
+            self._fleet.record_end(
+                self._fleet.directory.entries[entry.upstream_id]
+            )
+
+    def _has_ended(self, member: PolledMember) -> bool:
+        if member.absent_since is not None:
+            return True
+        is_gone = member.entry.availability == MemberAvailability.gone
+        since = member.failing_since
+        return (
+            is_gone
+            and since is not None
+            and self._clock() - since >= _SILENT_EXIT_S
+        )
+
     async def _ask(
         self, member: PolledMember, request: ReportRequest
     ) -> MemberReport | None:
@@ -284,12 +388,34 @@
         if primary is not None and not report.is_primary:
             member.update_behind_since(primary, now)
         if self._publish_if_primary(member, report, now):
-            service = member.entry.service
-            self._fleet.record_position(service, report.received, asked_at)
+            self._record_primary(member.entry.service, report, asked_at)
+        if self._fleet.is_leading:
+            self._settle_departures(member.entry.service)
         if not self._fleet.is_leading:
             self._record_proof(member.entry.service)
         return report
 
+    def _record_primary(
+        self, service: GroupId, report: MemberReport, asked_at: float
+    ) -> None:
+        self._fleet.record_position(service, report.received, asked_at)
+        for member in self._members.values():
+            if member.entry.service == service:
+                member.record_primary(report.received, asked_at)
+
+    def _settle_departures(self, service: GroupId) -> None:
+        if not self._fleet.departures(service) or not self.is_complete(service):
+            return
+        reports = [
+            member.report if member.failing_since is None else None
+            for member in self._members.values()
+            if member.entry.service == service
+        ]
+        received = [report.received for report in reports if report is not None]
+        is_known = len(received) == len(reports)
+        if is_known and len(received) >= _SETTLED_MEMBERS:
+            self._fleet.settle_departures(service, min(received))
+
     def _record_proof(self, service: GroupId) -> None:
         """Record when the members last showed that the primary leads."""
         members = [
@@ -340,7 +466,8 @@
         newest = self._primary_report(service)
         if newest is not None and report.term < newest.term:
             return False
-        self._primary_seen[service] = now
+        if report.term < self._fleet.newest_term(service):
+            return False
         self._fleet.publish_primary(
             PrimaryNotice(
                 service=service,
@@ -352,13 +479,17 @@
 
     def _start_polling(self, tasks: TaskGroup) -> None:
         entries = self._fleet.directory.entries
+        users = Counter(
+            entry.address for entry in entries.values() if entry.may_run
+        )
         for upstream_id, entry in entries.items():
-            if entry.availability == MemberAvailability.gone:
+            if not entry.may_run:
                 self._members.pop(upstream_id, None)
                 continue
             member = self._members.get(upstream_id)
             if member is not None and member.entry.is_same_instance(entry):
                 member.entry = entry
+                member.is_contested = users[entry.address] > 1
                 continue
             member = PolledMember(entry=entry, lock=anyio.Lock())
             self._members[upstream_id] = member
@@ -386,7 +517,7 @@
         entry = member.entry
         return MemberObservation(
             upstream_id=entry.upstream_id,
-            is_leaving=entry.availability == MemberAvailability.draining,
+            is_leaving=entry.availability != MemberAvailability.ready,
             is_primary=report is not None and report.is_primary,
             term=Term(0) if report is None else report.term,
             received=LOG_START if report is None else report.received,
@@ -395,6 +526,8 @@
             behind_since=member.behind_since,
             paused_term=Term(0) if report is None else report.paused_term,
             waiting_since=member.waiting_since,
+            is_absent=member.absent_since is not None,
+            bound=member.bound,
         )
 
 
@@ -408,7 +541,7 @@
 
 
 def _poll_interval_s(member: PolledMember, is_leading: bool) -> float:
-    if member.failing_since is not None:
+    if member.failing_since is not None or member.is_contested:
         return _RETRY_S
     if not is_leading:
         # Proxies hold no lease, so they need a recent proof.
--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -59,6 +59,9 @@
 # is primary, in seconds.
 _PROMOTION_TIMEOUT_S = 3.0
 _PROMOTION_POLL_S = 0.08
+# Time without a candidate after which operators are told, in seconds. Most
+# takeovers end within it.
+_BLOCKED_AFTER_S = 3.0
 _MS_PER_S = 1000
 
 
@@ -118,6 +121,9 @@
         self._former_primaries = FormerPrimaries(poller=poller, events=events)
         self._leading_since: float | None = None
         self._last_reason: dict[GroupId, str] = {}
+        self._ahead: dict[GroupId, UpstreamId] = {}
+        self._takeovers: dict[GroupId, float] = {}
+        self._blocked: set[GroupId] = set()
 
     async def run(self) -> None:
         """Check the primaries while this host leads, until cancelled."""
@@ -194,6 +200,7 @@
             term=_newest_term(observed),
         )
         outcome = 'this host is no longer the leader'
+        self._takeovers[service] = began_at
         try:
             while self._fleet.is_leading:
                 ended = await self._try_promotion(service)
@@ -205,6 +212,9 @@
             self._running.discard(service)
             self._leases.end_replacing(service)
             self._last_reason.pop(service, None)
+            self._ahead.pop(service, None)
+            self._takeovers.pop(service, None)
+            self._report_unblocked(service, outcome, began_at)
         self._events.emit(
             SessionEvent.takeover_ended,
             service=service,
@@ -239,11 +249,14 @@
             return None
         proved_at = self._real_clock()
         candidate = choose_candidate(
-            observed, self._last_ordered_member(service)
+            observed,
+            self._last_ordered_member(service),
+            self._ahead.get(service),
         )
         if candidate is None:
             self._report_wait(service, 'no replica answers', None)
             return None
+        born = self._poller.born(candidate)
         evidence = await self._gather_evidence(observed, candidate)
         if evidence is None:
             self._report_wait(
@@ -253,14 +266,20 @@
         proof = check_promotion(
             self._poller.observe(service),
             evidence,
-            self._clock(),
             synchronous_replicas=self._synchronous_replicas(service),
         )
         match proof:
-            case NotPromotable(reason=reason):
+            case NotPromotable(reason=reason, more_advanced=ahead):
+                if ahead is not None:
+                    self._ahead[service] = ahead
                 self._report_wait(service, reason, candidate)
                 return None
             case Promotable():
+                if self._poller.born(candidate) != born:
+                    self._report_wait(
+                        service, 'the candidate was restarted', candidate
+                    )
+                    return None
                 return await self._promote(service, evidence, proved_at)
 
     async def _gather_evidence(
@@ -470,6 +489,7 @@
     def _report_wait(
         self, service: GroupId, reason: str, candidate: UpstreamId | None
     ) -> None:
+        self._report_blocked(service, reason, candidate)
         if self._last_reason.get(service) == reason:
             return
         self._last_reason[service] = reason
@@ -480,6 +500,34 @@
             candidate=candidate,
         )
 
+    def _report_blocked(
+        self, service: GroupId, reason: str, candidate: UpstreamId | None
+    ) -> None:
+        """Report once that a takeover finds no safe candidate."""
+        waited_s = self._clock() - self._takeovers.get(service, self._clock())
+        if service in self._blocked or waited_s < _BLOCKED_AFTER_S:
+            return
+        self._blocked.add(service)
+        self._events.emit(
+            SessionEvent.takeover_blocked,
+            service=service,
+            reason=reason,
+            candidate=candidate,
+            waited_ms=round(waited_s * _MS_PER_S),
+        )
+
+    def _report_unblocked(
+        self, service: GroupId, outcome: str, began_at: float
+    ) -> None:
+        if service in self._blocked:
+            self._blocked.discard(service)
+            self._events.emit(
+                SessionEvent.takeover_unblocked,
+                service=service,
+                outcome=outcome,
+                waited_ms=round((self._clock() - began_at) * _MS_PER_S),
+            )
+
 
 def _has_paused_replica(observed: ServiceObservation) -> bool:
     return any(replica.paused_term for replica in observed.replicas)
--- a/lavendergate/core/fleet_directory.py
+++ b/lavendergate/core/fleet_directory.py
@@ -27,6 +27,23 @@
     gone = 'gone'
 
 
+@enum.unique
+class DepartureStage(enum.IntEnum):
+    """How far the departure of a start of a member is proved.
+
+    A start that sent its last call may run on for a moment, and a call that
+    does not name its start may come from an earlier one. Until the start has
+    ended, it may confirm commits, and the control leader asks it before each
+    promotion.
+    """
+
+    none = 0
+    announced = 1
+    ended = 2
+    # All members have every commit that the start can have confirmed.
+    settled = 3
+
+
 class MemberEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Newest announcement of a member.
 
@@ -44,6 +61,8 @@
         data.
     sequence
         Number of the announcement, counted from the member's start.
+    departure
+        How far the departure of a member that is gone is proved.
     """
 
     upstream_id: UpstreamId
@@ -55,16 +74,22 @@
     is_primary: bool
     born: int
     sequence: int
+    departure: DepartureStage = DepartureStage.none
 
     @property
-    def freshness(self) -> tuple[int, int, bool]:
+    def freshness(self) -> tuple[int, int, bool, int]:
         """Sort key for announcements of one member; the newest is highest.
 
         The announcement that a member has left is newer than another one with
         the same sequence.
         """
         is_gone = self.availability == MemberAvailability.gone
-        return (self.born, self.sequence, is_gone)
+        return (self.born, self.sequence, is_gone, self.departure)
+
+    @property
+    def may_run(self) -> bool:
+        """Whether the start may still confirm commits."""
+        return self.departure < DepartureStage.ended
 
     def is_same_instance(self, other: 'MemberEntry') -> bool:
         """Whether an entry has the same start, address and service."""
@@ -88,14 +113,13 @@
     entries
         Newest entry of each member.
     services
-        Members of each service, without those that have left.
-    addresses
-        Member that uses each address.
+        Members of each service, without those that have left. Two of them
+        may have announced one address; the members are asked by their ids
+        which of them is there.
     """
 
     entries: PMap[UpstreamId, MemberEntry] = pmap()
     services: PMap[GroupId, tuple[MemberEntry, ...]] = pmap()
-    addresses: PMap[str, UpstreamId] = pmap()
 
     def members_of(self, service: GroupId) -> tuple[MemberEntry, ...]:
         """Return the members of a service that have not left."""
@@ -115,21 +139,18 @@
 
     def with_entry(self, entry: MemberEntry) -> 'FleetDirectory':
         """Return the directory with the entry of a member replaced."""
-        services, addresses = self.services, self.addresses
+        services = self.services
         known = self.member(entry.upstream_id)
         if known is not None:
-            addresses = addresses.discard(known.address)
             if _has_left(entry) or known.service != entry.service:
                 members = _without_member(services[known.service], known)
                 services = services.set(known.service, members)
         if not _has_left(entry):
             members = _with_member(self.members_of(entry.service), entry)
             services = services.set(entry.service, members)
-            addresses = addresses.set(entry.address, entry.upstream_id)
         return FleetDirectory(
             entries=self.entries.set(entry.upstream_id, entry),
             services=services,
-            addresses=addresses,
         )
 
 
@@ -152,59 +173,78 @@
     """
     changed: dict[UpstreamId, MemberEntry] = {}
     for entry in announcements:
-        directory, changed_now = _merge_one(directory, entry)
-        for other in changed_now:
-            changed[other.upstream_id] = other
+        known = directory.entries.get(entry.upstream_id)
+        if known is not None and known.freshness >= entry.freshness:
+            continue
+        directory = directory.with_entry(entry)
+        if known is None or not _equals_ignoring_sequence(known, entry):
+            changed[entry.upstream_id] = entry
     return directory, tuple(changed.values())
 
 
-def departed_entry(entry: MemberEntry) -> MemberEntry:
-    """Return the entry of a member that has left.
+def departed_entry(
+    entry: MemberEntry,
+    *,
+    is_final: bool = True,
+    stage: DepartureStage = DepartureStage.announced,
+) -> MemberEntry:
+    """Return the entry of a start that has left.
 
-    The entry is newer than all announcements of the same start, because delayed
-    ones may arrive later. If the time of the start is not known (0), the next
-    start cannot be distinguished from this one, so the entry is newer only than
-    the announcements sent so far.
+    Parameters
+    ----------
+    entry
+        Newest announcement of the start.
+    is_final
+        Whether no announcement of the same start is newer. Delayed ones may
+        arrive later, so this holds if the start itself said that it leaves.
+        Otherwise a later announcement shows that it runs.
+    stage
+        How far the departure is proved.
     """
     return msgspec.structs.replace(
         entry,
         availability=MemberAvailability.gone,
         is_primary=False,
-        sequence=_LAST_SEQUENCE if entry.born else entry.sequence,
+        # Without the time of the start (0), the next start cannot be
+        # distinguished from this one.
+        sequence=_LAST_SEQUENCE if is_final and entry.born else entry.sequence,
+        departure=stage,
     )
 
 
-def _merge_one(
-    directory: FleetDirectory, entry: MemberEntry
-) -> tuple[FleetDirectory, list[MemberEntry]]:
-    known = directory.entries.get(entry.upstream_id)
-    if known is not None and known.freshness >= entry.freshness:
-        return directory, []
-    changed = []
-    other = (
-        None if _has_left(entry) else _other_member_at_address(directory, entry)
-    )
-    if other is not None:
-        # Only one member can use an address: the one that was started last.
-        # The other one is recorded as having left.
-        if other.born > entry.born:
-            entry = departed_entry(entry)
-        else:
-            directory = directory.with_entry(departed_entry(other))
-            changed.append(departed_entry(other))
-    directory = directory.with_entry(entry)
-    if known is None or not _equals_ignoring_sequence(known, entry):
-        changed.append(entry)
-    return directory, changed
-
-
-def _other_member_at_address(
-    directory: FleetDirectory, entry: MemberEntry
-) -> MemberEntry | None:
-    user = directory.addresses.get(entry.address)
-    if user is None or user == entry.upstream_id:
+def departure_of(known: MemberEntry, born: int | None) -> MemberEntry | None:
+    """Return the entry for a member's last call, or None if nothing changes.
+
+    Parameters
+    ----------
+    known
+        Newest entry of the member.
+    born
+        Start that the call names; None if it names none. Such a call may come
+        from an earlier start, so it applies only to a start that announced
+        that it is draining, and a later announcement revokes it.
+    """
+    if born is None:
+        if known.availability != MemberAvailability.draining:
+            return None
+        return departed_entry(known, is_final=False)
+    if born < known.born:
         return None
-    return directory.entries[user]
+    departed = departed_entry(msgspec.structs.replace(known, born=born))
+    return departed if departed.freshness > known.freshness else None
+
+
+def is_departure_known(known: MemberEntry, born: int | None) -> bool:
+    """Return whether the start that a last call names is known to have left.
+
+    Parameters
+    ----------
+    known
+        Newest entry of the member.
+    born
+        Start that the call names; None if it names none.
+    """
+    return _has_left(known) or (born is not None and born < known.born)
 
 
 def _with_member(
--- a/lavendergate/core/primary_replacement.py
+++ b/lavendergate/core/primary_replacement.py
@@ -4,12 +4,17 @@
 entries that the member has received so far. A commit is acknowledged once the
 primary and `synchronous_replicas` replicas have it. A candidate therefore has
 every acknowledged commit if no paused replica is ahead of it and fewer than
-`synchronous_replicas` replicas are not paused: these are too few to have
-acknowledged a commit by themselves.
+`synchronous_replicas` other starts of members may hold commits that it lacks:
+these are too few to have acknowledged a commit by themselves.
+
+Such a start is a replica that is not paused, or one that has ended. It holds
+nothing that the candidate lacks if it had ended when the primary last reported
+a position that the candidate has.
 """
 
 from dataclasses import dataclass, field
 
+from lavendergate.core.departures.ledger import Departure
 from lavendergate.core.types import LogPosition, Term, UpstreamId
 
 # A primary that does not answer for this long is replaced. Long enough for one
@@ -18,9 +23,6 @@
 # Replication counts as stalled if replicas receive nothing for this long
 # although the primary is ahead of them.
 REPLICATION_STALL_TIMEOUT_S = 1.5
-# A commit that a lost replica had acknowledged reaches the remaining replicas
-# within this time, even if the primary does not report its position in between.
-DEPARTURE_GRACE_S = 15.0
 # Reports of proxies are ignored when they are older than this.
 REPORT_AGE_LIMIT_S = 1.5
 
@@ -50,6 +52,12 @@
     waiting_since
         Time of the query that the member has not answered yet; None while no
         query is in flight.
+    is_absent
+        Whether no process listened at the member's address when it was last
+        asked.
+    bound
+        Position that the primary reported since the member is absent. The
+        member has confirmed no commit above it. None if there is none.
     """
 
     upstream_id: UpstreamId
@@ -62,6 +70,8 @@
     behind_since: float | None
     paused_term: Term
     waiting_since: float | None = None
+    is_absent: bool = False
+    bound: LogPosition | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -81,21 +91,20 @@
     primary
         Primary of the newest known term; None if there is none.
     members
-        All members that have not left.
+        All members that may run, also those that announced their departure.
     reports
         Latest report of each proxy that used the primary recently.
-    departed_at
-        When a replica last left or restarted without its data; None if none
-        did.
-    primary_seen_at
-        When the primary last reported its position.
+    departures
+        Starts of replicas that have ended.
+    had_primary
+        Whether a primary of the service was ever seen.
     """
 
     primary: UpstreamId | None
     members: tuple[MemberObservation, ...]
     reports: tuple[ReachabilityReport, ...] = ()
-    departed_at: float | None = None
-    primary_seen_at: float | None = None
+    departures: tuple[Departure, ...] = ()
+    had_primary: bool = False
 
     def member(
         self, upstream_id: UpstreamId | None
@@ -160,10 +169,11 @@
 def _decide_without_primary(
     observed: ServiceObservation,
 ) -> ReplacementDecision:
-    answered = [
-        known for known in observed.members if known.answered_at > float('-inf')
-    ]
-    if len(answered) < len(observed.members) or len(answered) < 2:
+    present = [known for known in observed.members if not known.is_absent]
+    answered = [known for known in present if known.answered_at > float('-inf')]
+    # While a service starts, its first member is not the only one.
+    expected = 1 if observed.had_primary else 2
+    if len(answered) < max(len(present), expected):
         return KeepPrimary()
     return ReplacePrimary(reason='no member is primary')
 
@@ -274,11 +284,15 @@
 
 
 def choose_candidate(
-    observed: ServiceObservation, ordered: UpstreamId | None
+    observed: ServiceObservation,
+    ordered: UpstreamId | None,
+    ahead: UpstreamId | None = None,
 ) -> UpstreamId | None:
     """Return the most advanced replica, or None.
 
-    A replica that is leaving is chosen only if no other one answers.
+    A replica that is leaving is chosen if no other one answers, or if it is
+    known to be ahead of them and they cannot catch up. It is replaced itself
+    as soon as another replica has its commits.
 
     Parameters
     ----------
@@ -288,14 +302,26 @@
         Member of an earlier promotion order whose outcome is not known. The
         order may still be carried out, so this member is preferred among
         replicas at the same position.
+    ahead
+        Paused replica that was ahead of the last candidate; None if none was.
     """
     available = [
         replica
         for replica in observed.replicas
         if replica.failing_since is None and replica.answered_at > float('-inf')
     ]
+    primary = observed.member(observed.primary)
+    # The primary that leaves as planned still sends its commits to others.
+    is_planned = (
+        primary is not None
+        and primary.is_leaving
+        and primary.failing_since is None
+    )
     preferred = [
-        replica for replica in available if not replica.is_leaving
+        replica
+        for replica in available
+        if not replica.is_leaving
+        or (replica.upstream_id == ahead and not is_planned)
     ] or available
     if not preferred:
         return None
@@ -304,6 +330,7 @@
         key=lambda replica: (
             replica.received,
             replica.upstream_id == ordered,
+            not replica.is_leaving,
             replica.upstream_id,
         ),
     ).upstream_id
@@ -312,7 +339,6 @@
 def check_promotion(
     observed: ServiceObservation,
     evidence: PromotionEvidence,
-    now: float,
     *,
     synchronous_replicas: int,
 ) -> PromotionCheck:
@@ -324,17 +350,22 @@
         Latest observation of the service.
     evidence
         Positions of the replicas, read after the pauses.
-    now
-        Monotonic time, in seconds.
     synchronous_replicas
         Number of replicas that have a commit before it is acknowledged. With
         0, no replica is certain to have any commit.
     """
-    if len(evidence.unconfirmed) >= max(1, synchronous_replicas):
-        names = ', '.join(sorted(evidence.unconfirmed))
-        return NotPromotable(
-            reason=f'replicas {names} did not confirm the pause'
-        )
+    uncertain = [
+        f'replica {name} did not confirm the pause'
+        for name in sorted(evidence.unconfirmed)
+        if not _has_commits_of_absent(observed.member(name), evidence)
+    ]
+    uncertain.extend(
+        _explain_departure(departure)
+        for departure in observed.departures
+        if not _reaches(evidence, departure.bound)
+    )
+    if len(uncertain) >= max(1, synchronous_replicas):
+        return NotPromotable(reason='; '.join(uncertain))
     for replica in evidence.paused:
         if replica.received > evidence.candidate_received:
             return NotPromotable(
@@ -343,30 +374,28 @@
                 ),
                 more_advanced=replica.upstream_id,
             )
-    if not _departed_recently(observed, now):
-        return Promotable(upstream_id=evidence.candidate)
-    if not _seen_since_departure(observed):
-        return NotPromotable(
-            reason='a replica left and the primary has not been seen since'
-        )
-    primary = observed.member(observed.primary)
-    if primary is not None and primary.received > evidence.candidate_received:
-        # The departed replica may have been the only one to confirm it.
-        return NotPromotable(
-            reason='a replica left and the candidate lacks commits of the '
-            'primary'
-        )
     return Promotable(upstream_id=evidence.candidate)
 
 
-def _departed_recently(observed: ServiceObservation, now: float) -> bool:
-    departed_at = observed.departed_at
-    return departed_at is not None and now - departed_at < DEPARTURE_GRACE_S
+def _has_commits_of_absent(
+    replica: MemberObservation | None, evidence: PromotionEvidence
+) -> bool:
+    if replica is None or not replica.is_absent:
+        return False
+    return _reaches(evidence, replica.bound)
 
 
-def _seen_since_departure(observed: ServiceObservation) -> bool:
-    departed_at = observed.departed_at
-    seen_at = observed.primary_seen_at
-    if departed_at is None or seen_at is None:
-        return False
-    return seen_at > departed_at
+def _reaches(evidence: PromotionEvidence, bound: LogPosition | None) -> bool:
+    return bound is not None and evidence.candidate_received >= bound
+
+
+def _explain_departure(departure: Departure) -> str:
+    if departure.bound is None:
+        return (
+            f'replica {departure.upstream_id} left and the primary has not '
+            'been seen since'
+        )
+    return (
+        f'replica {departure.upstream_id} left and the candidate lacks '
+        'commits of the primary'
+    )
--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -12,7 +12,11 @@
 from lavendergate.controllers.tolerance_watch import ToleranceWatch
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.control_routes import pack_routes, unpack_routes
-from lavendergate.core.fleet_directory import MemberEntry, departed_entry
+from lavendergate.core.fleet_directory import (
+    MemberEntry,
+    departure_of,
+    is_departure_known,
+)
 from lavendergate.core.loss_tolerance import LossTolerance
 from lavendergate.core.routes import RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
@@ -123,12 +127,19 @@
             return True
         return await self._control.forward_entries((entry,))
 
-    async def remove_member(self, upstream_id: UpstreamId) -> bool:
-        """Remove a member; see the base class."""
-        entry = self._fleet.directory.entries.get(upstream_id)
-        if entry is None:
-            return True
-        departed = departed_entry(entry)
+    async def remove_member(
+        self, upstream_id: UpstreamId, born: int | None
+    ) -> bool:
+        """Remove a start of a member; see the base class."""
+        known = self._fleet.directory.entries.get(upstream_id)
+        if known is None:
+            # Another host may know the member.
+            return self._fleet.is_leading
+        departed = departure_of(known, born)
+        if departed is None:
+            if not is_departure_known(known, born):
+                return False
+            departed = known
         self._fleet.merge((departed,))
         return self._fleet.is_leading or await self._control.forward_entries(
             (departed,)
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -124,6 +124,7 @@
         self._fleet.merge(reply.entries)
         for notice in reply.primaries:
             self._fleet.publish_primary(notice)
+        self._fleet.record_notices(reply.positions, sent_at)
 
 
 class HostedControl:
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -118,6 +118,21 @@
         'takeover of service {service} ended: {outcome}',
         extra=('duration_ms',),
     )
+    takeover_blocked = define(
+        8190,
+        Level.warning,
+        'service {service} has had no safe candidate for {waited_ms} ms: '
+        '{reason}',
+        'Start the members that the reason names, or the former primary, with '
+        'their data. See docs/operations/alarms.md if they are lost for good.',
+        extra=('candidate',),
+    )
+    takeover_unblocked = define(
+        8191,
+        Level.info,
+        'the takeover of service {service} that had no safe candidate ended '
+        'after {waited_ms} ms: {outcome}',
+    )
     lease_granted = define(
         8054,
         Level.info,
--- a/lavendergate/platform/control_calls.py
+++ b/lavendergate/platform/control_calls.py
@@ -8,6 +8,7 @@
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.routes import RoutesVersion
 from lavendergate.core.types import UpstreamId
+from lavendergate.platform.departure_calls import decode_born
 from lavendergate.platform.documents import decode_announcement, decode_routes
 from lavendergate.rpc.http import HttpRequest, HttpResponse
 
@@ -31,8 +32,17 @@
         """Merge an announcement; return whether it will reach all hosts."""
 
     @abstractmethod
-    async def remove_member(self, upstream_id: UpstreamId) -> bool:
-        """Remove a member; return whether that will reach all hosts."""
+    async def remove_member(
+        self, upstream_id: UpstreamId, born: int | None
+    ) -> bool:
+        """Remove a start of a member; return whether all hosts will know.
+
+        Parameters
+        ----------
+        born
+            Unix time of the start that leaves, in milliseconds; None if the
+            call does not name it.
+        """
 
     @abstractmethod
     async def publish_routes(
@@ -93,7 +103,9 @@
                     return _bad_request(entry.err_value)
                 done = await self._calls.announce(entry.ok_value)
             case 'DELETE':
-                done = await self._calls.remove_member(UpstreamId(member))
+                done = await self._calls.remove_member(
+                    UpstreamId(member), decode_born(request.body)
+                )
             case _:
                 return _NOT_FOUND
         return _OK if done else _UNAVAILABLE
--- a/lavendergate/platform/members.py
+++ b/lavendergate/platform/members.py
@@ -4,6 +4,7 @@
 
 from lavendergate.backends.sessions import (
     AnswerLostError,
+    MemberAbsentError,
     MemberDialer,
     MemberRefusedError,
     MemberSession,
@@ -137,7 +138,12 @@
             with anyio.fail_after(self._timeout_s):
                 return await self._open(member, context)
         except LOST_OR_TIMEOUT_ERRORS as error:
-            raise MemberUnreachableError(
+            kind = (
+                MemberAbsentError
+                if _is_connection_refused(error)
+                else MemberUnreachableError
+            )
+            raise kind(
                 f'no connection to {member.upstream_id} at '
                 f'{member.address}: {error!r}'
             ) from error
@@ -171,3 +177,10 @@
             raise LineError(f'unexpected line {word!r} in answer to START')
         _, position = parse_ready(rest)
         return LineMemberSession(stream=stream), position
+
+
+def _is_connection_refused(error: BaseException) -> bool:
+    """Return whether no process listens at the address."""
+    return isinstance(error, ConnectionRefusedError) or isinstance(
+        error.__cause__, ConnectionRefusedError
+    )
--- a/lavendergate/tests/takeover_fixture.py
+++ b/lavendergate/tests/takeover_fixture.py
@@ -79,8 +79,8 @@
 class TakeoverFixture:
     """Takeover controller of one group of three members."""
 
-    def __init__(self, *, tasks: TaskGroup) -> None:
-        self.group = SessionGroup(names=('a', 'b', 'c'))
+    def __init__(self, *, tasks: TaskGroup, group: SessionGroup) -> None:
+        self.group = group
         self.orders = MemoryPromotionOrders(group=self.group, tasks=tasks)
         self.node = _Node()
         self.events = MemoryEventLog()
@@ -164,14 +164,21 @@
         return RouteTable(version=RoutesVersion(1), services={service: limits})
 
 
+def three_members() -> SessionGroup:
+    """Return a group of three members."""
+    return SessionGroup(names=('a', 'b', 'c'))
+
+
 def run_scenario(
     scenario: Callable[[TakeoverFixture], Awaitable[None]],
+    *,
+    make_group: Callable[[], SessionGroup] = three_members,
 ) -> None:
     """Run a scenario in virtual time, in which waits end at once."""
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            await scenario(TakeoverFixture(tasks=tasks))
+            await scenario(TakeoverFixture(tasks=tasks, group=make_group()))
             tasks.cancel_scope.cancel()
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
--- a/lavendergate/tests/test_fleet_directory.py
+++ b/lavendergate/tests/test_fleet_directory.py
@@ -10,6 +10,7 @@
     MemberAvailability,
     MemberEntry,
     departed_entry,
+    departure_of,
     merge,
 )
 from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
@@ -74,15 +75,19 @@
         self.assertEqual(merged, directory)
         self.assertFalse(changed)
 
-    def test_address_belongs_to_the_member_started_last(self) -> None:
-        """Guards against two members at one address."""
+    def test_later_announcement_of_an_address_removes_nobody(self) -> None:
+        """Guards against an odd entry that evicts the live primary for good.
+
+        The members are asked which of them is at the address; see
+        `test_takeover`.
+        """
         heard = (entry('old', born=1), entry('new', born=2))
         for order in permutations(heard):
             directory, _ = merge(FleetDirectory(), order)
-            names = [
+            names = {
                 known.upstream_id for known in directory.members_of(SERVICE)
-            ]
-            self.assertEqual(names, ['new'])
+            }
+            self.assertEqual(names, {'old', 'new'})
 
     def test_higher_sequence_alone_is_no_change(self) -> None:
         """Guards against forwarding each announcement to other hosts."""
@@ -110,6 +115,37 @@
         directory, _ = merge(directory, (late,))
         self.assertFalse(directory.members_of(SERVICE))
 
+    def test_last_call_of_an_earlier_start_changes_nothing(self) -> None:
+        """Guards against a start that confirms commits and counts as gone."""
+        for availability in MemberAvailability:
+            second = entry(born=9, availability=availability)
+            self.assertIsNone(departure_of(second, 2), availability)
+
+    def test_last_call_of_a_start_not_known_yet_hides_it(self) -> None:
+        """Guards against the late announcement of a start that has left."""
+        departed = departure_of(entry(born=2), 9)
+        assert departed is not None
+        directory, _ = merge(FleetDirectory(), (entry(born=2), departed))
+        late = entry(born=9, sequence=4)
+        directory, _ = merge(directory, (late,))
+        self.assertFalse(directory.members_of(SERVICE))
+
+    def test_last_call_without_a_start_needs_an_announcement(self) -> None:
+        """Guards against a late call that removes the next start."""
+        self.assertIsNone(departure_of(entry(born=9), None))
+
+    def test_announcement_revokes_a_last_call_without_a_start(self) -> None:
+        """Guards against the removal of the next start, which drains, too."""
+        draining = entry(born=9, availability=MemberAvailability.draining)
+        departed = departure_of(draining, None)
+        assert departed is not None
+        directory, _ = merge(FleetDirectory(), (draining, departed))
+        self.assertFalse(directory.members_of(SERVICE))
+        self.assertTrue(directory.entries[UpstreamId('a')].may_run)
+        later = msgspec.structs.replace(draining, sequence=2)
+        directory, _ = merge(directory, (later,))
+        self.assertEqual(directory.members_of(SERVICE), (later,))
+
     def test_announcement_leaves_other_services_as_they_are(self) -> None:
         """Guards against a cost that grows with the fleet.
 
@@ -134,7 +170,6 @@
         directory, _ = merge(FleetDirectory(), (entry(born=1), moved))
         self.assertEqual(directory.members_of(SERVICE), ())
         self.assertEqual(directory.members_of(moved.service), (moved,))
-        # The former address is free for another member, also an older one.
         older = entry('b', born=1)
         directory, _ = merge(directory, (older,))
         self.assertEqual(directory.members_of(SERVICE), (older,))
--- a/lavendergate/tests/test_platform_sockets.py
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -208,7 +208,7 @@
 
     def __init__(self) -> None:
         self.entries: list[MemberEntry] = []
-        self.removed: list[UpstreamId] = []
+        self.removed: list[tuple[UpstreamId, int | None]] = []
         self.content: bytes | None = None
         self.is_confirmed = True
 
@@ -216,8 +216,10 @@
         self.entries.append(entry)
         return self.is_confirmed
 
-    async def remove_member(self, upstream_id: UpstreamId) -> bool:
-        self.removed.append(upstream_id)
+    async def remove_member(
+        self, upstream_id: UpstreamId, born: int | None
+    ) -> bool:
+        self.removed.append((upstream_id, born))
         return self.is_confirmed
 
     async def publish_routes(
@@ -270,6 +272,31 @@
 
         run_scenario(scenario)
 
+    def test_last_call_of_a_member_names_its_start(self) -> None:
+        """Guards against a late call that removes the next start."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            calls = RecordingCalls()
+            for body, born in (
+                (b'{"born":1700000000000,"sequence":4}', 1700000000000),
+                (b'', None),
+                (b'{}', None),
+                (b'{"born":"x"}', None),
+                (b'{"born":1.5}', None),
+                (b'{"born":-4}', None),
+                (b'{"born":' + b'9' * 21 + b'}', None),
+                (b'[' * 3000, None),
+                (b'\xff', None),
+            ):
+                await ControlHttp(calls=calls).handle(
+                    HttpRequest(
+                        method='DELETE', path='/instances/i-1', body=body
+                    )
+                )
+                self.assertEqual(calls.removed.pop(), ('i-1', born), body)
+
+        run_scenario(scenario)
+
 
 class ReadinessTest(unittest.TestCase):
     """The readiness check."""
--- a/lavendergate/tests/test_primary_replacement.py
+++ b/lavendergate/tests/test_primary_replacement.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from lavendergate.core.departures.ledger import Departure
 from lavendergate.core.primary_replacement import (
     KeepPrimary,
     MemberObservation,
@@ -45,7 +46,7 @@
 
 def service(*members: MemberObservation) -> ServiceObservation:
     """Return an observation of a service whose primary is `a`."""
-    return ServiceObservation(primary=A, members=members, primary_seen_at=NOW)
+    return ServiceObservation(primary=A, members=members)
 
 
 def silent(known: MemberObservation) -> MemberObservation:
@@ -53,6 +54,16 @@
     return replace(known, failing_since=NOW - 2, answered_at=NOW - 2)
 
 
+def departure(name: str, *, bound: int | None = None) -> Departure:
+    """Return the departure of a replica."""
+    return Departure(
+        upstream_id=UpstreamId(name),
+        born=1,
+        ended_at=NOW - 60,
+        bound=None if bound is None else at(bound),
+    )
+
+
 def evidence(
     candidate: int, *paused: int, unconfirmed: tuple[UpstreamId, ...] = ()
 ) -> PromotionEvidence:
@@ -137,7 +148,7 @@
         """Guards against waiting although the promotion is safe."""
         observed = service(silent(member(A)), member(B), member(C))
         check = check_promotion(
-            observed, evidence(7, 7), NOW, synchronous_replicas=1
+            observed, evidence(7, 7), synchronous_replicas=1
         )
         self.assertEqual(check, Promotable(upstream_id=B))
 
@@ -145,7 +156,7 @@
         """Guards against losing a commit that only `c` received."""
         observed = service(silent(member(A)), member(B), member(C))
         check = check_promotion(
-            observed, evidence(6, 7), NOW, synchronous_replicas=1
+            observed, evidence(6, 7), synchronous_replicas=1
         )
         assert isinstance(check, NotPromotable)
         self.assertEqual(check.more_advanced, C)
@@ -156,7 +167,6 @@
         check = check_promotion(
             observed,
             evidence(7, unconfirmed=(C,)),
-            NOW,
             synchronous_replicas=1,
         )
         self.assertIsInstance(check, NotPromotable)
@@ -167,7 +177,6 @@
         check = check_promotion(
             observed,
             evidence(7, unconfirmed=(C,)),
-            NOW,
             synchronous_replicas=2,
         )
         self.assertIsInstance(check, Promotable)
@@ -176,17 +185,14 @@
         """Guards against losing a commit that only the departed one had."""
         observed = replace(
             service(silent(member(A)), member(B), member(C)),
-            departed_at=NOW - 1,
-            primary_seen_at=NOW - 2,
+            departures=(departure('d'),),
         )
         check = check_promotion(
-            observed, evidence(7, 7), NOW, synchronous_replicas=1
+            observed, evidence(7, 7), synchronous_replicas=1
         )
         self.assertIsInstance(check, NotPromotable)
-        seen = replace(observed, primary_seen_at=NOW - 0.5)
-        check = check_promotion(
-            seen, evidence(7, 7), NOW, synchronous_replicas=1
-        )
+        bounded = replace(observed, departures=(departure('d', bound=7),))
+        check = check_promotion(bounded, evidence(7, 7), synchronous_replicas=1)
         self.assertIsInstance(check, Promotable)
 
     def test_departed_replica_delays_until_the_candidate_caught_up(
@@ -198,18 +204,60 @@
         """
         observed = replace(
             service(silent(member(A, received=8)), member(B), member(C)),
-            departed_at=NOW - 1,
-            primary_seen_at=NOW - 0.5,
+            departures=(departure('d', bound=8),),
         )
         behind = check_promotion(
-            observed, evidence(7, 7), NOW, synchronous_replicas=1
+            observed, evidence(7, 7), synchronous_replicas=1
         )
         self.assertIsInstance(behind, NotPromotable)
         caught_up = check_promotion(
-            observed, evidence(8, 7), NOW, synchronous_replicas=1
+            observed, evidence(8, 7), synchronous_replicas=1
         )
         self.assertIsInstance(caught_up, Promotable)
 
+    def test_departed_and_silent_replica_together_delay(self) -> None:
+        """Guards against two starts that confirmed a commit of which one left.
+
+        With two confirmations, each of them alone delays nothing.
+        """
+        for departures, unconfirmed, expected in (
+            ((departure('d'),), (), Promotable),
+            ((), (C,), Promotable),
+            ((departure('d'),), (C,), NotPromotable),
+            ((departure('d'), departure('e')), (), NotPromotable),
+            ((departure('d'), departure('e', bound=7)), (), Promotable),
+        ):
+            observed = replace(
+                service(silent(member(A)), member(B), silent(member(C))),
+                departures=departures,
+            )
+            check = check_promotion(
+                observed,
+                evidence(7, unconfirmed=unconfirmed),
+                synchronous_replicas=2,
+            )
+            self.assertIsInstance(check, expected, (departures, unconfirmed))
+
+    def test_absent_replica_counts_up_to_the_bound_of_the_primary(self) -> None:
+        """Guards against a lost replica that blocks each promotion for ever."""
+        for bound, is_absent, expected in (
+            (7, True, Promotable),
+            (8, True, NotPromotable),
+            (None, True, NotPromotable),
+            (7, False, NotPromotable),
+        ):
+            lost = replace(
+                silent(member(C)),
+                is_absent=is_absent,
+                bound=None if bound is None else at(bound),
+            )
+            check = check_promotion(
+                service(silent(member(A)), member(B), lost),
+                evidence(7, unconfirmed=(C,)),
+                synchronous_replicas=1,
+            )
+            self.assertIsInstance(check, expected, (bound, is_absent))
+
 
 class ChooseCandidateTest(unittest.TestCase):
     """Choice of the candidate."""
@@ -231,3 +279,19 @@
         leaving = replace(member(C, received=9), is_leaving=True)
         observed = service(silent(member(A)), member(B), leaving)
         self.assertEqual(choose_candidate(observed, None), B)
+
+    def test_leaving_replica_that_alone_is_ahead_is_chosen(self) -> None:
+        """Guards against the loss of commits that only that replica has."""
+        leaving = replace(member(C, received=9), is_leaving=True)
+        observed = service(silent(member(A)), member(B), leaving)
+        self.assertEqual(choose_candidate(observed, None, C), C)
+
+    def test_leaving_replica_does_not_follow_a_leaving_primary(self) -> None:
+        """Guards against two promotions in a planned replacement.
+
+        The primary still serves, so another replica can catch up.
+        """
+        primary = replace(member(A), is_leaving=True)
+        leaving = replace(member(C, received=9), is_leaving=True)
+        observed = service(primary, member(B), leaving)
+        self.assertEqual(choose_candidate(observed, None, C), B)
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -7,11 +7,16 @@
 import msgspec
 
 from lavendergate.core.commands import OrderPromotion
-from lavendergate.core.fleet_directory import MemberEntry, departed_entry
+from lavendergate.core.fleet_directory import (
+    MemberEntry,
+    departed_entry,
+    departure_of,
+)
 from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.fleet_service import PrimaryReachability
 from lavendergate.tests.takeover_fixture import TakeoverFixture, run_scenario
+from standin.session_group import Member
 
 
 def odd_entry(control: TakeoverFixture) -> MemberEntry:
@@ -152,10 +157,17 @@
             await anyio.sleep(2)
             group.member('a').is_down = True
             control.fleet.merge((departed_entry(group.member('c').entry),))
-            await anyio.sleep(5)
+            group.member('c').is_down = True
+            await anyio.sleep(60)
             self.assertFalse(control.orders.orders)
             reasons = control.events.fields_of(SessionEvent.takeover_waits)
             self.assertTrue(reasons)
+            blocked = control.events.fields_of(SessionEvent.takeover_blocked)
+            self.assertEqual(len(blocked), 1)
+            group.member('a').is_down = False
+            await anyio.sleep(2)
+            ended = control.events.fields_of(SessionEvent.takeover_unblocked)
+            self.assertEqual(len(ended), 1)
 
         run_scenario(scenario)
 
@@ -245,6 +257,199 @@
         run_scenario(scenario)
 
 
+class DepartureTest(unittest.TestCase):
+    """Members that leave, and entries that name no member."""
+
+    def test_start_that_runs_is_asked_whatever_call_named_its_id(self) -> None:
+        """Guards against a late call of the former start, which hides it."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            control.start_leaving('c')
+            departed = departure_of(group.member('c').entry, None)
+            assert departed is not None
+            control.fleet.merge((departed,))
+            group.member('b').is_replication_cut = True
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('a').is_down = True
+            await anyio.sleep(20)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+
+        run_scenario(scenario)
+
+    def test_leaving_replica_that_alone_has_all_commits_is_promoted(
+        self,
+    ) -> None:
+        """Guards against a promotion that loses what that replica confirmed."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            control.start_leaving('c')
+            group.member('b').is_replication_cut = True
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('a').is_down = True
+            await anyio.sleep(4)
+            self.assertTrue(group.member('c').is_primary)
+            # Handed on as soon as the other replica has the commits.
+            group.member('b').is_replication_cut = False
+            group.commit(group.member('c'), {'y': '1'})
+            await anyio.sleep(6)
+            self.assertTrue(group.member('b').is_primary)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+
+        run_scenario(scenario)
+
+    def test_lost_replica_no_longer_blocks_once_the_primary_was_seen(
+        self,
+    ) -> None:
+        """Guards against a service that waits for a lost replica for ever."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            group.member('c').is_down = True
+            await anyio.sleep(3)
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('a').is_down = True
+            await anyio.sleep(5)
+            self.assertTrue(group.member('b').is_primary)
+
+        run_scenario(scenario)
+
+    def test_last_member_is_promoted_after_the_others_have_left(self) -> None:
+        """Guards against a service whose only member is never promoted."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            for name in ('a', 'b'):
+                control.start_leaving(name)
+                await anyio.sleep(4)
+                entry = group.member(name).entry
+                control.fleet.merge((departed_entry(entry),))
+                group.member(name).is_down = True
+                await anyio.sleep(8)
+            self.assertTrue(group.member('c').is_primary)
+
+        run_scenario(scenario)
+
+    def test_odd_entry_at_the_address_of_the_primary_evicts_nobody(
+        self,
+    ) -> None:
+        """Guards against a service that refuses all statements."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            odd = msgspec.structs.replace(
+                group.member('a').entry,
+                upstream_id=UpstreamId('odd'),
+                born=2,
+                is_primary=False,
+            )
+            control.fleet.merge((odd,))
+            await anyio.sleep(3)
+            names = {
+                entry.upstream_id
+                for entry in control.fleet.directory.members_of(group.service)
+            }
+            self.assertEqual(names, {'a', 'b', 'c'})
+            self.assertFalse(control.orders.orders)
+
+        run_scenario(scenario)
+
+    def test_address_of_a_member_that_ended_belongs_to_the_next_one(
+        self,
+    ) -> None:
+        """Guards against two members at one address."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            former = group.members.pop(UpstreamId('c'))
+            former.is_down = True
+            entry = msgspec.structs.replace(
+                former.entry, upstream_id=UpstreamId('d'), born=2
+            )
+            group.members[entry.upstream_id] = Member(entry=entry)
+            control.announce()
+            await anyio.sleep(3)
+            names = {
+                entry.upstream_id
+                for entry in control.fleet.directory.members_of(group.service)
+            }
+            self.assertEqual(names, {'a', 'b', 'd'})
+
+        run_scenario(scenario)
+
+    def test_entry_without_a_member_blocks_no_promotion(self) -> None:
+        """Guards against a crashed primary that is never replaced."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            control.fleet.merge((odd_entry(control),))
+            await anyio.sleep(2)
+            group.member('a').is_down = True
+            await anyio.sleep(4)
+            self.assertEqual(len(control.orders.orders), 1)
+
+        run_scenario(scenario)
+
+    def test_silent_entry_blocks_until_its_last_call(self) -> None:
+        """Guards against a blocked promotion without a remedy.
+
+        Nothing proves that a member that is silent has confirmed no commit.
+        """
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            odd = odd_entry(control)
+            group.silent_addresses.add(odd.address)
+            await anyio.sleep(2)
+            control.fleet.merge((odd,))
+            await anyio.sleep(2)
+            group.member('a').is_down = True
+            await anyio.sleep(30)
+            self.assertFalse(control.orders.orders)
+            blocked = control.events.fields_of(SessionEvent.takeover_blocked)
+            self.assertIn('odd', str(blocked[0]['reason']))
+            group.member('a').is_down = False
+            departed = departure_of(odd, odd.born)
+            assert departed is not None
+            control.fleet.merge((departed,))
+            await anyio.sleep(20)
+            group.member('a').is_down = True
+            await anyio.sleep(4)
+            self.assertTrue(control.orders.orders)
+
+        run_scenario(scenario)
+
+    def test_replica_that_was_restarted_proves_nothing_of_before(self) -> None:
+        """Guards against the loss of a commit that its first start had."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            group.member('b').is_replication_cut = True
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('a').is_down = True
+            restarted = group.member('c')
+            restarted.log = []
+            restarted.applied = 0
+            restarted.entry = msgspec.structs.replace(restarted.entry, born=9)
+            control.announce()
+            await anyio.sleep(60)
+            self.assertFalse(control.orders.orders)
+            group.member('a').is_down = False
+            await anyio.sleep(3)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+
+        run_scenario(scenario)
+
+
 class LeaseTest(unittest.TestCase):
     """Leases on primaries, and orders that platforms do not check."""
 
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -12,6 +12,7 @@
 
 from lavendergate.backends.sessions import (
     AnswerLostError,
+    MemberAbsentError,
     MemberDialer,
     MemberRefusedError,
     MemberSession,
@@ -182,6 +183,8 @@
     ) -> None:
         self.service = GroupId(service)
         self.former_primary_continues = former_primary_continues
+        # Addresses that drop every packet.
+        self.silent_addresses: set[str] = set()
         self.term = Term(1)
         self.max_connections = DEFAULT_CONNECTIONS
         self.members = {
@@ -295,8 +298,12 @@
         await anyio.lowlevel.checkpoint()
         group = self._groups[member.service]
         target = group.members.get(member.upstream_id)
-        if target is None or target.is_down or target.is_silent:
-            raise MemberUnreachableError(f'{member.upstream_id} is down')
+        if target is not None and target.is_down:
+            raise MemberAbsentError(f'{member.upstream_id} is down')
+        if target is None or target.entry.address != member.address:
+            raise self._find_other(group, member)
+        if target.is_silent:
+            raise MemberUnreachableError(f'{member.upstream_id} is silent')
         if target.connections >= group.max_connections:
             raise MemberRefusedError(
                 refusal=Refused(code=RefusalCode.connection_limit)
@@ -305,6 +312,19 @@
         target.connections += 1
         return GroupSession(group=group, member=target), target.position
 
+    def _find_other(
+        self, group: SessionGroup, member: MemberEntry
+    ) -> MemberRefusedError | MemberUnreachableError:
+        """Return the error for an address without that member."""
+        for other in group.members.values():
+            if other.entry.address == member.address and not other.is_down:
+                return MemberRefusedError(
+                    refusal=Refused(code=RefusalCode.misrouted)
+                )
+        if member.address in group.silent_addresses:
+            return MemberUnreachableError(f'{member.address} is silent')
+        return MemberAbsentError(f'nobody listens at {member.address}')
+
 
 class GroupSession(MemberSession):
     """A connection to a member."""
