Notice a restart before its announcement, and keep draining members

Two orders could still lose acknowledged commits. A replica that started again without its data answered under its id before its announcement arrived, and its empty log was taken for that of the former start. And a member that crashed while it drained was marked as gone; a process that comes back with its log may count its heartbeats anew, so none of them would have revoked the mark.

A report whose position falls within a term shows a restart: the former start is recorded as ended, with a bound that only the primary can give. A start is marked as ended only after its DELETE, or when its id is MISROUTED.

test_restart_before_its_announcement_proves_nothing_of_before and test_member_that_drains_and_crashes_comes_back_with_its_log failed before and pass now.

--- a/lavendergate/controllers/fleet_state.py
+++ b/lavendergate/controllers/fleet_state.py
@@ -191,6 +191,10 @@
             (departed_entry(entry, is_final=False, stage=DepartureStage.ended),)
         )
 
+    def record_restart(self, entry: MemberEntry) -> None:
+        """Record that a start has ended, although its id answers."""
+        self._record_departure(entry)
+
     def settle_departures(
         self, service: GroupId, received: LogPosition
     ) -> None:
--- a/lavendergate/controllers/member_poller.py
+++ b/lavendergate/controllers/member_poller.py
@@ -351,24 +351,20 @@
             self._fleet.directory.entries[entry.upstream_id]
         ):
             return
-        if is_elsewhere or (
-            self._has_ended(member)
-            and entry.availability != MemberAvailability.ready
-        ):
+        if is_elsewhere or self._has_ended(member):
             self._fleet.record_end(
                 self._fleet.directory.entries[entry.upstream_id]
             )
 
     def _has_ended(self, member: PolledMember) -> bool:
+        """Whether a member that announced its departure has exited."""
+        if member.entry.availability != MemberAvailability.gone:
+            # It may come back with its log.
+            return False
         if member.absent_since is not None:
             return True
-        is_gone = member.entry.availability == MemberAvailability.gone
         since = member.failing_since
-        return (
-            is_gone
-            and since is not None
-            and self._clock() - since >= _SILENT_EXIT_S
-        )
+        return since is not None and self._clock() - since >= _SILENT_EXIT_S
 
     async def _ask(
         self, member: PolledMember, request: ReportRequest
@@ -383,6 +379,9 @@
             member.record_answer(now)
             return None
         primary = self._primary_report(member.entry.service)
+        if _is_restarted(member.report, report):
+            # Its announcement has not arrived yet.
+            self._fleet.record_restart(member.entry)
         member.record_report(report, now)
         member.asked_at = asked_at
         if primary is not None and not report.is_primary:
@@ -531,6 +530,16 @@
         )
 
 
+def _is_restarted(former: MemberReport | None, report: MemberReport) -> bool:
+    """Whether a report shows that the log of an earlier one is lost.
+
+    Logs are truncated only by a promotion, which raises the term.
+    """
+    if former is None:
+        return False
+    return report.term <= former.term and report.received < former.received
+
+
 def _primary_among(members: list[PolledMember]) -> UpstreamId | None:
     leading = [
         (member.report.term, member.entry.upstream_id)
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -449,6 +449,49 @@
 
         run_scenario(scenario)
 
+    def test_restart_before_its_announcement_proves_nothing_of_before(
+        self,
+    ) -> None:
+        """Guards against the loss of a commit that its first start had."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            group.commit(group.member('a'), {'w': 'kept'})
+            await anyio.sleep(2)
+            group.member('b').is_replication_cut = True
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('a').is_down = True
+            group.member('c').log = []
+            group.member('c').applied = 0
+            await anyio.sleep(60)
+            self.assertFalse(control.orders.orders)
+
+        run_scenario(scenario)
+
+    def test_member_that_drains_and_crashes_comes_back_with_its_log(
+        self,
+    ) -> None:
+        """Guards against a start that confirms commits and is not asked.
+
+        Its heartbeats count anew, so they do not revoke a departure.
+        """
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            control.start_leaving('c')
+            group.member('c').is_down = True
+            await anyio.sleep(3)
+            group.member('c').is_down = False
+            group.member('b').is_replication_cut = True
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('a').is_down = True
+            await anyio.sleep(20)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+            self.assertTrue(group.member('c').is_primary)
+
+        run_scenario(scenario)
+
 
 class LeaseTest(unittest.TestCase):
     """Leases on primaries, and orders that platforms do not check."""
