Play schedules of members that leave in the same order each time

Schedules with late, doubled and lost calls of two and more starts now also end with a recovery: once all but the departed members run, the primary crashes and another one has to be promoted. They play a service with two synchronous replicas, too. Trio's choice among ready tasks is seeded, because the same schedule failed only now and then.

A takeover again asks by id alone whether all members are polled: a restart of a replica withheld the leases of its service for up to 0.15 s.

--- a/lavendergate/controllers/member_poller.py
+++ b/lavendergate/controllers/member_poller.py
@@ -276,14 +276,12 @@
         Members that announced their departure and may still run belong to
         them.
         """
-        entries = self._fleet.directory.entries
-        departing = self._fleet.departing(service)
         return all(
-            self._is_polled(entry)
-            for entry in (
-                *self._fleet.directory.members_of(service),
-                *(entries[upstream_id] for upstream_id in departing),
-            )
+            entry.upstream_id in self._members
+            for entry in self._fleet.directory.members_of(service)
+        ) and all(
+            upstream_id in self._members
+            for upstream_id in self._fleet.departing(service)
         )
 
     def born(self, upstream_id: UpstreamId) -> int | None:
--- a/properties/member_schedule.py
+++ b/properties/member_schedule.py
@@ -7,8 +7,11 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
+from importlib import import_module
+from unittest import mock
 
 import anyio
 import msgspec
@@ -31,12 +34,16 @@
 _STEPS = 9
 _COMMIT_INTERVAL_S = 0.05
 _HEARTBEAT_S = 1.2
-_ENDED_S = 6.0
+# Until all actions of a schedule have ended, in seconds.
+_ENDED_S = 26.0
+_RECOVERED_S = 8.0
+_PROMOTED_S = 10.0
 # A partition lasts no longer than this on the sites of the users.
 _DELAY_LIMIT_S = 5.5
 # A start that is younger may come after the members were asked.
 _YOUNG_S = 2.0
 _HOSTS = 3
+_NAMES = ('a', 'b', 'c', 'd')
 
 
 class WatchedGroup(SessionGroup):
@@ -46,11 +53,16 @@
     ----------
     problems
         What a promotion broke.
+    is_commit_at_risk
+        Whether a promotion lost a commit or did not ask a start.
     """
 
-    def __init__(self, *, names: tuple[str, ...]) -> None:
-        super().__init__(names=names)
+    def __init__(
+        self, *, names: tuple[str, ...], synchronous_replicas: int
+    ) -> None:
+        super().__init__(names=names, synchronous_replicas=synchronous_replicas)
         self.problems: list[str] = []
+        self.is_commit_at_risk = False
         self.promotions = 0
         self.acknowledged: set[str] = set()
         self.started_at: dict[UpstreamId, float] = {}
@@ -59,22 +71,28 @@
         """Promote a member and check what it has, and who was asked."""
         now = anyio.current_time()
         self.promotions += 1
-        for other in self.members.values():
-            upstream_id = other.entry.upstream_id
-            age_s = now - self.started_at.get(upstream_id, 0)
-            may_confirm = not (
-                other.is_down or other.is_primary or other.paused_term
-            )
-            if may_confirm and upstream_id != name and age_s > _YOUNG_S:
-                self.problems.append(f'{upstream_id} was not asked')
+        unasked = [
+            other.entry.upstream_id
+            for other in self.members.values()
+            if other.entry.upstream_id != name and self._may_confirm(other, now)
+        ]
+        if len(unasked) >= max(1, self.synchronous_replicas):
+            self.problems.append(f'{unasked} were not asked')
         present = {
             item for entry in self.member(name).log for item, _ in entry.writes
         }
         lost = len(self.acknowledged - present)
         if lost:
             self.problems.append(f'{name} lacks {lost} acknowledged commits')
+        self.is_commit_at_risk = bool(self.problems)
         super().promote(name)
 
+    def _may_confirm(self, member: Member, now: float) -> bool:
+        if member.is_down or member.is_primary or member.paused_term:
+            return False
+        started_at = self.started_at.get(member.entry.upstream_id, 0)
+        return now - started_at > _YOUNG_S
+
 
 def call_with_start(known: MemberEntry, born: int) -> MemberEntry | None:
     """Return the entry for a last call that names its start."""
@@ -151,6 +169,43 @@
                 self.generator.choice((0.02, 0.3, 1.0, 1.5, 2.5, 9.0, 18.0))
             )
         await anyio.sleep(_ENDED_S)
+        if not self.group.problems:
+            await self.check_recovery()
+
+    async def check_recovery(self) -> None:
+        """Crash the primary once all but the departed members run again.
+
+        If a primary left before another member had its commits, nobody can be
+        promoted; an operator is told.
+        """
+        if any(
+            member.is_primary and member.is_down and self.is_leaving(member)
+            for member in self.group.members.values()
+        ):
+            return
+        for member in self.group.members.values():
+            if member.is_down and not self.is_leaving(member):
+                member.is_down = False
+                member.paused_term = Term(0)
+                self.announce(member, is_first=True)
+        await anyio.sleep(_RECOVERED_S)
+        running = [
+            member
+            for member in self.group.members.values()
+            if not member.is_down
+        ]
+        leading = [member for member in running if member.is_primary]
+        if len(leading) != 1:
+            self.group.problems.append('no primary after the recovery')
+        elif len(running) > 1:
+            self.end(leading[0])
+            await anyio.sleep(_PROMOTED_S)
+            if not any(
+                member.is_primary
+                for member in running
+                if member is not leading[0]
+            ):
+                self.group.problems.append('a departed member blocks')
 
     async def write(self) -> None:
         """Commit on the primary, and note what it acknowledged."""
@@ -311,12 +366,31 @@
                 return
 
 
-def run_schedule(seed: int, last_call: LastCall) -> WatchedGroup:
-    """Play one schedule and return its group."""
+@contextmanager
+def _in_order(seed: int) -> Iterator[None]:
+    """Let trio choose the order of tasks that are ready by a seed."""
+    scheduler = import_module('trio._core._run')
+    scheduler._r.seed(seed)
+    with mock.patch.object(scheduler, '_ALLOW_DETERMINISTIC_SCHEDULING', True):
+        yield
+
+
+def run_schedule(
+    seed: int, last_call: LastCall, *, synchronous_replicas: int = 1
+) -> WatchedGroup:
+    """Play one schedule and return its group.
+
+    The group has two members more than a commit needs.
+    """
     groups: list[WatchedGroup] = []
 
     def make_group() -> WatchedGroup:
-        groups.append(WatchedGroup(names=('a', 'b', 'c')))
+        groups.append(
+            WatchedGroup(
+                names=_NAMES[: synchronous_replicas + 2],
+                synchronous_replicas=synchronous_replicas,
+            )
+        )
         return groups[0]
 
     async def play(control: TakeoverFixture) -> None:
@@ -333,5 +407,6 @@
                 groups[0].problems.extend(schedule.steps)
             tasks.cancel_scope.cancel()
 
-    run_scenario(play, make_group=make_group)
+    with _in_order(seed):
+        run_scenario(play, make_group=make_group)
     return groups[0]
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -172,6 +172,8 @@
     former_primary_continues
         Whether a primary that a promotion replaced still considers itself
         the primary of its term until it is demoted.
+    synchronous_replicas
+        Replicas that receive a transaction before it is acknowledged.
     """
 
     def __init__(
@@ -180,9 +182,11 @@
         names: tuple[str, ...],
         service: str = 'rounds',
         former_primary_continues: bool = False,
+        synchronous_replicas: int = 1,
     ) -> None:
         self.service = GroupId(service)
         self.former_primary_continues = former_primary_continues
+        self.synchronous_replicas = synchronous_replicas
         # Addresses that drop every packet.
         self.silent_addresses: set[str] = set()
         self.term = Term(1)
@@ -225,7 +229,7 @@
         Returns
         -------
         bool
-            Whether a replica received it.
+            Whether enough replicas received it.
         """
         position = LogPosition(
             term=primary.term, position=next(self._positions)
@@ -233,14 +237,14 @@
         entry = LogEntry(position=position, writes=tuple(writes.items()))
         primary.log.append(entry)
         primary.applied = len(primary.log)
-        received = False
+        received = 0
         for replica in self.members.values():
             if self._follows(replica, primary) and self.receives(replica):
                 replica.log = list(primary.log)
-                received = True
+                received += 1
                 if not replica.is_apply_stopped:
                     replica.applied = len(replica.log)
-        return received
+        return received >= self.synchronous_replicas
 
     def receives(self, replica: Member) -> bool:
         """Return whether a replica receives new entries."""
