--- a/faults/soak_disturbances.py
+++ b/faults/soak_disturbances.py
@@ -153,20 +153,21 @@
         if not program.is_running:
             return
         pid = program.pid
+        # Another step may have lowered the limit of the process already.
+        ordinary = resource.getrlimit(resource.RLIMIT_NOFILE)
         with contextlib.suppress(OSError):
             used = len(os.listdir(f'/proc/{pid}/fd'))
-            former = resource.prlimit(pid, resource.RLIMIT_NOFILE)
             resource.prlimit(
                 pid,
                 resource.RLIMIT_NOFILE,
-                (used + _SPARE_DESCRIPTORS, former[1]),
+                (used + _SPARE_DESCRIPTORS, ordinary[1]),
             )
         connections = [self._connect(program) for _ in range(_CONNECTIONS)]
         await asyncio.sleep(step.lasts_s)
         for connection in connections:
             connection.close()
-        with contextlib.suppress(OSError, UnboundLocalError):
-            resource.prlimit(pid, resource.RLIMIT_NOFILE, former)
+        with contextlib.suppress(OSError):
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, ordinary)
 
     def _connect(self, program: Program) -> socket.socket:
         connection = socket.socket()
