Keep a control host running while its disk refuses writes

What callers saw: a control host whose disk was full, read-only or failing, or whose storage the former process still held, ended with status 1, started again and ended again.

Cause: an error of the storage left the driver of the replicated log, or the constructor of the role, and ended the process.

Change: after a failed write the driver takes back the step that was not written, fails its proposals and reads, drops messages, and reads the files again after 1 s, every second, until they take a new log file. The new file makes durable what a failed sync may have left in the page cache only. Until then the host neither votes nor leads. Readers never see an older state. A directory file that can't be written is tried again after 10 s. The node of the MySQL daemon ends as before.

--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from functools import partial
+from operator import attrgetter
 from typing import TypeVar
 
 import anyio
@@ -49,7 +50,12 @@
     encode_state,
 )
 from lavendergate.rpc.transport import Transport
-from lavendergate.storage.base import LogStorage
+from lavendergate.storage.base import (
+    DamagedFileError,
+    LogStorage,
+    StorageError,
+    StoredState,
+)
 from lavendergate.storage.effects import persist
 
 ResultT = TypeVar('ResultT')
@@ -94,10 +100,14 @@
         self._inbox = Inbox()
         self._proposals = PendingProposals()
         self._reads = PendingReads()
+        self._find_change_problem = find_change_problem
         self._applied = AppliedState(
             find_change_problem=find_change_problem, proposals=self._proposals
         )
         self._node: NodeState | None = None
+        # Newest state that readers saw before the storage was read again.
+        self._shown_state = ControlState()
+        self._is_recovering = False
         self._is_snapshotting = False
         self._write_began_at: float | None = None
         self.publisher = ViewPublisher()
@@ -123,6 +133,8 @@
         nor miss its leader then, and the others elect a successor.
         """
         view = self.publisher.view
+        if self._is_recovering:
+            return view.without_leader()
         if self.storage_wait_s <= self._options.node.election_timeout_s:
             return view
         if anyio.current_time() <= view.leader_known_until:
@@ -146,20 +158,7 @@
         StorageError
             If the storage is damaged or in use.
         """
-        stored = await self._call_blocking(self._storage.load)
-        if stored.snapshot is not None:
-            self._applied.restore(stored.snapshot)
-        now = anyio.current_time()
-        self._node = initial_state(
-            identity=stored.identity,
-            hard_state=stored.hard_state,
-            log=stored.log,
-            snapshot=stored.snapshot,
-            options=self._options.node,
-            jitter=self._random(),
-            now=now,
-        )
-        self.publisher.publish(self.node, self._applied.state, now)
+        self._restore(await self._call_blocking(self._storage.load))
 
     async def run(self) -> None:
         """Handle events until cancelled; call `start` before.
@@ -167,15 +166,83 @@
         Raises
         ------
         StorageError, OSError
-            If a write failed. The node must not continue, because it cannot
-            know which of its state is durable.
+            If a write failed and `storage_retry_s` is not given. The node
+            cannot know which of its state is durable.
         """
+        try:
+            while True:
+                await self._run_until_write_fails()
+                await self._recover_storage()
+        finally:
+            self._stop()
+
+    async def _run_until_write_fails(self) -> None:
         try:
             async with anyio.create_task_group() as tasks:
                 while True:
                     await self._handle_next_batch(tasks)
-        finally:
-            self._stop()
+        except* (OSError, StorageError) as failure:
+            if self._options.storage_retry_s is None:
+                raise
+            self._options.report_storage_failure(repr(failure.exceptions[0]))
+
+    async def _recover_storage(self) -> None:
+        """Read the storage again once it takes writes.
+
+        Until then the node neither votes nor leads, and drops messages: it
+        does not know which of its state is durable.
+        """
+        self._is_recovering = True
+        self._is_snapshotting = False
+        self._shown_state = self._newest_state()
+        self._inbox.close()
+        self._proposals.fail_all()
+        self._reads.fail_all(NoQuorum(may_commit=False))
+        stored = None
+        while stored is None:
+            await anyio.sleep(self._options.storage_retry_s or 0)
+            stored = await self._reload_storage()
+        self._applied = AppliedState(
+            find_change_problem=self._find_change_problem,
+            proposals=self._proposals,
+        )
+        self._inbox.reopen()
+        self._write_began_at = None
+        self._is_recovering = False
+        self._restore(stored)
+
+    async def _reload_storage(self) -> StoredState | None:
+        try:
+            return await self._call_blocking(self._storage.reload)
+        except DamagedFileError:
+            # Synced records are lost; the next start resets the host.
+            raise
+        except (OSError, StorageError):
+            return None
+
+    def _restore(self, stored: StoredState) -> None:
+        if stored.snapshot is not None:
+            self._applied.restore(stored.snapshot)
+        now = anyio.current_time()
+        self._node = initial_state(
+            identity=stored.identity,
+            hard_state=stored.hard_state,
+            log=stored.log,
+            snapshot=stored.snapshot,
+            options=self._options.node,
+            jitter=self._random(),
+            now=now,
+        )
+        self.publisher.publish(self.node, self._newest_state(), now)
+
+    def _newest_state(self) -> ControlState:
+        # Both are states of the same committed log. After a recovery entries
+        # are applied again, and readers must not see an older state.
+        return max(
+            self._applied.state,
+            self._shown_state,
+            key=attrgetter('applied_index'),
+        )
 
     async def propose(
         self, command: Command, *, timeout_s: float = _PROPOSAL_TIMEOUT_S
@@ -198,6 +265,8 @@
             is appended, and the command does not run.
         """
         self._applied.validate(command)
+        if self._is_recovering:
+            return Err(NotLeader(leader=None))
         waiter: Waiter[ProposalResult] = Waiter()
         proposal_id = self._proposals.add(waiter)
         self._inbox.post(_proposal(proposal_id, command))
@@ -215,6 +284,8 @@
         timeout_s
             Time to wait for the leadership to be confirmed, in seconds.
         """
+        if self._is_recovering:
+            return Err(NotLeader(leader=None))
         waiter: Waiter[StateReadResult] = Waiter()
         self._reads.add(waiter)
         self._inbox.wake()
@@ -268,14 +339,21 @@
         ]
         if writes:
             self._write_began_at = now
-            await self._call_blocking(partial(persist, self._storage, writes))
+            try:
+                await self._call_blocking(
+                    partial(persist, self._storage, writes)
+                )
+            except (OSError, StorageError):
+                # Nothing of this batch may be taken for durable.
+                self._node = before
+                raise
             self._write_began_at = None
         for item, effects in stepped:
             for effect in effects:
                 self._execute_effect(effect, item, tasks)
         self._fail_if_stepped_down(before)
         self.publisher.publish(
-            self.node, self._applied.state, anyio.current_time()
+            self.node, self._newest_state(), anyio.current_time()
         )
         self._start_snapshot(tasks)
 
--- a/lavendergate/controllers/inbox.py
+++ b/lavendergate/controllers/inbox.py
@@ -81,6 +81,10 @@
         for item in self.pop_all():
             item.finish()
 
+    def reopen(self) -> None:
+        """Accept events again."""
+        self._is_closed = False
+
     def _add(self, item: InboxItem) -> None:
         if self._is_closed:
             item.finish()
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -4,7 +4,6 @@
 from contextlib import suppress
 from functools import partial
 from importlib import import_module
-from pathlib import Path
 from typing import TypeVar
 
 import anyio
@@ -32,6 +31,8 @@
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.listening import listen
+from lavendergate.daemon.storage_start import log_directory_of, open_storage
+from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.settings_file import HostSettings
@@ -57,6 +58,7 @@
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 from lavendergate.rpc.service import Method, UnaryService
 from lavendergate.rpc.transport import GrpcTransport
+from lavendergate.storage.base import LogStorage
 from lavendergate.storage.fleet_state_file import (
     FleetStateFile,
     SavedFleetState,
@@ -66,7 +68,6 @@
     remove_founding_record,
     write_founding_record,
 )
-from lavendergate.storage.recovery import open_or_reset
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
@@ -81,6 +82,8 @@
 # take tens of kilobytes, and disk and memory are small.
 _ENTRIES_PER_SNAPSHOT = 64
 _RETAINED_ENTRIES = 16
+# Longer than an election timeout.
+_STORAGE_RETRY_S = 1.0
 # Clients of a control host try another one after 1 s without an answer.
 _FORWARD_TIMEOUT_S = 0.8
 _MERGE_TIMEOUT_S = 0.6
@@ -88,6 +91,7 @@
 _STOP_DELAY_S = 0.3
 _LEADER_POLL_S = 0.1
 _SAVE_INTERVAL_S = 0.5
+_FAILED_SAVE_DELAY_S = 10.0
 _SOURCE_ID_BYTES = 8
 # Above all versions, so that no sync reply contains a route table.
 _ROUTES_VERSION_ABOVE_ALL = 1 << 62
@@ -144,18 +148,27 @@
         Settings, stop signal and event log of the process.
     tasks
         Task group of the role.
+    storage
+        Storage of the log, not yet loaded.
+    damage
+        Why the log was reset; None if it was not.
     """
 
-    def __init__(self, *, process: HostedProcess, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        *,
+        process: HostedProcess,
+        tasks: TaskGroup,
+        storage: LogStorage,
+        damage: str | None,
+    ) -> None:
         settings = process.settings
         self._process = process
         self._tasks = tasks
         self._events = process.events
         self._host_id = HostId(settings.node_name)
         self._peers = PeerClient()
-        directory = Path(settings.data_dir or '/tmp/control')  # noqa: S108
-        self._log_directory = directory / 'log'
-        storage, damage = open_or_reset(self._log_directory, self._host_id)
+        self._log_directory = log_directory_of(settings)
         if damage is not None:
             self._events.emit(SessionEvent.log_replaced, reason=damage)
         recorded_seeds = self._read_founding_record(is_reset=bool(damage))
@@ -172,6 +185,8 @@
                 ),
                 entries_per_snapshot=_ENTRIES_PER_SNAPSHOT,
                 retained_entries=_RETAINED_ENTRIES,
+                storage_retry_s=_STORAGE_RETRY_S,
+                report_storage_failure=self._report_storage_failure,
             ),
             founding_seeds=recorded_seeds,
         )
@@ -227,7 +242,9 @@
         self._tolerance_watch = ToleranceWatch(
             node=self._node, events=self._events
         )
-        self._state_file = FleetStateFile(data_directory=directory)
+        self._state_file = FleetStateFile(
+            data_directory=self._log_directory.parent
+        )
         process.observe(self._change_settings)
 
     @property
@@ -335,6 +352,9 @@
         except PeerCallError:
             return None
 
+    def _report_storage_failure(self, reason: str) -> None:
+        self._events.emit(ProcessEvent.disk_refused, reason=reason)
+
     def _read_founding_record(self, *, is_reset: bool) -> tuple[str, ...]:
         settings = self._process.settings
         seeds = settings.internal_control_addresses
@@ -404,12 +424,24 @@
         while True:
             await anyio.sleep(_SAVE_INTERVAL_S)
             if self._fleet.version != saved_version:
-                saved_version = self._fleet.version
+                version = self._fleet.version
                 state = SavedFleetState(
                     entries=tuple(self._fleet.directory.entries.values()),
                     routes=self._fleet.routes,
                 )
-                await run_in_thread(self._state_file.save, state)
+                if await self._save(state):
+                    saved_version = version
+                else:
+                    await anyio.sleep(_FAILED_SAVE_DELAY_S)
+
+    async def _save(self, state: SavedFleetState) -> bool:
+        """Return whether the state was saved."""
+        try:
+            await run_in_thread(self._state_file.save, state)
+        except OSError as error:
+            self._process.boundary.report('directory file', error)
+            return False
+        return True
 
     def _change_settings(self, settings: HostSettings) -> None:
         self._sync_client.change_seeds(settings.internal_control_addresses)
@@ -418,6 +450,10 @@
 
 async def run_control(process: HostedProcess) -> None:
     """Run the control role until a stop signal, then end the process."""
+    storage, damage = await open_storage(process)
     async with anyio.create_task_group() as tasks:
-        await HostedControl(process=process, tasks=tasks).run()
+        control = HostedControl(
+            process=process, tasks=tasks, storage=storage, damage=damage
+        )
+        await control.run()
         process.exit()
--- a/lavendergate/observability/process_events.py
+++ b/lavendergate/observability/process_events.py
@@ -106,3 +106,10 @@
         'the process ends with status {status}: {reason}',
         'Follow the reason; docs/operations/exit-codes.md lists the statuses.',
     )
+    disk_refused = define(
+        7054,
+        Level.error,
+        'the disk of the control log refuses: {reason}',
+        'Check the disk of the data directory; until it takes writes the host '
+        'neither votes nor leads, and it tries again.',
+    )
--- a/lavendergate/storage/base.py
+++ b/lavendergate/storage/base.py
@@ -70,6 +70,20 @@
             If the storage is damaged, in use, or belongs to another host.
         """
 
+    def reload(self) -> StoredState:
+        """Read the stored state again after a failed write.
+
+        Buffered changes are lost. What is returned is durable, including
+        records of writes whose sync failed.
+
+        Raises
+        ------
+        StorageError, OSError
+            If the storage cannot be read, or still takes no writes.
+        """
+        self.close()
+        return self.load()
+
     @abstractmethod
     def save_hard_state(self, hard_state: HardState) -> None:
         """Buffer the hard state."""
--- a/lavendergate/storage/files.py
+++ b/lavendergate/storage/files.py
@@ -73,6 +73,20 @@
             self.close()
             raise
 
+    def reload(self) -> StoredState:
+        """Read the stored state, and write the log to a new file.
+
+        After a failed sync the old file may be read back although the disk
+        never received it, and syncing it again may succeed.
+        """
+        stored = super().reload()
+        try:
+            self._replace_log(stored.log)
+        except OSError:
+            self.close()
+            raise
+        return stored
+
     def save_hard_state(self, hard_state: HardState) -> None:
         """Buffer the hard state."""
         self._hard_state = hard_state
@@ -90,10 +104,7 @@
         """Replace the log by a snapshot and the entries to keep."""
         self.sync()
         self._replace_file(_SNAPSHOT, records.encoder.encode(snapshot))
-        changes = records.initial_changes(self._hard_state, log)
-        self._replace_file(_LOG, records.encoder.encode(changes))
-        os.close(self._log_file)
-        self._log_file = os.open(self._path(_LOG), os.O_WRONLY | os.O_APPEND)
+        self._replace_log(log)
 
     def sync(self) -> None:
         """Write the buffered changes as one record and sync the log file."""
@@ -106,12 +117,20 @@
 
     def close(self) -> None:
         """Close the files; buffered changes are lost."""
+        self._changes = []
         for descriptor in (self._log_file, self._lock_file):
             if descriptor != _NO_DESCRIPTOR:
                 os.close(descriptor)
         self._log_file = _NO_DESCRIPTOR
         self._lock_file = _NO_DESCRIPTOR
 
+    def _replace_log(self, log: Log) -> None:
+        changes = records.initial_changes(self._hard_state, log)
+        self._replace_file(_LOG, records.encoder.encode(changes))
+        os.close(self._log_file)
+        self._log_file = _NO_DESCRIPTOR
+        self._log_file = os.open(self._path(_LOG), os.O_WRONLY | os.O_APPEND)
+
     def _sync_log(self) -> None:
         os.fdatasync(self._log_file)
 
--- a/lavendergate/storage/memory.py
+++ b/lavendergate/storage/memory.py
@@ -61,6 +61,11 @@
             snapshot=self._snapshot,
         )
 
+    def reload(self) -> StoredState:
+        """Return the synced state; fails while operations fail."""
+        self._consume_operation()
+        return super().reload()
+
     def save_hard_state(self, hard_state: HardState) -> None:
         """Buffer the hard state."""
         self._consume_operation()
--- a/lavendergate/tests/control/cluster_fixture.py
+++ b/lavendergate/tests/control/cluster_fixture.py
@@ -27,7 +27,9 @@
         tasks: TaskGroup,
         *,
         storage_type: type[MemoryStorage] = MemoryStorage,
+        storage_retry_s: float | None = None,
     ) -> None:
+        self._storage_retry_s = storage_retry_s
         self.random = Random(11)
         self._storage_type = storage_type
         self.network = MemoryNetwork(random=self.random)
@@ -47,7 +49,11 @@
             address=host_id,
             transport=MemoryTransport(network=self.network, address=host_id),
             storage=storage,
-            options=DriverOptions(entries_per_snapshot=20, retained_entries=5),
+            options=DriverOptions(
+                entries_per_snapshot=20,
+                retained_entries=5,
+                storage_retry_s=self._storage_retry_s,
+            ),
             random=self.random.random,
         )
 
--- a/lavendergate/tests/start/founding_model.py
+++ b/lavendergate/tests/start/founding_model.py
@@ -136,8 +136,8 @@
         )
         processes = state.processes
         if not self.has_long_rounds:
-            # A round is shorter than a restart: one that has begun before the loss
-            # gets no answer from the new disk.
+            # A round is shorter than a restart: one that has begun before
+            # the loss gets no answer from the new disk.
             processes = tuple(
                 replace(process, round=_NO_ANSWERS)
                 if process.is_first_start and process.round[host] is None
