Play stops, settings files and disks around the start: make start-faults

New cases on real processes: SIGTERM and SIGINT 0.03 to 0.5 s after the start, alone, beside SIGHUP and in series, each followed by a second start; settings files cut before a table, missing or unreadable for 1 s; a data directory that is a file, a lock that is held, a disk that refuses writes at the start, later, and on one, two or three of three control hosts while changes are sent; torn files of the storage. A file size limit of 0 stands for a full disk.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo measure environment
+.PHONY: test demo measure environment start-faults
 
 environment:
 	tools/make_environment
@@ -11,3 +11,6 @@
 
 measure: environment
 	.venv/bin/python -m benchmarks $(NAME)
+
+start-faults:
+	python3 -m faults
--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -9,12 +9,12 @@
 from functools import partial
 from pathlib import Path
 
+from faults.disk_cases import DISK_GROUP_CASES, play_disk_group_case
 from faults.group_cases import GROUP_CASES, play_group_case
 from faults.processes import Record
-from faults.start_cases import START_CASES, play_start_case
+from faults.start_cases import START_CASES, play_start_case, roles_of
 from faults.value_cases import VALUE_CASES, play_value_case
 
-_ROLES = ('proxy', 'control')
 _AT_A_TIME = 3
 
 Play = Callable[[Record], Awaitable[str]]
@@ -26,9 +26,12 @@
     jobs: list[tuple[str, Play]] = [
         (f'{name}, {role}', partial(play_start_case, name, role))
         for name in START_CASES
-        for role in _ROLES
+        for role in roles_of(name)
     ]
     jobs += [(name, partial(play_group_case, name)) for name in GROUP_CASES]
+    jobs += [
+        (name, partial(play_disk_group_case, name)) for name in DISK_GROUP_CASES
+    ]
     jobs += [(name, partial(play_value_case, name)) for name in VALUE_CASES]
 
     async def play(title: str, run: Play) -> bool:
--- a/faults/processes.py
+++ b/faults/processes.py
@@ -31,11 +31,17 @@
         Limit of open descriptors; None for the ordinary one.
     has_output
         Whether standard output is open.
+    is_first_start
+        Whether the settings say that the whole system starts.
+    max_file_bytes
+        Length of a file beyond which writes fail; None for no limit.
     """
 
     settings: Callable[[str], str] = str
     descriptors: int | None = None
     has_output: bool = True
+    is_first_start: bool = True
+    max_file_bytes: int | None = None
 
 
 class DisturbedProcess:
@@ -65,8 +71,31 @@
         """What the process wrote."""
         return (self._folder / 'log').read_text('utf-8', 'replace')
 
+    @property
+    def settings_path(self) -> Path:
+        """Settings file of the process."""
+        return self._folder / 'local.toml'
+
+    @property
+    def data_directory(self) -> Path:
+        """Data directory of a control host."""
+        return self._folder / 'data'
+
+    def limit_file_size(self, limit_bytes: int) -> None:
+        """Refuse writes beyond a length; -1 for none, as a full disk does."""
+        if self._process is not None and self.status is None:
+            resource.prlimit(
+                self._process.pid,
+                resource.RLIMIT_FSIZE,
+                (limit_bytes, resource.RLIM_INFINITY),
+            )
+
     def start(self, disturbance: Disturbance) -> None:
         """Start the process."""
+        if not disturbance.is_first_start:
+            self._settings = self._settings.replace(
+                'bootstrap = true', 'bootstrap = false'
+            )
         self.write_settings(disturbance.settings(self._settings))
         temporary = self._folder / 'tmp'
         temporary.mkdir(exist_ok=True)
@@ -82,6 +111,11 @@
             if disturbance.descriptors is not None:
                 limit = disturbance.descriptors
                 resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+            if disturbance.max_file_bytes is not None:
+                resource.setrlimit(
+                    resource.RLIMIT_FSIZE,
+                    (disturbance.max_file_bytes, resource.RLIM_INFINITY),
+                )
             if not disturbance.has_output:
                 os.close(1)
 
@@ -127,6 +161,21 @@
             self._process.wait()
 
 
+def outcome(status: int | None) -> str:
+    """Return what an end by itself shows; empty while the process runs."""
+    return '' if status is None else f'ended by itself with status {status}'
+
+
+def served(program: Program) -> tuple[str, int]:
+    """Return the address that a program serves."""
+    return program.front if program.role == 'proxy' else program.control
+
+
+async def reachable(program: Program) -> str:
+    """Return what is wrong with the served address; empty if nothing is."""
+    return '' if await accepts(served(program)) else 'does not serve'
+
+
 async def accepts(address: tuple[str, int], limit_s: float = 5.0) -> bool:
     """Return whether a connection is accepted within a time."""
     loop = asyncio.get_running_loop()
@@ -158,5 +207,8 @@
     'Program',
     'Record',
     'accepts',
+    'outcome',
+    'reachable',
+    'served',
     'take_port',
 )
--- a/faults/start_cases.py
+++ b/faults/start_cases.py
@@ -14,6 +14,8 @@
     accepts,
     take_port,
 )
+from faults.start_file_cases import DISK_CASES, FILE_CASES
+from faults.stop_cases import STOP_CASES
 
 _METRICS_PORT = 9464
 _SIGNAL_DELAYS_S = (0.03, 0.06, 0.1, 0.2, 0.3, 0.5)
@@ -140,9 +142,17 @@
     'port of the role taken for 2 s': served_port_taken,
     'standard output closed': output_closed,
     'more connections than descriptors': descriptors_used_up,
+    **STOP_CASES,
+    **FILE_CASES,
+    **DISK_CASES,
 }
 
 
+def roles_of(name: str) -> tuple[str, ...]:
+    """Return the roles that a case concerns."""
+    return ('control',) if name in DISK_CASES else _ROLES
+
+
 async def play_start_case(name: str, role: str, record: Record) -> Finding:
     """Play one case on a process of its own; return what was seen."""
     fleet = Fleet(record, '127.0.0.1:9', control=3, proxies=1)
