--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -14,6 +14,7 @@
 from lavendergate.controllers.driver_options import DriverOptions
 from lavendergate.controllers.exchange import exchange
 from lavendergate.controllers.inbox import Inbox, InboxItem
+from lavendergate.controllers.log_storage.readable import check_stored
 from lavendergate.controllers.pending import (
     PendingProposals,
     PendingReads,
@@ -156,9 +157,10 @@
         Raises
         ------
         StorageError
-            If the storage is damaged or in use.
+            If the storage is damaged or in use, or if this build cannot read
+            an entry.
         """
-        self._restore(await self._call_blocking(self._storage.load))
+        self._restore(await self._call_blocking(self._load))
 
     async def run(self) -> None:
         """Handle events until cancelled; call `start` before.
@@ -213,12 +215,23 @@
 
     async def _reload_storage(self) -> StoredState | None:
         try:
-            return await self._call_blocking(self._storage.reload)
+            stored = await self._call_blocking(self._storage.reload)
+            check_stored(stored, self._storage.location)
         except DamagedFileError:
             # Synced records are lost; the next start resets the host.
             raise
         except (OSError, StorageError):
             return None
+        return stored
+
+    def _load(self) -> StoredState:
+        stored = self._storage.load()
+        try:
+            check_stored(stored, self._storage.location)
+        except StorageError:
+            self._storage.close()
+            raise
+        return stored
 
     def _restore(self, stored: StoredState) -> None:
         if stored.snapshot is not None:
--- a/lavendergate/core/control_records.py
+++ b/lavendergate/core/control_records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from lavendergate.core.bounds.ranges import Count
 from lavendergate.core.commands import SettingChange
 from lavendergate.core.routes import NO_ROUTES, RoutesVersion
 from lavendergate.core.settings.document import SettingsDocument
@@ -157,4 +158,4 @@
 
     upstream_id: UpstreamId
     holder: HostId
-    token: int
+    token: Count
--- a/lavendergate/daemon/hosted/__main__.py
+++ b/lavendergate/daemon/hosted/__main__.py
@@ -23,6 +23,12 @@
 
 
 def _start_founding() -> 'Thread | None':
+    from lavendergate.observability.standard_output import (  # noqa: WPS433
+        reserve_standard_descriptors,
+    )
+
+    # The record must not get the number of a closed standard descriptor.
+    reserve_standard_descriptors()
     from lavendergate.daemon.hosted.early_founding import (  # noqa: WPS433
         start_founding_record,
     )
--- a/lavendergate/daemon/hosted/settings_wait.py
+++ b/lavendergate/daemon/hosted/settings_wait.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from lavendergate.platform.settings_file import (
+    SETTLE_S,
     HostSettings,
     IncompleteSettingsError,
     SettingsFileError,
@@ -19,9 +20,6 @@
 
 # Time for which an unusable settings file is read again, in seconds.
 SETTINGS_WAIT_S = 60.0
-# Time after which a valid file that lacks expected keys is taken for whole if
-# it has not changed, in seconds.
-SETTLE_S = 3.0
 
 _READ_INTERVAL_S = 0.05
 _STDERR_FD = 2
--- a/lavendergate/daemon/hosted/start.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -22,13 +22,17 @@
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.rate_limited_log import RateLimitedEventLog
+from lavendergate.observability.standard_output import (
+    STANDARD_OUTPUT,
+    LineStream,
+    reserve_standard_descriptors,
+)
 from lavendergate.platform.settings_file import (
     HostSettings,
     SettingsFileError,
 )
 
 _VERSION = '0.1.0'
-_STDOUT_FD = 1
 _MS_PER_S = 1000
 
 RunRole = Callable[[HostedProcess], Awaitable[None]]
@@ -44,6 +48,7 @@
     founding
         Thread that writes the founding record; awaited before the role runs.
     """
+    reserve_standard_descriptors()
     words = sys.argv[1:] if arguments is None else arguments
     role = words[0] if len(words) == 1 else ''
     if role not in {'proxy', 'control'}:
@@ -82,6 +87,7 @@
             status=refusal.exit_code,
             reason=str(refusal),
         )
+        process.end.save(status=refusal.exit_code, reason=str(refusal))
         write_error(str(refusal))
         os._exit(refusal.exit_code)  # noqa: WPS437
 
@@ -112,6 +118,7 @@
 async def _run(run_role: RunRole, settings: HostSettings, role: str) -> None:
     events = _open_log(settings)
     process = HostedProcess(settings=settings, events=events)
+    process.end.report_previous()
     events.emit(
         ProcessEvent.process_started,
         software_version=_VERSION,
@@ -120,18 +127,13 @@
         failure_domain=settings.zone,
         address=settings.internal_address,
     )
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(process.watch_signals)
-        tasks.start_soon(process.watch_file)
-        await run_role(process)
+    await process.run(run_role)
 
 
 def _open_log(settings: HostSettings) -> EventLog:
-    # A stalled reader of stdout must not block the process: lines that do
-    # not fit into the pipe are dropped and counted.
-    os.set_blocking(_STDOUT_FD, False)
-    stream = os.fdopen(_STDOUT_FD, 'wb', buffering=0, closefd=False)
     target = JsonEventLog(
-        host=HostId(settings.node_name), clock=ProcessClock(), stream=stream
+        host=HostId(settings.node_name),
+        clock=ProcessClock(),
+        stream=LineStream(STANDARD_OUTPUT),
     )
     return RateLimitedEventLog(target=target, clock=time.monotonic)
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -24,6 +24,7 @@
 from lavendergate.controllers.log_storage.watch import StorageWatch
 from lavendergate.controllers.member_poller import MemberPoller
 from lavendergate.controllers.tolerance_watch import ToleranceWatch
+from lavendergate.core.bounds.ranges import MAX_COUNT
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
 from lavendergate.core.fleet_directory import MemberEntry
@@ -31,7 +32,9 @@
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.listening import listen
+from lavendergate.daemon.start_refusal import ExitCode, StartRefusedError
 from lavendergate.daemon.storage_start import log_directory_of, open_storage
+from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
@@ -43,6 +46,7 @@
     MERGE,
     PROPOSE_ROUTES,
     READ_ROUTES,
+    REPORT_SILENCES,
     SYNC,
     JoinReply,
     JoinRequest,
@@ -58,7 +62,7 @@
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 from lavendergate.rpc.service import Method, UnaryService
 from lavendergate.rpc.transport import GrpcTransport
-from lavendergate.storage.base import LogStorage
+from lavendergate.storage.base import LogStorage, StorageError
 from lavendergate.storage.fleet_state_file import (
     FleetStateFile,
     SavedFleetState,
@@ -94,7 +98,7 @@
 _FAILED_SAVE_DELAY_S = 10.0
 _SOURCE_ID_BYTES = 8
 # Above all versions, so that no sync reply contains a route table.
-_ROUTES_VERSION_ABOVE_ALL = 1 << 62
+_ROUTES_VERSION_ABOVE_ALL = MAX_COUNT
 # Modules that are not needed to answer proxies. They are imported while
 # proxies are served already, because imports take most of the start time.
 _DEFERRED_MODULES = (
@@ -167,7 +171,10 @@
         self._tasks = tasks
         self._events = process.events
         self._host_id = HostId(settings.node_name)
-        self._peers = PeerClient()
+        self._odd_values = OddValueLog(
+            events=process.events, clock=anyio.current_time
+        )
+        self._peers = PeerClient(report=self._odd_values.report)
         self._log_directory = log_directory_of(settings)
         if damage is not None:
             self._events.emit(SessionEvent.log_replaced, reason=damage)
@@ -243,7 +250,8 @@
             node=self._node, events=self._events
         )
         self._state_file = FleetStateFile(
-            data_directory=self._log_directory.parent
+            data_directory=self._log_directory.parent,
+            report=self._odd_values.report,
         )
         process.observe(self._change_settings)
 
@@ -275,7 +283,7 @@
     async def run(self) -> None:
         """Serve until the process receives a stop signal."""
         settings = self._process.settings
-        await self._tasks.start(self._node.run)
+        await self._start_node()
         if self._node.view.initialised:
             with suppress(OSError):
                 remove_founding_record(self._log_directory)
@@ -283,7 +291,7 @@
         self._fleet.restore(saved.entries, saved.routes)
         server = Server(
             [self._node.service, self._fleet_service()],
-            codec=MessagePackCodec(),
+            codec=MessagePackCodec(report=self._odd_values.report),
         )
         await listen(
             self._process,
@@ -352,6 +360,14 @@
         except PeerCallError:
             return None
 
+    async def _start_node(self) -> None:
+        try:
+            await self._tasks.start(self._node.run)
+        except StorageError as error:
+            raise StartRefusedError(
+                exit_code=ExitCode.storage, reason=str(error)
+            ) from error
+
     def _report_storage_failure(self, reason: str) -> None:
         self._events.emit(ProcessEvent.disk_refused, reason=reason)
 
@@ -387,6 +403,7 @@
                 READ_ROUTES: self.read_routes,
                 JOIN: self._handle_join,
                 LEAVE: self._formation.handle_leave,
+                REPORT_SILENCES: self._formation.handle_silences,
             }
         )
 
--- a/lavendergate/daemon/listening.py
+++ b/lavendergate/daemon/listening.py
@@ -31,11 +31,10 @@
     start: StartListener,
     *,
     limit_s: float = ADDRESS_WAIT_S,
+    wait: Callable[[HostedProcess, float], Awaitable[None]] | None = None,
 ) -> None:
     """Start a listener; try again while its address is taken.
 
-    A stop signal ends the process meanwhile.
-
     Parameters
     ----------
     address
@@ -44,6 +43,9 @@
         Starts the listener and returns once it listens.
     limit_s
         Time for which an address may be taken, in seconds.
+    wait
+        Pauses between two attempts; by default `pause`, so that a stop signal
+        ends the process meanwhile.
 
     Raises
     ------
@@ -68,7 +70,7 @@
             is_reported = True
         else:
             break
-        await pause(process, _RETRY_INTERVAL_S)
+        await (wait or pause)(process, _RETRY_INTERVAL_S)
     if is_reported:
         waited_s = anyio.current_time() - began_at
         process.events.emit(
@@ -85,6 +87,8 @@
 ) -> None:
     """Serve until cancelled; try for an address that is taken without end.
 
+    A stop signal ends nothing here: the role drains meanwhile.
+
     Parameters
     ----------
     serve
@@ -92,7 +96,9 @@
     """
     async with anyio.create_task_group() as tasks:
         start = partial(tasks.start, serve)
-        await listen(process, address, start, limit_s=math.inf)
+        await listen(
+            process, address, start, limit_s=math.inf, wait=_pause_aside
+        )
 
 
 async def pause(process: HostedProcess, duration_s: float) -> None:
@@ -102,6 +108,10 @@
         process.exit()
 
 
+async def _pause_aside(process: HostedProcess, duration_s: float) -> None:
+    await anyio.sleep(duration_s)
+
+
 def _check_retry(
     address: str, error: OSError, waited_s: float, limit_s: float
 ) -> None:
--- a/lavendergate/platform/settings_file.py
+++ b/lavendergate/platform/settings_file.py
@@ -7,6 +7,20 @@
 
 import msgspec
 
+from lavendergate.core.bounds.decoding import CODEC_ERRORS, decode_toml
+from lavendergate.core.bounds.ranges import (
+    Address,
+    AddressOrNone,
+    Amount,
+    DurationMs,
+    DurationS,
+    Ip,
+    Name,
+    Port,
+    PositiveS,
+    Word,
+)
+
 SETTINGS_VARIABLE = 'LAVENDERGATE_BOOT'
 
 # Keys that the platform writes into every file. The last tables stand at its
@@ -22,6 +36,10 @@
         'cloudApi.address',
     )
 )
+# Time after which a valid file that lacks expected keys is taken for whole if
+# it has not changed, in seconds.
+SETTLE_S = 3.0
+_LOAD_ERRORS = (OSError, *CODEC_ERRORS)
 # Taken for a key of a file whose last line is complete, so that a later file
 # whose last number was cut off is recognised.
 _FINAL_LINE_END = 'the end of its last line'
@@ -49,14 +67,14 @@
         operations.
     """
 
-    grace_s: float = 6
+    grace_s: DurationS = 6
     drain_timeout_ms: int = 7000
     config_apply_ms: int = 4000
     strict_revoke: bool = False
-    revoke_ms: int = 5000
-    quota_window_s: float = 5
-    quota_overage: float = 0
-    quota_slack: float = 0
+    revoke_ms: DurationMs = 5000
+    quota_window_s: PositiveS = 5
+    quota_overage: Amount = 0
+    quota_slack: Amount = 0
 
 
 class ListenAddresses(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,9 +90,9 @@
         Address for the calls of members and operators.
     """
 
-    front: str | None = None
-    readiness: str | None = None
-    control: str | None = None
+    front: Address | None = None
+    readiness: Address | None = None
+    control: Address | None = None
 
 
 class PlatformApi(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -88,8 +106,8 @@
         Calls per second that the platform accepts from all hosts together.
     """
 
-    address: str = ''
-    duty_per_s: float = 1
+    address: AddressOrNone = ''
+    duty_per_s: Amount = 1
 
 
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -114,12 +132,12 @@
         Keys that the file held, those of tables as ``table.key``.
     """
 
-    node_name: str
-    ip: str
-    zone: str
-    region: str
-    internal_ports: tuple[int, int]
-    seeds: tuple[str, ...] = ()
+    node_name: Word
+    ip: Ip
+    zone: Name
+    region: Name
+    internal_ports: tuple[Port, Port]
+    seeds: tuple[Address, ...] = ()
     bootstrap: bool = False
     data_dir: str | None = None
     heartbeat_ms: int = 1000
@@ -178,8 +196,8 @@
     Raises
     ------
     SettingsFileError
-        If the file is missing, a field is missing or has a wrong type, or the
-        file is incomplete.
+        If the file is missing or incomplete, or a field is missing, has a
+        wrong type or is out of its bounds.
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if path is None:
@@ -189,9 +207,9 @@
         )
     try:
         content = Path(path).read_bytes()
-        fields = msgspec.toml.decode(content)
+        fields = decode_toml(content, dict[str, Any])
         settings = msgspec.convert(fields, HostSettings, str_keys=True)
-    except (OSError, msgspec.MsgspecError, ValueError) as error:
+    except _LOAD_ERRORS as error:
         raise SettingsFileError(
             f'cannot load settings file {path}: {error}'
         ) from error
--- a/lavendergate/tests/start/test_listening.py
+++ b/lavendergate/tests/start/test_listening.py
@@ -47,7 +47,13 @@
     async def test_port_that_is_taken_for_a_moment_is_tried_again(self) -> None:
         """Guards against an end because a port is not free yet."""
         taken, address = self.take_port()
-        serve = partial(serve_http, address, _answer, max_body_bytes=1)
+        serve = partial(
+            serve_http,
+            address,
+            _answer,
+            max_body_bytes=1,
+            boundary=self.process.boundary,
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._release_when_reported, taken)
             await listen(self.process, address, partial(tasks.start, serve))
@@ -62,7 +68,13 @@
     ) -> None:
         """Guards against a traceback in place of a reason."""
         _, address = self.take_port()
-        serve = partial(serve_http, address, _answer, max_body_bytes=1)
+        serve = partial(
+            serve_http,
+            address,
+            _answer,
+            max_body_bytes=1,
+            boundary=self.process.boundary,
+        )
         with self.assertRaisesRegex(StartRefusedError, address) as refused:
             async with anyio.create_task_group() as tasks:
                 try:
@@ -96,10 +108,37 @@
             await serve_aside(self.process, '127.0.0.1:1', serve)
         self.assertTrue(is_listening.is_set())
 
+    async def test_stop_leaves_the_drain_to_the_role_beside_a_taken_port(
+        self,
+    ) -> None:
+        """Guards against callers cut at a stop for the port of the metrics."""
+        self.process._stopping.set()
+        attempts = 0
+
+        async def serve(
+            *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+        ) -> None:
+            nonlocal attempts
+            attempts += 1
+            raise OSError(errno.EADDRINUSE, 'taken')
+
+        with (
+            mock.patch.object(self.process, 'exit', side_effect=SystemExit),
+            anyio.move_on_after(0.2),
+        ):
+            await serve_aside(self.process, '127.0.0.1:1', serve)
+        self.assertGreater(attempts, 1)
+
     async def test_stop_ends_the_process_while_a_port_is_taken(self) -> None:
         """Guards against a stop that waits for a port."""
         _, address = self.take_port()
-        serve = partial(serve_http, address, _answer, max_body_bytes=1)
+        serve = partial(
+            serve_http,
+            address,
+            _answer,
+            max_body_bytes=1,
+            boundary=self.process.boundary,
+        )
         self.process._stopping.set()
         stopped = mock.patch.object(
             self.process, 'exit', side_effect=KeyboardInterrupt
--- a/lavendergate/tests/start/test_settings_wait.py
+++ b/lavendergate/tests/start/test_settings_wait.py
@@ -9,7 +9,6 @@
 
 from lavendergate.daemon.hosted.settings_wait import (
     SETTINGS_WAIT_S,
-    SETTLE_S,
     WaitedSettings,
     wait_for_settings,
 )
@@ -17,6 +16,7 @@
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.platform.settings_file import (
     SETTINGS_VARIABLE,
+    SETTLE_S,
     SettingsFileError,
     load_settings,
 )
@@ -41,7 +41,7 @@
 """
 
 
-class SettingsWaitTest(unittest.TestCase):
+class SettingsWaitTest(unittest.IsolatedAsyncioTestCase):
     """Readings of a settings file that changes meanwhile."""
 
     def setUp(self) -> None:
@@ -111,7 +111,7 @@
             self.wait('proxy')
         self.assertGreaterEqual(self.now_s, SETTINGS_WAIT_S)
 
-    def test_reload_of_a_cut_file_changes_no_setting(self) -> None:
+    async def test_reload_of_a_cut_file_changes_no_setting(self) -> None:
         """Guards against seeds or a grace period that fall back to defaults."""
         self.path.write_text(_COMPLETE)
         process = HostedProcess(
--- a/lavendergate/tests/test_platform_formats.py
+++ b/lavendergate/tests/test_platform_formats.py
@@ -4,6 +4,7 @@
 import os
 import tempfile
 import unittest
+import zlib
 from pathlib import Path
 from unittest import mock
 
@@ -11,17 +12,23 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from lavendergate.core.control_routes import pack_routes
 from lavendergate.core.fleet_directory import MemberAvailability
 from lavendergate.core.routes import Consistency
 from lavendergate.core.sessions.statements import (
     Completed,
     Phase,
+    Read,
     RefusalCode,
     Refused,
     SessionAnswer,
 )
 from lavendergate.core.types import LogPosition, Term
-from lavendergate.platform.documents import decode_announcement, decode_routes
+from lavendergate.platform.documents import (
+    decode_accepted_routes,
+    decode_announcement,
+    decode_routes,
+)
 from lavendergate.platform.line_codec import (
     LineError,
     encode_answer,
@@ -31,6 +38,7 @@
     parse_ready,
     parse_refusal,
     parse_report,
+    parse_request,
     parse_statement,
 )
 from lavendergate.platform.settings_file import (
@@ -142,6 +150,47 @@
             except LineError:
                 continue
 
+    def test_odd_numbers_of_a_member_are_refused(self) -> None:
+        """Guards against an answer whose numbers end the process."""
+        huge = '9' * 5000
+        wide = str(1 << 63)
+        for number in ('', huge, wide, '-1', '²', '٣', '1e5', 'nan', '1_0'):
+            with self.subTest(number=number[:30]):
+                for text in (f'{number}.7', f'7.{number}'):
+                    with self.assertRaises(LineError):
+                        parse_position(text)
+                for fields in (
+                    f'{number} 3.1 0 12 2 17',
+                    f'3 3.1 {number} 12 2 17',
+                    f'3 3.1 0 {number} 2 17',
+                    f'3 3.1 0 12 {number} 17',
+                    f'3 3.1 0 12 2 {number}',
+                ):
+                    with self.assertRaises(LineError) as raised:
+                        parse_report(f'replica {fields}')
+                    self.assertLess(len(str(raised.exception)), 300)
+
+    def test_numbers_with_decimals_are_read(self) -> None:
+        """Guards against a valid status row that is refused."""
+        report = parse_report('primary 3 3.1209 0 12.7 2. .5')
+        self.assertEqual(report.lag_ms, 12)
+        self.assertEqual((report.busy, report.connections), (2, 0))
+        largest = (1 << 63) - 1
+        self.assertEqual(
+            parse_position(f'0.{largest}'),
+            LogPosition(term=Term(0), position=largest),
+        )
+
+    def test_odd_id_of_a_caller_names_no_statement(self) -> None:
+        """Guards against a caller's statement that runs as the system's."""
+        for request_id in ('', 'i' * 100_000, 'a\x00b', 'a\nb'):
+            parsed, statement = parse_request(f'{request_id} READ 1a4')
+            self.assertIsNone(statement)
+            self.assertLessEqual(len(parsed), 255)
+        self.assertEqual(
+            parse_request('id1 READ 1a4'), ('id1', Read(item='1a4'))
+        )
+
     def test_unknown_code_promises_nothing(self) -> None:
         """Guards against conclusions that the member's code does not allow."""
         refusal = parse_refusal('STRANGE text')
@@ -241,6 +290,118 @@
             decoded = decode_announcement('i-1', json.dumps(changed).encode())
             self.assertIsInstance(decoded, Err, changed)
 
+    def test_document_that_other_hosts_cannot_read_is_refused(self) -> None:
+        """Guards against an accepted document that ends each host."""
+        nested = '[' * 3000 + ']' * 3000
+        shallow = '[' * 60 + ']' * 60
+        text = json.dumps(DOCUMENT)[:-1]
+        invalid = {
+            "version '1000000000000000000000' is above": routes(version=10**21),
+            'is above 9223372036854775807': routes(version=1 << 63),
+            'out of range - at `$.version`': routes().replace(
+                b'"version": 7', b'"version": ' + b'7' * 5000
+            ),
+            'nest more than 64 levels': f'{text},"x":{nested}}}'.encode(),
+            'the byte at offset ': text.encode() + b',"x":"\xff"}',
+            'Expected `int` <= 9007199254740991 - at `$.routes[0].timeoutMs`': (
+                routes(routes=[ROUTE | {'timeoutMs': 1 << 60}])
+            ),
+            'Expected `int` >= 0 - at `$.services[0].maxConns`: ': (
+                routes(services=[{'name': 's1', 'maxConns': -1}])
+            ),
+            'a word without blanks': (
+                routes(services=[{'name': 's1 x\r\nQUERY', 'maxConns': 1}])
+            ),
+        }
+        for problem, content in invalid.items():
+            with self.subTest(problem):
+                decoded = decode_routes(content)
+                assert isinstance(decoded, Err)
+                self.assertIn(problem, decoded.err_value)
+                self.assertLess(len(decoded.err_value), 400)
+        brackets = json.dumps('\\"' + '[' * 3000)
+        for unread in (shallow, brackets, '1e999', '"\\ud83d\\ude00"'):
+            content = f'{text},"x":{unread}}}'.encode()
+            self.assertIsInstance(decode_routes(content), Ok, unread)
+
+    def test_route_table_in_force_stays_readable(self) -> None:
+        """Guards against proxies that drop a table of an earlier build."""
+        content = json.dumps(DOCUMENT)[:-1].encode() + b',"x":"\xff"}'
+        self.assertIsInstance(decode_accepted_routes(pack_routes(content)), Ok)
+
+    def test_damaged_route_table_is_refused(self) -> None:
+        """Guards against a stored table that ends each host that reads it."""
+        packed = pack_routes(routes())
+        bomb = zlib.compress(b' ' * 20_000_000)
+        for odd in (b'', b'x', packed[:-3], bomb, pack_routes(b'{')):
+            self.assertIsInstance(decode_accepted_routes(odd), Err)
+
+    def test_odd_announcement_is_refused_with_field_and_value(self) -> None:
+        """Guards against an entry of another writer in the directory."""
+        odd: tuple[tuple[str, object], ...] = (
+            ('address', '127.0.0.9:70000'),
+            ('address', '127.0.0.9:0'),
+            ('address', '127.0.0.9:08080'),
+            ('address', '127.0.0.9:٨٠٨٠'),
+            ('address', '127.0.0.9:²'),
+            ('address', 'localhost:8080'),
+            ('address', '127.0.0.009:8080'),
+            ('address', '0.0.0.0:8080'),
+            ('address', '255.255.255.255:8080'),
+            ('address', '[::1]:8080'),
+            ('address', '10.0.0.1:80\n'),
+            ('sequence', 10**21),
+            ('sequence', -1),
+            ('born', 10**21),
+            ('born', 1 << 60),
+            ('born', -5),
+            ('born', None),
+            ('born', 1.5),
+            ('capacity', 0),
+            ('capacity', -3),
+            ('capacity', 10**21),
+            ('capacity', 'many'),
+            ('warmupLeftMs', 'x'),
+            ('version', 7),
+            ('zone', ''),
+            ('zone', 'z' * 1_000_000),
+            ('zone', 'a\x00b'),
+            ('zone', None),
+            ('service', 's 1'),
+            ('service', ''),
+            ('dbRole', 'witness'),
+            ('state', 'gone'),
+        )
+        for field, value in odd:
+            with self.subTest(field=field, value=str(value)[:20]):
+                content = json.dumps(ANNOUNCEMENT | {field: value}).encode()
+                decoded = decode_announcement('i-1', content)
+                assert isinstance(decoded, Err)
+                self.assertIn(f'$.{field}', decoded.err_value)
+                self.assertLess(len(decoded.err_value), 400)
+
+    def test_announcement_without_a_field_names_no_member(self) -> None:
+        """Guards against an incomplete entry that evicts a member."""
+        for missing in ANNOUNCEMENT.keys() - {'born'}:
+            with self.subTest(missing):
+                content = json.dumps(
+                    {
+                        name: value
+                        for name, value in ANNOUNCEMENT.items()
+                        if name != missing
+                    }
+                ).encode()
+                self.assertIsInstance(decode_announcement('i-1', content), Err)
+
+    def test_announcement_of_the_pages_is_accepted(self) -> None:
+        """Guards against a member whose valid announcements are refused."""
+        content = (
+            b'{"service":"huvo11a","address":"10.128.0.9:8080",'
+            b'"zone":"charlotte","version":"v1","capacity":3,"state":"ready",'
+            b'"warmupLeftMs":0,"dbRole":"replica","sequence":4,"new":{}}'
+        )
+        self.assertIsInstance(decode_announcement('i-7f3a91c2', content), Ok)
+
     @given(content=st.binary())
     @settings(derandomize=True)
     def test_any_bytes_are_decoded_or_refused(self, content: bytes) -> None:
@@ -276,3 +437,45 @@
                 path.write_text('nodeName = 5')
                 with self.assertRaisesRegex(SettingsFileError, 'nodeName'):
                     load_settings()
+
+    def test_odd_values_are_named_with_their_field(self) -> None:
+        """Guards against a start that fails in a traceback."""
+        changes = (
+            ('ip', 'ip = "10.1.0.8"', 'ip = "edge-1"'),
+            ('internalPorts[0]', '[7440, 7455]', '[0, 7455]'),
+            ('internalPorts[1]', '[7440, 7455]', '[7440, 74550]'),
+            ('internalPorts[0]', '[7440, 7455]', '[9999999999999999999999, 1]'),
+            ('seeds[1]', '10.2.0.8:8782', '10.2.0.8:87820'),
+            ('bindAddrs.front', '10.1.0.8:8784', '10.1.0.8'),
+            ('bounds.graceS', 'graceS = 6', 'graceS = nan'),
+            ('bounds.graceS', 'graceS = 6', 'graceS = inf'),
+            ('bounds.graceS', 'graceS = 6', 'graceS = -1'),
+            ('bounds.graceS', 'graceS = 6', f'graceS = 1{"0" * 400}'),
+            ('cloudApi.dutyPerS', '50.0', 'inf'),
+            ('cloudApi.address', '10.200.0.160:8783', 'nowhere'),
+            ('nodeName', 'edge-1', 'edge 1'),
+            ('zone', '"z1"', '""'),
+            ('recursion', 'unknownField = 1', f'x = {"[" * 3000}'),
+            ('', 'unknownField = 1', 'x = "\udcff"'),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'boot.toml'
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}):
+                for field, before, after in changes:
+                    with self.subTest(field=field, after=after[:40]):
+                        assert before in SETTINGS
+                        content = SETTINGS.replace(before, after)
+                        path.write_bytes(
+                            content.encode(errors='surrogateescape')
+                        )
+                        with self.assertRaises(SettingsFileError) as raised:
+                            load_settings()
+                        self.assertIn(field, str(raised.exception))
+
+    def test_settings_without_a_platform_api_are_read(self) -> None:
+        """Guards against a valid file that is refused."""
+        with tempfile.NamedTemporaryFile('w', suffix='.toml') as file:
+            file.write(SETTINGS.replace('10.200.0.160:8783', ''))
+            file.flush()
+            with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: file.name}):
+                self.assertEqual(load_settings().cloud_api.address, '')
--- a/lavendergate/tests/test_platform_sockets.py
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from functools import partial
 
 import msgspec
 from anyio.abc import TaskGroup
@@ -24,7 +25,7 @@
     SessionAnswer,
     Write,
 )
-from lavendergate.core.types import Term, UpstreamId
+from lavendergate.core.types import GroupId, Term, UpstreamId
 from lavendergate.frontend.caller_channel import (
     CallerChannel,
     CallerDisconnectedError,
@@ -38,7 +39,11 @@
     HttpRequest,
     call_http,
 )
-from lavendergate.tests.socket_fixture import free_address, run_scenario
+from lavendergate.tests.socket_fixture import (
+    free_address,
+    make_boundary,
+    run_scenario,
+)
 from standin.line_member import serve_member
 from standin.session_group import GroupDialer, SessionGroup
 
@@ -99,6 +104,34 @@
 
         run_scenario(scenario)
 
+    def test_entry_without_a_usable_address_is_unreachable(self) -> None:
+        """Guards against an odd entry of an earlier build that ends a proxy."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            entry = SessionGroup(names=('a', 'b')).member('a').entry
+            for address in (
+                '127.0.0.1:70000',
+                '127.0.0.1:99999999999999999999999',
+                '127.0.0.1:-1',
+                '127.0.0.1:²',
+                '127.0.0.1:',
+                'localhost:8080',
+                '\x00:80',
+                'a' * 300 + ':80',
+                '',
+            ):
+                odd = msgspec.structs.replace(entry, address=address)
+                with self.assertRaises(MemberUnreachableError):
+                    await dialer().dial(odd)
+            odd = msgspec.structs.replace(
+                await start_member(tasks, SessionGroup(names=('a', 'b')), 'a'),
+                service=GroupId('\ud800'),
+            )
+            with self.assertRaises(MemberUnreachableError):
+                await dialer().dial(odd)
+
+        run_scenario(scenario)
+
     def test_address_of_another_member_is_refused(self) -> None:
         """Guards against a statement that runs on the wrong member.
 
@@ -161,7 +194,9 @@
 
         async def scenario(tasks: TaskGroup) -> None:
             address = free_address()
-            await tasks.start(serve_callers, address, echo)
+            await tasks.start(
+                partial(serve_callers, address, echo, boundary=make_boundary())
+            )
             reader, writer = await asyncio.open_connection(*address.split(':'))
             writer.write(b'START known u1\r\nQUERY 1 READ x\r\n')
             writer.write(b'QUERY 2 \xc3\xa4 ?\r\nBYE\r\n')
@@ -187,7 +222,9 @@
 
         async def scenario(tasks: TaskGroup) -> None:
             address = free_address()
-            await tasks.start(serve_callers, address, echo)
+            await tasks.start(
+                partial(serve_callers, address, echo, boundary=make_boundary())
+            )
             for sent, expected in (
                 (b'START other u1\r\n', b'ERR NODB -\r\n'),
                 (b'\xff\xfe\r\n', b''),
@@ -245,13 +282,24 @@
             handle = ControlHttp(calls=calls).handle
             announcement = (
                 b'{"service":"s","address":"10.0.0.1:80","zone":"z",'
-                b'"capacity":2,"state":"ready","dbRole":"replica",'
-                b'"sequence":1,"born":1}'
+                b'"version":"v1","capacity":2,"state":"ready",'
+                b'"warmupLeftMs":0,"dbRole":"replica","sequence":1,"born":1}'
             )
             table = b'{"version":3,"routes":[],"services":[]}'
             cases = (
                 ('PUT', '/instances/i-1', announcement, 200, 503),
                 ('PUT', '/instances/i-1', b'{}', 400, 400),
+                ('PUT', '/instances/', announcement, 400, 400),
+                ('PUT', '/instances/i%FF', announcement, 400, 400),
+                ('PUT', '/instances/i%20%0D%0A', announcement, 400, 400),
+                (
+                    'PUT',
+                    f'/instances/{"i" * 3000}',
+                    announcement,
+                    400,
+                    400,
+                ),
+                ('DELETE', '/instances/i%FF', b'', 400, 400),
                 ('DELETE', '/instances/i-1', b'', 200, 503),
                 ('PUT', '/config', table, 200, 503),
                 ('PUT', '/config', b'{"version":', 400, 400),
@@ -280,7 +328,14 @@
 
         async def scenario(tasks: TaskGroup) -> None:
             address = free_address()
-            await tasks.start(serve_readiness, address, ready.pop)
+            await tasks.start(
+                partial(
+                    serve_readiness,
+                    address,
+                    ready.pop,
+                    boundary=make_boundary(),
+                )
+            )
             statuses = [
                 (
                     await call_http(
