--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo measure soak environment
+.PHONY: test demo measure soak start-faults environment
 
 environment:
 	tools/make_environment
@@ -16,3 +16,7 @@
 soak:
 	sh deploy/build
 	python3 -m faults.soak --seeds $(SEEDS)
+
+start-faults:
+	sh deploy/build
+	python3 -m faults
--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -55,12 +55,12 @@
 # silence of a voter, an election and the steps.
 _CHANGING_S = 8.0
 _CALL_TIMEOUT_S = 0.6
-# Interval of requests to join while a host has never been a member, in seconds.
-_JOIN_INTERVAL_S = 0.1
 # Answers of seeds are used together only if they came within this time, in
 # seconds. A host that was frozen meanwhile could combine an answer from before
 # the loss of a disk with one from after it.
 _MAX_ROUND_S = 0.7
+# Interval of requests to join while a host has never been a member, in seconds.
+_JOIN_INTERVAL_S = 0.1
 # Time for which a request to join stays valid, in seconds.
 _JOIN_AGE_S = 2.0
 # Time without a known leader after which a host asks to join, in seconds.
