Divide descriptors and memory between the kinds of connections

Nothing read maxFds or memoryMb, and callers, relays, members and the log shared all descriptors: callers that took the last one left none for members. A caller that sent lines of 1 MB, a body that arrived slowly and an answer that nobody read were bounded per connection only, or not at all.

A gate at each listener counts its connections. Above the limit it closes a connection whose peer has sent nothing for 1 s, else the idle session with the oldest answer, else it refuses the new one: CONNLIMIT for callers, 503 on HTTP, a close between proxies. Lines above 64 KiB and request bodies have a common bound, and a caller that takes no byte of its answer for 5 s is disconnected. A refused HTTP request is read to its end, since unread bytes reset the connection and the answer was lost (seen in the test of bodies).

--- a/faults/__main__.py
+++ b/faults/__main__.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from faults.group_cases import GROUP_CASES, play_group_case
+from faults.load_cases import LOAD_CASES, play_load_case
 from faults.processes import Record
 from faults.start_cases import START_CASES, play_start_case
 from faults.value_cases import VALUE_CASES, play_value_case
@@ -29,6 +30,7 @@
         for role in _ROLES
     ]
     jobs += [(name, partial(play_group_case, name)) for name in GROUP_CASES]
+    jobs += [(name, partial(play_load_case, name)) for name in LOAD_CASES]
     jobs += [(name, partial(play_value_case, name)) for name in VALUE_CASES]
 
     async def play(title: str, run: Play) -> bool:
--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -16,6 +16,7 @@
 from lavendergate.core.loss_tolerance import LossTolerance
 from lavendergate.core.routes import RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
+from lavendergate.daemon.connection_gates import ConnectionGates
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.observability.exposition import HttpMetrics
@@ -66,6 +67,10 @@
         process.boundary.observe(self._metrics.count_contained_error)
         self._routes = RouteTable()
         settings = process.settings
+        self._gates = ConnectionGates(
+            settings=settings, events=process.events, metrics=self._metrics
+        )
+        process.observe(self._gates.change)
         self._takeover = TakeoverController(
             node=self._node,
             fleet=self._fleet,
@@ -94,6 +99,8 @@
                 ControlHttp(calls=self).handle,
                 max_body_bytes=MAX_BODY_BYTES,
                 boundary=self._process.boundary,
+                gate=self._gates.callers(),
+                max_buffered_bytes=self._gates.limits.buffered_bytes,
             )
         )
         self._metrics.is_leader.set_function(
@@ -112,6 +119,7 @@
                 settings.ip,
                 self._metrics.render,
                 boundary=self._process.boundary,
+                gate=self._gates.operations('metrics'),
             )
         )
         self._tasks.start_soon(
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -26,6 +26,7 @@
     relayed_share,
 )
 from lavendergate.core.types import FailureDomain, HostId
+from lavendergate.daemon.connection_gates import ConnectionGates
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.filters.chain import compose
@@ -41,6 +42,7 @@
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.platform.callers import serve_callers
+from lavendergate.platform.line_stream import make_long_lines
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.readiness import serve_metrics, serve_readiness
 from lavendergate.platform.settings_file import HostSettings
@@ -80,6 +82,9 @@
         self._peers = PeerClient()
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
+        self._gates = ConnectionGates(
+            settings=settings, events=self._events, metrics=self._metrics
+        )
         self._view = FleetView(clock=anyio.current_time)
         bounds = settings.bounds
         self._customers = CustomerRegistry(
@@ -186,10 +191,15 @@
             raise ValueError(
                 'bindAddrs.front or readiness is missing in the settings file'
             )
-        boundary = self._process.boundary
+        boundary, gates = self._process.boundary, self._gates
         await self._tasks.start(
             partial(
-                serve_callers, addresses.front, self._serve, boundary=boundary
+                serve_callers,
+                addresses.front,
+                self._serve,
+                boundary=boundary,
+                gate=gates.callers(self._session_service.close_oldest_idle),
+                long_lines=make_long_lines(gates.limits.buffered_bytes),
             )
         )
         await self._tasks.start(
@@ -198,17 +208,22 @@
                 addresses.readiness,
                 lambda: self.is_ready,
                 boundary=boundary,
+                gate=gates.operations('readiness'),
             )
         )
         self._metrics.routes_version.set_function(
             lambda: self._view.routes.version
         )
+        self._metrics.connections.labels('members').set_function(
+            lambda: sum(link.opened for link in self._pools.links.values())
+        )
         await self._tasks.start(
             partial(
                 serve_metrics,
                 self._process.settings.ip,
                 self._metrics.render,
                 boundary=boundary,
+                gate=gates.operations('metrics'),
             )
         )
         await self._tasks.start(
@@ -218,6 +233,7 @@
                 self._home,
                 self._limit_owner,
                 boundary=boundary,
+                gate=gates.peers(),
             )
         )
         for name, run in (
@@ -339,6 +355,7 @@
         )
 
     def _change_settings(self, settings: HostSettings) -> None:
+        self._gates.change(settings)
         self._sync_client.change_seeds(settings.internal_control_addresses)
 
 
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -138,7 +138,8 @@
         self._clock = clock
         self._monotonic = monotonic
         self._events = events
-        self._open: set[ServedSession] = set()
+        # Ordered by the last answer, the oldest first.
+        self._open: dict[ServedSession, None] = {}
         self._is_closing_idle = False
         self._is_ending_transactions = False
 
@@ -155,6 +156,18 @@
             if session.can_be_closed(now) and session.receive_scope is not None:
                 session.receive_scope.cancel()
 
+    def close_oldest_idle(self) -> bool:
+        """Close the session whose last answer is oldest, if one is idle."""
+        now = self._monotonic()
+        for session in self._open:
+            scope = session.receive_scope
+            if scope is None or scope.cancel_called:
+                continue
+            if session.can_be_closed(now):
+                scope.cancel()
+                return True
+        return False
+
     def end_transactions(self) -> None:
         """Roll back transactions that are waiting for a statement."""
         self._is_ending_transactions = True
@@ -235,7 +248,7 @@
         self, channel: CallerChannel, state: CallerSession
     ) -> None:
         session = ServedSession(state=state, opened_at=self._monotonic())
-        self._open.add(session)
+        self._open[session] = None
         self._metrics.sessions.set(len(self._open))
         try:
             while True:
@@ -245,12 +258,13 @@
                 answer = await self._answer(received, state)
                 await channel.answer(answer)
                 session.has_answered = True
+                self._open[session] = self._open.pop(session)
                 if _ends_session(answer):
                     return
                 if self._is_closing_idle and state.phase == Phase.idle:
                     return
         finally:
-            self._open.discard(session)
+            self._open.pop(session, None)
             self._metrics.sessions.set(len(self._open))
             with anyio.CancelScope(shield=True):
                 await self._transactions.end_transaction(state)
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -132,6 +132,19 @@
             registry=registry,
         )
 
+        self.connections = Gauge(
+            'lavendergate_connections',
+            'Open connections by kind; shows which kind uses the descriptors',
+            ('kind',),
+            registry=registry,
+        )
+        self.refused_connections = Counter(
+            'lavendergate_refused_connections',
+            'Connections refused at the limit of their kind',
+            ('kind',),
+            registry=registry,
+        )
+
     def count_contained_error(self, place: str) -> None:
         """Count an unexpected error that ended one activity."""
         self.contained_errors.labels(place).inc()
--- a/lavendergate/observability/process_events.py
+++ b/lavendergate/observability/process_events.py
@@ -83,3 +83,17 @@
         'account {account} is not configured',
         'Set the environment variable that the page of options names.',
     )
+    connections_refused = define(
+        7040,
+        Level.warning,
+        '{refused} connections of kind {kind} were refused: {open} are open, '
+        'the limit is {limit}',
+        'Spread the callers over more hosts, or raise the descriptors and the '
+        'memory of the process.',
+    )
+    connections_limited = define(
+        7041,
+        Level.info,
+        'connection limits: {callers} callers, {peers} hosts, {members} '
+        'members, {operations} operations',
+    )
--- a/lavendergate/platform/callers.py
+++ b/lavendergate/platform/callers.py
@@ -1,6 +1,7 @@
 """Server side of the platform's statement protocol, for callers."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 from anyio.abc import SocketStream, TaskStatus
@@ -8,6 +9,7 @@
 from lavendergate.core.customers.table import digest_key
 from lavendergate.core.sessions.statements import (
     Completed,
+    RefusalCode,
     Refused,
     SessionAnswer,
 )
@@ -28,8 +30,10 @@
     LOST_CONNECTION_ERRORS,
     LOST_OR_TIMEOUT_ERRORS,
     LineStream,
+    LongLines,
 )
 from lavendergate.supervision.boundary import Boundary
+from lavendergate.supervision.connection_gate import ConnectionGate
 from lavendergate.supervision.listener import Listener
 
 _BACKLOG = 4096
@@ -37,11 +41,26 @@
 # A connection that sends nothing is not a caller.
 _START_TIMEOUT_S = 5.0
 
+# Time within which a caller that is refused must send its START line.
+_REFUSAL_START_S = 0.5
+# A caller that takes no byte of its answer between two checks is disconnected.
+# The time between them is longer than the network can be interrupted without
+# losing the connection, in seconds.
+_SLOW_READER_S = 5.0
+_NO_ROOM = Refused(
+    code=RefusalCode.connection_limit,
+    text='this host serves as many callers as it can; connect again',
+)
+
 _START_ANSWER = SessionAnswer(outcome=Completed())
 
 ServeCaller = Callable[[CallerChannel], Awaitable[None]]
 
 
+def _do_nothing() -> None:
+    """Ignore that the START line has arrived."""
+
+
 class LineCallerChannel(CallerChannel):
     """A caller's connection in the line-based statement protocol.
 
@@ -49,10 +68,24 @@
     ----------
     stream
         Line stream on the connection.
+    on_start
+        Called when the START line has arrived.
     """
 
-    def __init__(self, *, stream: LineStream) -> None:
+    def __init__(
+        self, *, stream: LineStream, on_start: Callable[[], None] = _do_nothing
+    ) -> None:
         self._stream = stream
+        self._on_start = on_start
+        self._writes_begun = 0
+        self._writes_done = 0
+
+    @property
+    def unfinished_write(self) -> int | None:
+        """Number of the write that the caller has not taken yet."""
+        if self._writes_begun == self._writes_done:
+            return None
+        return self._writes_begun
 
     async def receive_start(self) -> SessionStart | None:
         """Read the START line; return its fields, None if invalid."""
@@ -61,6 +94,7 @@
                 word, rest = await self._stream.read()
         except LOST_OR_TIMEOUT_ERRORS as error:
             raise CallerDisconnectedError(repr(error)) from error
+        self._on_start()
         database, _, key = rest.partition(' ')
         if word != 'START' or not database:
             return None
@@ -97,10 +131,12 @@
         await self._stream.close()
 
     async def _write(self, lines: bytes) -> None:
+        self._writes_begun += 1
         try:
             await self._stream.write(lines)
         except LOST_CONNECTION_ERRORS as error:
             raise CallerDisconnectedError(repr(error)) from error
+        self._writes_done += 1
 
 
 async def serve_callers(
@@ -108,6 +144,8 @@
     serve: ServeCaller,
     *,
     boundary: Boundary,
+    gate: ConnectionGate | None = None,
+    long_lines: LongLines | None = None,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accept and serve callers until cancelled.
@@ -120,22 +158,97 @@
         Serves one caller until its session ends.
     boundary
         Receives unexpected errors.
+    gate
+        Bounds the connections; None if they are not bounded.
+    long_lines
+        Bounds the long lines of all callers; None if they are not bounded.
 
     Raises
     ------
     OSError
         If the address cannot be listened on.
     """
-
-    async def handle(stream: SocketStream) -> None:  # noqa: WPS430
-        channel = LineCallerChannel(stream=LineStream(stream=stream))
+    connections = _CallerConnections(
+        serve=serve, gate=gate, long_lines=long_lines
+    )
+    listener = Listener(
+        place='callers', serve=connections.serve, boundary=boundary
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            boundary.keep_running, 'slow readers', connections.close_slow
+        )
+        await listener.run(address, backlog=_BACKLOG, task_status=task_status)
+
+
+class _CallerConnections:
+    """Connections of callers on one listener."""
+
+    def __init__(
+        self,
+        *,
+        serve: ServeCaller,
+        gate: ConnectionGate | None,
+        long_lines: LongLines | None,
+    ) -> None:
+        self._serve_caller = serve
+        self._gate = gate
+        self._long_lines = long_lines
+        self._channels: set[LineCallerChannel] = set()
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serve a connection, or refuse it if there is no room for it."""
+        gate = self._gate
+        lines = LineStream(stream=stream, long_lines=self._long_lines)
+        if gate is None:
+            await self._run(LineCallerChannel(stream=lines), self._serve_caller)
+            return
+        with gate.enter() as connection, anyio.CancelScope() as scope:
+            channel = LineCallerChannel(
+                stream=lines,
+                on_start=partial(gate.end_waiting, connection),
+            )
+            if connection.is_served:
+                gate.begin_waiting(connection, scope.cancel)
+                await self._run(channel, self._serve_caller)
+            else:
+                await self._run(
+                    channel, partial(_refuse, is_cut=connection.is_cut)
+                )
+
+    async def close_slow(self) -> None:
+        """Close the connections of callers that read no answer."""
+        unfinished: dict[LineCallerChannel, int | None] = {}
+        while True:
+            await anyio.sleep(_SLOW_READER_S)
+            for channel, write in unfinished.items():
+                if write is not None and channel.unfinished_write == write:
+                    await channel.close()
+            unfinished = {
+                served: served.unfinished_write for served in self._channels
+            }
+
+    async def _run(
+        self, channel: LineCallerChannel, serve: ServeCaller
+    ) -> None:
+        self._channels.add(channel)
         try:
             await serve(channel)
         except CallerDisconnectedError:
             # The caller has disconnected, so there is no answer to send.
             return
         finally:
+            self._channels.discard(channel)
             await channel.close()
 
-    listener = Listener(place='callers', serve=handle, boundary=boundary)
-    await listener.run(address, backlog=_BACKLOG, task_status=task_status)
+
+async def _refuse(channel: CallerChannel, *, is_cut: bool) -> None:
+    """Tell a caller that there is no room for its session.
+
+    Bytes that were not read when the connection is closed would reset it, and
+    the caller might not receive the refusal.
+    """
+    if not is_cut:
+        with anyio.move_on_after(_REFUSAL_START_S):
+            await channel.receive_start()
+    await channel.refuse(_NO_ROOM)
--- a/lavendergate/platform/line_stream.py
+++ b/lavendergate/platform/line_stream.py
@@ -43,6 +43,24 @@
 LOST_OR_TIMEOUT_ERRORS = (TimeoutError, *LOST_CONNECTION_ERRORS)
 
 
+# Lines above this length are read only while there is room for them.
+_SHORT_LINE_BYTES = 64 * 1024
+# Time for room for a long line and for its end to arrive, in seconds. A
+# caller waits no longer for a statement.
+LONG_LINE_TIMEOUT_S = 5.0
+# Copies of a long line while its statement runs: the line, its text, the
+# statement and the bytes for the member.
+_COPIES = 4
+
+# Room for the long lines of all connections.
+LongLines = anyio.Semaphore
+
+
+def make_long_lines(buffered_bytes: int) -> LongLines:
+    """Return room for the long lines that fit into a number of bytes."""
+    return anyio.Semaphore(max(1, buffered_bytes // MAX_LINE_BYTES // _COPIES))
+
+
 class LineStream:
     """Reads and writes protocol lines on a connection.
 
@@ -50,16 +68,34 @@
     ----------
     stream
         Socket stream of the connection.
+    long_lines
+        Bounds the long lines that all connections hold at the same time; a
+        line is held until the next one is read. None if they are not bounded.
     """
 
-    def __init__(self, *, stream: SocketStream) -> None:
+    def __init__(
+        self, *, stream: SocketStream, long_lines: LongLines | None = None
+    ) -> None:
+        self._long_lines = long_lines
+        self._holds_long_line = False
         self._stream = stream
         self._buffer = BufferedByteReceiveStream(stream)
         _set_socket_options(stream)
 
     async def read(self) -> tuple[str, str]:
-        """Read a line; return its first word and the rest."""
-        line = await self._buffer.receive_until(LINE_END, MAX_LINE_BYTES)
+        """Read a line; return its first word and the rest.
+
+        Raises
+        ------
+        TimeoutError
+            If there was no room for a long line, or its end did not arrive,
+            within `LONG_LINE_TIMEOUT_S`.
+        """
+        self._release_long_line()
+        try:
+            line = await self._buffer.receive_until(LINE_END, _SHORT_LINE_BYTES)
+        except anyio.DelimiterNotFound:
+            line = await self._read_long_line()
         word, _, rest = line.decode().partition(' ')
         return word, rest
 
@@ -69,6 +105,7 @@
 
     async def close(self) -> None:
         """Close the connection; wait at most 1 s, and ignore cancellation."""
+        self._release_long_line()
         with anyio.CancelScope(shield=True), anyio.move_on_after(1):
             try:
                 await self._stream.aclose()
@@ -76,6 +113,19 @@
                 # The peer reset the connection, so it is closed already.
                 return
 
+    async def _read_long_line(self) -> bytes:
+        if self._long_lines is None:
+            return await self._buffer.receive_until(LINE_END, MAX_LINE_BYTES)
+        with anyio.fail_after(LONG_LINE_TIMEOUT_S):
+            await self._long_lines.acquire()
+            self._holds_long_line = True
+            return await self._buffer.receive_until(LINE_END, MAX_LINE_BYTES)
+
+    def _release_long_line(self) -> None:
+        if self._holds_long_line and self._long_lines is not None:
+            self._holds_long_line = False
+            self._long_lines.release()
+
 
 def _set_socket_options(stream: SocketStream) -> None:
     raw_socket = stream.extra(SocketAttribute.raw_socket)
--- a/lavendergate/platform/readiness.py
+++ b/lavendergate/platform/readiness.py
@@ -7,6 +7,7 @@
 
 from lavendergate.rpc.http import HttpRequest, HttpResponse, serve_http
 from lavendergate.supervision.boundary import Boundary
+from lavendergate.supervision.connection_gate import ConnectionGate
 
 _READY = HttpResponse(status=200)
 _NOT_READY = HttpResponse(status=503)
@@ -23,6 +24,7 @@
     is_ready: Callable[[], bool],
     *,
     boundary: Boundary,
+    gate: ConnectionGate | None = None,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer the platform's readiness checks until cancelled.
@@ -35,6 +37,8 @@
         Returns whether callers may be sent to this host.
     boundary
         Receives unexpected errors.
+    gate
+        Bounds the connections; None if they are not bounded.
     """
 
     async def handle(request: HttpRequest) -> HttpResponse:  # noqa: WPS430
@@ -47,6 +51,7 @@
         handle,
         max_body_bytes=_MAX_BODY_BYTES,
         boundary=boundary,
+        gate=gate,
         task_status=task_status,
     )
 
@@ -56,6 +61,7 @@
     render: Callable[[], bytes],
     *,
     boundary: Boundary,
+    gate: ConnectionGate | None = None,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve metrics on `METRICS_PORT` until cancelled.
@@ -68,6 +74,8 @@
         Returns all metrics in the text exposition format.
     boundary
         Receives unexpected errors.
+    gate
+        Bounds the connections; None if they are not bounded.
     """
 
     async def handle(request: HttpRequest) -> HttpResponse:  # noqa: WPS430
@@ -80,5 +88,6 @@
         handle,
         max_body_bytes=_MAX_BODY_BYTES,
         boundary=boundary,
+        gate=gate,
         task_status=task_status,
     )
--- a/lavendergate/platform/settings_file.py
+++ b/lavendergate/platform/settings_file.py
@@ -73,6 +73,23 @@
     duty_per_s: float = 1
 
 
+class Limits(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    """Resources that the platform gives to the process.
+
+    Parameters
+    ----------
+    max_fds
+        File descriptors, of which some are reserved for files; None if
+        unlimited.
+    memory_mb
+        Memory in megabytes above which the process is killed; None if
+        unlimited.
+    """
+
+    max_fds: int | None = None
+    memory_mb: float | None = None
+
+
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
     """Settings of one process.
 
@@ -104,6 +121,7 @@
     heartbeat_ms: int = 1000
     bind_addrs: ListenAddresses = ListenAddresses()
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     cloud_api: PlatformApi = PlatformApi()
 
     @property
--- a/lavendergate/rpc/http.py
+++ b/lavendergate/rpc/http.py
@@ -4,15 +4,18 @@
 lavendergate. Calls between lavendergate processes use gRPC.
 """
 
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
 from lavendergate.supervision.boundary import Boundary
+from lavendergate.supervision.connection_gate import ConnectionGate
 from lavendergate.supervision.listener import Listener
 
 _READ_SIZE_BYTES = 65_536
@@ -27,6 +30,9 @@
 _BAD_REQUEST = 400
 _CONTENT_TOO_LARGE = 413
 _INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
+# Time for the rest of a request that is refused, in seconds.
+_REFUSAL_TIMEOUT_S = 0.5
 
 _CONNECTION_ERRORS = (
     anyio.EndOfStream,
@@ -75,6 +81,8 @@
     *,
     max_body_bytes: int,
     boundary: Boundary,
+    gate: ConnectionGate | None = None,
+    max_buffered_bytes: int | None = None,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve requests until cancelled.
@@ -92,6 +100,13 @@
         with status 413.
     boundary
         Receives unexpected errors.
+    gate
+        Bounds the connections; None if they are not bounded. One too many is
+        answered with status 503.
+    max_buffered_bytes
+        Maximum length of all request bodies that are held at the same time,
+        in bytes; a request above it is answered with status 503. None if
+        there is no maximum.
 
     Raises
     ------
@@ -104,22 +119,65 @@
             return await handle(request)
         return HttpResponse(status=_INTERNAL_ERROR)
 
-    async def serve(stream: SocketStream) -> None:  # noqa: WPS430
-        async with stream:
-            connection = _ServerConnection(
-                stream=stream, max_body_bytes=max_body_bytes
-            )
-            try:
-                await connection.serve(respond)
-            except _PEER_ERRORS:
-                # The peer disconnected, timed out or violated HTTP. Only
-                # this connection ends.
-                return
+    bodies = _BodyMemory(limit=max_buffered_bytes)
+
+    async def serve(  # noqa: WPS430
+        stream: SocketStream,
+        begin_request: Callable[[], None] = _do_nothing,
+        end_request: Callable[[], None] = _do_nothing,
+    ) -> None:
+        connection = _ServerConnection(
+            stream=stream,
+            max_body_bytes=max_body_bytes,
+            bodies=bodies,
+            begin_request=begin_request,
+            end_request=end_request,
+        )
+        try:
+            await connection.serve(respond)
+        except _PEER_ERRORS:
+            # The peer disconnected, timed out or violated HTTP. Only this
+            # connection ends.
+            return
 
-    listener = Listener(place='http', serve=serve, boundary=boundary)
+    async def serve_gated(stream: SocketStream) -> None:  # noqa: WPS430
+        assert gate is not None
+        with gate.enter() as connection, anyio.CancelScope() as scope:
+            if connection.is_served:
+                await serve(
+                    stream,
+                    partial(gate.end_waiting, connection),
+                    partial(gate.begin_waiting, connection, scope.cancel),
+                )
+            elif not connection.is_cut:
+                with anyio.move_on_after(_REFUSAL_TIMEOUT_S):
+                    await _refuse(stream, max_body_bytes, bodies)
+
+    listener = Listener(
+        place='http',
+        serve=serve if gate is None else serve_gated,
+        boundary=boundary,
+    )
     await listener.run(address, backlog=_BACKLOG, task_status=task_status)
 
 
+def _do_nothing() -> None:
+    """Ignore that a request begins or ends."""
+
+
+async def _refuse(
+    stream: SocketStream, max_body_bytes: int, bodies: '_BodyMemory'
+) -> None:
+    async def respond(request: HttpRequest) -> HttpResponse:  # noqa: WPS430
+        return HttpResponse(status=_UNAVAILABLE)
+
+    connection = _ServerConnection(
+        stream=stream, max_body_bytes=max_body_bytes, bodies=bodies
+    )
+    with contextlib.suppress(*_PEER_ERRORS):
+        await connection.serve_one(respond)
+
+
 async def call_http(
     address: str,
     request: HttpRequest,
@@ -181,32 +239,85 @@
     """A request body exceeds the limit of the server."""
 
 
+class _NoMemoryError(Exception):
+    """The bodies of all requests together exceed the limit of the server."""
+
+
+class _BodyMemory:
+    """Counts the bytes of request bodies that are held."""
+
+    def __init__(self, *, limit: int | None) -> None:
+        self._limit = limit
+        self._held = 0
+
+    def hold(self, count: int) -> None:
+        """Count bytes, also if an error is raised because of them."""
+        self._held += count
+        if self._limit is not None and self._held > self._limit:
+            raise _NoMemoryError
+
+    def release(self, count: int) -> None:
+        """Count bytes that are no longer held."""
+        self._held -= count
+
+
 class _ServerConnection:
-    def __init__(self, *, stream: SocketStream, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        stream: SocketStream,
+        max_body_bytes: int,
+        bodies: _BodyMemory,
+        begin_request: Callable[[], None] = _do_nothing,
+        end_request: Callable[[], None] = _do_nothing,
+    ) -> None:
+        self._bodies = bodies
+        self._held_bytes = 0
+        self._begin_request = begin_request
+        self._end_request = end_request
         self._stream = stream
         self._max_body_bytes = max_body_bytes
         self._http = h11.Connection(h11.SERVER)
 
     async def serve(self, handle: RequestHandler) -> None:
         while True:
-            try:
-                with anyio.fail_after(_REQUEST_TIMEOUT_S):
-                    request = await self._read_request()
-            except h11.RemoteProtocolError:
-                await self._respond(HttpResponse(status=_BAD_REQUEST))
-                return
-            except _BodyTooLargeError:
-                await self._respond(HttpResponse(status=_CONTENT_TOO_LARGE))
-                return
-            if request is None:
-                return
-            await self._respond(await handle(request))
-            if self._http.our_state is not h11.DONE:
-                return
-            if self._http.their_state is not h11.DONE:
+            self._end_request()
+            if not await self.serve_one(handle):
                 return
             self._http.start_next_cycle()
 
+    async def serve_one(self, handle: RequestHandler) -> bool:
+        """Serve a request; return whether another one may follow."""
+        try:
+            return await self._serve_request(handle)
+        finally:
+            self._release_body()
+
+    def _release_body(self) -> None:
+        self._bodies.release(self._held_bytes)
+        self._held_bytes = 0
+
+    async def _serve_request(self, handle: RequestHandler) -> bool:
+        try:
+            with anyio.fail_after(_REQUEST_TIMEOUT_S):
+                request = await self._read_request()
+        except h11.RemoteProtocolError:
+            await self._reject(_BAD_REQUEST)
+            return False
+        except _BodyTooLargeError:
+            await self._reject(_CONTENT_TOO_LARGE)
+            return False
+        except _NoMemoryError:
+            await self._reject(_UNAVAILABLE)
+            return False
+        if request is None:
+            return False
+        self._begin_request()
+        await self._respond(await handle(request))
+        if self._http.our_state is not h11.DONE:
+            return False
+        return self._http.their_state is h11.DONE
+
     async def _read_request(self) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
@@ -218,6 +329,8 @@
                 case h11.Data():
                     body.extend(event.data)
                     self._check_body_length(body)
+                    self._held_bytes += len(event.data)
+                    self._bodies.hold(len(event.data))
                 case h11.EndOfMessage() if head is not None:
                     return HttpRequest(
                         method=head.method.decode(),
@@ -231,6 +344,19 @@
         if len(body) > self._max_body_bytes:
             raise _BodyTooLargeError
 
+    async def _reject(self, status: int) -> None:
+        """Answer a request that was not read to its end.
+
+        The rest of it is read and dropped: unread bytes would reset the
+        connection when it is closed, and the peer might not get the answer.
+        """
+        self._release_body()
+        await self._respond(HttpResponse(status=status))
+        await self._stream.send_eof()
+        with anyio.move_on_after(_REFUSAL_TIMEOUT_S):
+            while True:
+                await self._stream.receive()
+
     async def _respond(self, response: HttpResponse) -> None:
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
--- a/lavendergate/rpc/relay_stream.py
+++ b/lavendergate/rpc/relay_stream.py
@@ -8,6 +8,7 @@
 import itertools
 import socket
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any, Protocol
 
 import anyio
@@ -27,6 +28,7 @@
     RelayTransport,
 )
 from lavendergate.supervision.boundary import Boundary
+from lavendergate.supervision.connection_gate import ConnectionGate
 from lavendergate.supervision.listener import Listener
 
 _BACKLOG = 1024
@@ -141,6 +143,7 @@
     limits: LimitHandler | None = None,
     *,
     boundary: Boundary,
+    gate: ConnectionGate | None = None,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run the statements of other proxies until cancelled.
@@ -153,6 +156,8 @@
         Answers questions about limits; None if this host owns none.
     boundary
         Receives unexpected errors.
+    gate
+        Bounds the connections; None if they are not bounded.
 
     Raises
     ------
@@ -160,21 +165,34 @@
         If the address cannot be listened on.
     """
 
-    async def serve(stream: SocketStream) -> None:  # noqa: WPS430
-        async with stream:
-            connection = _ServedConnection(
-                frames=_FrameStream(stream=stream),
-                handler=handler,
-                limits=limits,
-                boundary=boundary,
-            )
-            try:
-                await connection.run()
-            except _LOST_ERRORS:
-                # Only this connection ends.
-                return
+    async def serve(  # noqa: WPS430
+        stream: SocketStream, on_first_frame: Callable[[], None] | None = None
+    ) -> None:
+        connection = _ServedConnection(
+            frames=_FrameStream(stream=stream),
+            handler=handler,
+            limits=limits,
+            boundary=boundary,
+            on_first_frame=on_first_frame,
+        )
+        try:
+            await connection.run()
+        except _LOST_ERRORS:
+            # Only this connection ends.
+            return
 
-    listener = Listener(place='relay', serve=serve, boundary=boundary)
+    async def serve_gated(stream: SocketStream) -> None:  # noqa: WPS430
+        assert gate is not None
+        with gate.enter() as connection, anyio.CancelScope() as scope:
+            if connection.is_served:
+                gate.begin_waiting(connection, scope.cancel)
+                await serve(stream, partial(gate.end_waiting, connection))
+
+    listener = Listener(
+        place='relay',
+        serve=serve if gate is None else serve_gated,
+        boundary=boundary,
+    )
     await listener.run(address, backlog=_BACKLOG, task_status=task_status)
 
 
@@ -188,7 +206,9 @@
         handler: RelayHandler,
         limits: LimitHandler | None,
         boundary: Boundary,
+        on_first_frame: Callable[[], None] | None = None,
     ) -> None:
+        self._on_first_frame = on_first_frame
         self._frames = frames
         self._handler = handler
         self._limits = limits
@@ -211,6 +231,9 @@
                 self._has_room = anyio.Event()
                 await self._has_room.wait()
             frame = _request_decoder.decode(await self._frames.read())
+            if self._on_first_frame is not None:
+                self._on_first_frame()
+                self._on_first_frame = None
             self._running += 1
             tasks.start_soon(self._answer, frame)
 
