Start every background activity inside the boundary

An odd reply of one host ended the task group that asked several: the feed of a proxy restarted each 0.2 s and the log node, with it the process, ended. An unexpected error in the work on one service stopped leases and takeovers of all services for as long as it lasted.

PeerClient and GrpcTransport treat an unexpected error like a lost call, and report it. TakeoverController contains errors for each service and takeover. The background activities of the older daemon run in keep_running, and its pools, confirmers and read indexes start guarded tasks.

--- a/lavendergate/controllers/confirmation.py
+++ b/lavendergate/controllers/confirmation.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import TaskGroup
 
 from lavendergate.backends.base import (
     MemberError,
@@ -15,6 +14,7 @@
 )
 from lavendergate.controllers.connections import ConnectionPools
 from lavendergate.controllers.directory import Directory
+from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.confirmation import (
     Effects,
     StartWait,
@@ -76,7 +76,7 @@
         group_id: GroupId,
         directory: Directory,
         pools: ConnectionPools,
-        tasks: TaskGroup,
+        tasks: TaskStarter,
     ) -> None:
         self._group_id = group_id
         self._directory = directory
--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import TaskGroup
 
 from lavendergate.backends.base import (
     MemberAddress,
@@ -20,6 +19,7 @@
     UpstreamConnection,
     UpstreamUnreachableError,
 )
+from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core import pool as pool_core
 from lavendergate.core.types import GroupId, UpstreamId
 
@@ -95,7 +95,7 @@
         group_id: GroupId,
         address: MemberAddress,
         backend: UpstreamBackend,
-        tasks: TaskGroup,
+        tasks: TaskStarter,
     ) -> None:
         self._upstream_id = upstream_id
         self._address = address
@@ -343,7 +343,7 @@
 class ConnectionPools:
     """Connection pools of all members that this proxy knows."""
 
-    def __init__(self, *, backend: UpstreamBackend, tasks: TaskGroup) -> None:
+    def __init__(self, *, backend: UpstreamBackend, tasks: TaskStarter) -> None:
         self._backend = backend
         self._tasks = tasks
         self._pools: dict[UpstreamId, MemberPool] = {}
--- a/lavendergate/controllers/probes.py
+++ b/lavendergate/controllers/probes.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import TaskGroup
 
 from lavendergate.backends.base import (
     ConnectionLostError,
@@ -14,6 +13,7 @@
     UpstreamUnreachableError,
 )
 from lavendergate.controllers.directory import Directory
+from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.types import UpstreamId
 from lavendergate.rpc.messages import ProbeResult
 
@@ -50,7 +50,7 @@
         *,
         backend: UpstreamBackend,
         directory: Directory,
-        tasks: TaskGroup,
+        tasks: TaskStarter,
         record_lost: Callable[[UpstreamId, int], None],
     ) -> None:
         self._backend = backend
--- a/lavendergate/controllers/read_index.py
+++ b/lavendergate/controllers/read_index.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 
 import anyio
-from anyio.abc import TaskGroup
 
 from lavendergate.backends.base import MemberError
 from lavendergate.controllers.confirmation import (
@@ -16,6 +15,7 @@
 )
 from lavendergate.controllers.connections import ConnectionPools
 from lavendergate.controllers.directory import Directory
+from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.read_index import (
     Effects,
     IndexSource,
@@ -57,7 +57,7 @@
         group_id: GroupId,
         directory: Directory,
         pools: ConnectionPools,
-        tasks: TaskGroup,
+        tasks: TaskStarter,
     ) -> None:
         self._group_id = group_id
         self._directory = directory
--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterable
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Err
 
 from lavendergate.backends.promotion import OrderOutcome, PromotionOrders
@@ -12,6 +11,7 @@
 from lavendergate.controllers.leases.grants import LeaseGrants
 from lavendergate.controllers.member_poller import MemberPoller
 from lavendergate.controllers.takeovers.former_primaries import FormerPrimaries
+from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.commands import OrderPromotion
 from lavendergate.core.leases.granting import (
     PromotionHistory,
@@ -41,6 +41,7 @@
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
+from lavendergate.supervision.boundary import Boundary, GuardedTasks
 
 _INTERVAL_S = 0.1
 _RETRY_S = 0.2
@@ -102,7 +103,10 @@
         real_clock: Callable[[], float],
         events: EventLog,
         metrics: HttpMetrics,
+        boundary: Boundary | None = None,
     ) -> None:
+        # An error in the work on one service must not stop the others'.
+        self._boundary = boundary or Boundary(events=events)
         self._metrics = metrics
         self._node = node
         self._fleet = fleet
@@ -121,7 +125,8 @@
 
     async def run(self) -> None:
         """Check the primaries while this host leads, until cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as group:
+            tasks = GuardedTasks(tasks=group, boundary=self._boundary)
             while True:
                 await anyio.sleep(_INTERVAL_S)
                 if not self._fleet.is_leading:
@@ -134,20 +139,24 @@
                 if now - self._leading_since >= _OBSERVATION_S:
                     self._check_services(tasks)
 
-    def _update_leases(self, tasks: TaskGroup) -> None:
+    def _update_leases(self, tasks: TaskStarter) -> None:
         """Lease the primaries that are known and healthy."""
         for service in self._routes().services:
-            observed = self._poller.observe(service)
-            self._former_primaries.demote(tasks, service, observed)
-            if service in self._running:
-                # The takeover decides when the service is leased again.
-                continue
-            if self._poller.is_complete(service) and may_grant_lease(
-                observed, self._promotion_history(service), self._clock()
-            ):
-                self._leases.grant(service)
-            else:
-                self._leases.withhold(service)
+            with self._boundary.contain('lease'):
+                self._update_lease(tasks, service)
+
+    def _update_lease(self, tasks: TaskStarter, service: GroupId) -> None:
+        observed = self._poller.observe(service)
+        self._former_primaries.demote(tasks, service, observed)
+        if service in self._running:
+            # The takeover decides when the service is leased again.
+            return
+        if self._poller.is_complete(service) and may_grant_lease(
+            observed, self._promotion_history(service), self._clock()
+        ):
+            self._leases.grant(service)
+        else:
+            self._leases.withhold(service)
 
     def _promotion_history(self, service: GroupId) -> PromotionHistory:
         return PromotionHistory(
@@ -155,22 +164,26 @@
             newest_term=self._fleet.newest_term(service),
         )
 
-    def _check_services(self, tasks: TaskGroup) -> None:
+    def _check_services(self, tasks: TaskStarter) -> None:
         for service in self._routes().services:
             if service in self._running or not self._poller.is_complete(
                 service
             ):
                 continue
-            observed = self._poller.observe(service)
-            match decide_replacement(observed, self._clock()):
-                case ReplacePrimary(reason=reason):
-                    self._running.add(service)
-                    self._leases.begin_replacing(service)
-                    tasks.start_soon(self._take_over, service, reason)
-                case KeepPrimary() if self._must_confirm(service, observed):
-                    self._running.add(service)
-                    self._leases.withhold(service)
-                    tasks.start_soon(self._resume_paused, service)
+            with self._boundary.contain('primary check'):
+                self._check_service(tasks, service)
+
+    def _check_service(self, tasks: TaskStarter, service: GroupId) -> None:
+        observed = self._poller.observe(service)
+        match decide_replacement(observed, self._clock()):
+            case ReplacePrimary(reason=reason):
+                self._leases.begin_replacing(service)
+                self._running.add(service)
+                tasks.start_soon(self._take_over, service, reason)
+            case KeepPrimary() if self._must_confirm(service, observed):
+                self._leases.withhold(service)
+                self._running.add(service)
+                tasks.start_soon(self._resume_paused, service)
 
     def _must_confirm(
         self, service: GroupId, observed: ServiceObservation
--- a/lavendergate/controllers/takeovers/former_primaries.py
+++ b/lavendergate/controllers/takeovers/former_primaries.py
@@ -1,8 +1,7 @@
 """Demotes former primaries that still consider themselves primary."""
 
-from anyio.abc import TaskGroup
-
 from lavendergate.controllers.member_poller import MemberPoller
+from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.primary_replacement import (
     MemberObservation,
     ServiceObservation,
@@ -28,7 +27,7 @@
         self._demoting: set[UpstreamId] = set()
 
     def demote(
-        self, tasks: TaskGroup, service: GroupId, observed: ServiceObservation
+        self, tasks: TaskStarter, service: GroupId, observed: ServiceObservation
     ) -> None:
         """Demote the answering members that claim an older term."""
         primary = observed.member(observed.primary)
--- a/lavendergate/daemon/context.py
+++ b/lavendergate/daemon/context.py
@@ -8,6 +8,7 @@
 from lavendergate.observability.metrics import Metrics
 from lavendergate.observability.process_clock import ProcessClock
 from lavendergate.rpc.tls import TlsContexts
+from lavendergate.supervision.boundary import Boundary
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,6 +29,7 @@
     clock: ProcessClock
     events: EventLog
     metrics: Metrics
+    boundary: Boundary
     caller_tls: TlsContexts | None = None
     peer_tls: TlsContexts | None = None
 
--- a/lavendergate/daemon/control.py
+++ b/lavendergate/daemon/control.py
@@ -54,7 +54,9 @@
             host_id=HostId(options.host_id),
             address=options.rpc_listen,
             data_directory=Path(options.data_directory) / 'control',
-            transport=GrpcTransport(tls=context.peer_client),
+            transport=GrpcTransport(
+                boundary=context.boundary, tls=context.peer_client
+            ),
         )
         self._log = ReportingControlLog(node=self._node, events=context.events)
         self._reports = FailoverReports(node=self._node, events=context.events)
@@ -103,10 +105,15 @@
     async def start(self) -> None:
         """Start the log node from its storage, then all controllers."""
         await self._tasks.start(self._node.run)
-        self._tasks.start_soon(self._membership.run)
-        self._tasks.start_soon(self._failover.run)
-        self._tasks.start_soon(self._shares.run)
-        self._tasks.start_soon(self._reports.watch_leadership)
+        for name, run in (
+            ('membership', self._membership.run),
+            ('failover', self._failover.run),
+            ('shares', self._shares.run),
+            ('reports', self._reports.watch_leadership),
+        ):
+            self._tasks.start_soon(
+                self._context.boundary.keep_running, name, run
+            )
 
     async def _forward(
         self, address: str, request: AnnounceRequest
--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -83,6 +83,7 @@
             real_clock=boottime_s,
             events=process.events,
             metrics=self._metrics,
+            boundary=process.boundary,
         )
 
     async def start(self) -> None:
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -143,7 +143,7 @@
         self._tasks = tasks
         self._events = process.events
         self._host_id = HostId(settings.node_name)
-        self._peers = PeerClient()
+        self._peers = PeerClient(boundary=process.boundary)
         directory = Path(settings.data_dir or '/tmp/control')  # noqa: S108
         storage, damage = open_or_reset(directory / 'log', self._host_id)
         if damage is not None:
@@ -151,7 +151,7 @@
         self._node = ControlNode(
             host_id=self._host_id,
             address=settings.internal_address,
-            transport=GrpcTransport(),
+            transport=GrpcTransport(boundary=process.boundary),
             storage=storage,
             options=DriverOptions(
                 node=NodeOptions(
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -79,7 +79,7 @@
         self._tasks = tasks
         self._events = process.events
         self._is_draining = False
-        self._peers = PeerClient()
+        self._peers = PeerClient(boundary=process.boundary)
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
         self._gates = ConnectionGates(
--- a/lavendergate/daemon/process.py
+++ b/lavendergate/daemon/process.py
@@ -3,6 +3,7 @@
 import secrets
 import signal
 from collections.abc import AsyncIterator
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -28,6 +29,7 @@
 from lavendergate.rpc.methods import ANNOUNCE
 from lavendergate.rpc.service import UnaryService
 from lavendergate.rpc.tls import CertificateFiles, TlsContexts
+from lavendergate.supervision.boundary import Boundary
 
 START_ID_BYTES = 8
 CERTIFICATE_CHECK_INTERVAL_S = 1.0
@@ -38,15 +40,15 @@
     """Run the roles of a host until SIGTERM or SIGINT."""
     clock = ProcessClock()
     host_id = HostId(options.host_id)
+    events = open_event_log(
+        host=host_id, clock=clock, data_directory=Path(options.data_directory)
+    )
     context = ProcessContext(
         options=options,
         start_id=secrets.token_hex(START_ID_BYTES),
         clock=clock,
-        events=open_event_log(
-            host=host_id,
-            clock=clock,
-            data_directory=Path(options.data_directory),
-        ),
+        events=events,
+        boundary=Boundary(events=events),
         metrics=_open_metrics(options),
         caller_tls=_load_tls_contexts(options.tls_certificate, options.tls_key),
         peer_tls=_load_tls_contexts(
@@ -82,11 +84,15 @@
     server = Server(services, codec=MessagePackCodec())
     host, _, port = options.rpc_listen.rpartition(':')
     await server.start(host, int(port), ssl=context.peer_server)
-    tasks.start_soon(_reload_certificates, context)
+    tasks.start_soon(
+        context.boundary.keep_running,
+        'certificates',
+        partial(_reload_certificates, context),
+    )
     if proxy is not None:
         await proxy.start()
     if options.health_listen is not None:
-        _start_health(options.health_listen, proxy, tasks)
+        _start_health(options.health_listen, proxy, tasks, context.boundary)
     try:
         await _wait_for_stop(context, proxy)
     finally:
@@ -94,14 +100,19 @@
 
 
 def _start_health(
-    address: str, proxy: ProxyRole | None, tasks: TaskGroup
+    address: str,
+    proxy: ProxyRole | None,
+    tasks: TaskGroup,
+    boundary: Boundary,
 ) -> None:
     def is_ready() -> bool:  # noqa: WPS430
         return proxy is None or proxy.is_ready
 
     host, _, port = address.rpartition(':')
     health = HealthServer(is_ready=is_ready)
-    tasks.start_soon(health.run, host, int(port))
+    tasks.start_soon(
+        boundary.keep_running, 'health', partial(health.run, host, int(port))
+    )
 
 
 def _open_metrics(options: DaemonOptions) -> Metrics:
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -53,6 +53,7 @@
 from lavendergate.frontend.server import CallerAccounts, CallerListener
 from lavendergate.frontend.session import MysqlSession
 from lavendergate.observability.metrics import Metric
+from lavendergate.supervision.boundary import GuardedTasks
 
 MAINTENANCE_INTERVAL_S = 0.25
 SHARE_RETURN_TIMEOUT_S = 3.0
@@ -73,6 +74,7 @@
         options = context.options
         self._context = context
         self._tasks = tasks
+        self._guarded = GuardedTasks(tasks=tasks, boundary=context.boundary)
         self._is_reported_not_ready = False
         self._refuses_statements = False
         self._backend = MySqlBackend(
@@ -81,7 +83,9 @@
             program_name=f'{PROGRAM_NAME_PREFIX}{options.host_id}',
         )
         self._directory = Directory()
-        self._pools = ConnectionPools(backend=self._backend, tasks=tasks)
+        self._pools = ConnectionPools(
+            backend=self._backend, tasks=self._guarded
+        )
         self._loads = MemberLoads()
         self._settings = InForceSettings(now=anyio.current_time())
         self._shares = ProxyShares(pools=self._pools)
@@ -120,8 +124,13 @@
         listen = self._context.options.listen
         if listen is None:
             raise RuntimeError('the proxy role requires --listen')
-        self._tasks.start_soon(self._heartbeats.run)
-        self._tasks.start_soon(self._maintain)
+        for name, run in (
+            ('heartbeats', self._heartbeats.run),
+            ('maintenance', self._maintain),
+        ):
+            self._tasks.start_soon(
+                self._context.boundary.keep_running, name, run
+            )
         host, _, port = listen.rpartition(':')
         await self._listener.start(host, int(port))
 
@@ -203,7 +212,7 @@
             prober=Prober(
                 backend=self._backend,
                 directory=self._directory,
-                tasks=self._tasks,
+                tasks=self._guarded,
                 record_lost=self._shares.record_lost,
             ),
             pop_announcements=self._relay.pop_all,
@@ -272,7 +281,7 @@
             group_id=group_id,
             directory=self._directory,
             pools=self._pools,
-            tasks=self._tasks,
+            tasks=self._guarded,
         )
 
     def _admission(self, group_id: GroupId) -> GroupAdmission:
@@ -320,7 +329,7 @@
             group_id=group_id,
             directory=self._directory,
             pools=self._pools,
-            tasks=self._tasks,
+            tasks=self._guarded,
         )
 
     def _sign(self, token: SessionToken) -> str:
--- a/lavendergate/rpc/peers.py
+++ b/lavendergate/rpc/peers.py
@@ -7,6 +7,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from lavendergate.rpc.service import Method, call, open_channel
+from lavendergate.supervision.boundary import Boundary
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
@@ -25,9 +26,16 @@
 
 
 class PeerClient:
-    """Calls other hosts and reuses one channel per host."""
+    """Calls other hosts and reuses one channel per host.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    boundary
+        Receives unexpected errors of calls, which fail like lost ones.
+    """
+
+    def __init__(self, *, boundary: Boundary) -> None:
+        self._boundary = boundary
         self._channels: dict[str, Channel] = {}
 
     async def call(
@@ -65,6 +73,13 @@
             raise PeerCallError(f'no answer from {address}: {error!r}') from (
                 error
             )
+        except Exception as error:
+            # One odd reply must not end the work with other hosts.
+            self._discard_channel(address, channel)
+            self._boundary.report('peer call', error)
+            raise PeerCallError(f'failed call of {address}: {error!r}') from (
+                error
+            )
 
     def _discard_channel(self, address: str, channel: Channel) -> None:
         if self._channels.get(address) is channel:
--- a/lavendergate/rpc/transport.py
+++ b/lavendergate/rpc/transport.py
@@ -10,6 +10,7 @@
 from lavendergate.core.consensus.messages import Envelope
 from lavendergate.rpc.consensus_service import EXCHANGE, ExchangeRequest
 from lavendergate.rpc.service import call, open_channel
+from lavendergate.supervision.boundary import Boundary
 
 # A peer that runs another version may reply with data that does not decode.
 _CALL_ERRORS = (
@@ -64,9 +65,18 @@
     ----------
     tls
         Context for mutual TLS; None for plain connections.
+    boundary
+        Receives unexpected errors of calls, which fail like lost ones; None
+        if nobody does.
     """
 
-    def __init__(self, *, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        boundary: Boundary | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._boundary = boundary
         self._tls = tls
         self._channels: dict[str, Channel] = {}
 
@@ -83,6 +93,12 @@
             # work, so a failed one is never reused.
             self._discard_channel(address, channel)
             raise TransportError(f'no answer from {address}') from error
+        except Exception as error:
+            # One odd reply must not end the node of the log.
+            self._discard_channel(address, channel)
+            if self._boundary is not None:
+                self._boundary.report('log exchange', error)
+            raise TransportError(f'failed call of {address}') from error
         return reply.envelope
 
     def close(self) -> None:
--- a/lavendergate/tests/supervision/test_rpc_errors.py
+++ b/lavendergate/tests/supervision/test_rpc_errors.py
@@ -2,15 +2,23 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 from anyio.abc import TaskGroup
 from grpclib.server import Server
 
+from lavendergate.rpc import peers as peers_module
+from lavendergate.rpc import transport as transport_module
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 from lavendergate.rpc.service import Method, UnaryService
-from lavendergate.tests.socket_fixture import free_address, run_scenario
+from lavendergate.rpc.transport import GrpcTransport, TransportError
+from lavendergate.tests.socket_fixture import (
+    free_address,
+    make_boundary,
+    run_scenario,
+)
 
 
 class _Question(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,7 +60,7 @@
                 codec=MessagePackCodec(),
             )
             await server.start(ip, int(port))
-            peers = PeerClient()
+            peers = PeerClient(boundary=make_boundary())
             for odd in (b'', b'\x00' * 64, b'GET / HTTP/1.1\r\n\r\n'):
                 _, writer = await asyncio.open_connection(ip, int(port))
                 writer.write(odd)
@@ -77,3 +85,23 @@
             server.close()
 
         run_scenario(scenario)
+
+
+class OddReplyTest(unittest.IsolatedAsyncioTestCase):
+    """Calls whose reply raises an unexpected error here."""
+
+    async def test_odd_reply_counts_as_a_failed_call(self) -> None:
+        """Guards against one host's reply that ends the work with others."""
+        boundary = make_boundary()
+        odd = mock.AsyncMock(side_effect=RecursionError('nested too deeply'))
+        address = free_address()
+        with mock.patch.object(peers_module, 'call', odd):
+            with self.assertRaises(PeerCallError):
+                await PeerClient(boundary=boundary).call(
+                    address, _ASK, _Question(number=1), timeout_s=1
+                )
+        transport = GrpcTransport(boundary=boundary)
+        with mock.patch.object(transport_module, 'call', odd):
+            with self.assertRaises(TransportError):
+                await transport.exchange(address, mock.MagicMock(), timeout_s=1)
+        self.assertEqual(boundary.counts, {'peer call': 1, 'log exchange': 1})
