--- a/faults/load_cases.py
+++ b/faults/load_cases.py
@@ -20,7 +20,7 @@
 
 _PROXIES = 2
 _CALLERS = 12
-_WATCH_S = 6.0
+_WATCH_S = 10.0
 _WARM_UP_S = 2.0
 _PAUSE_S = 0.05
 # Each caller sends a statement in this interval, well below what the members
@@ -82,11 +82,17 @@
         )
     except (OSError, TimeoutError):
         return None
-    connections.callback(writer.transport.abort)
+    connections.callback(_abort, reader, writer)
     writer.write(content)
     return reader
 
 
+def _abort(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    # Without this reference to the reader, the connection would be closed.
+    assert reader is not None
+    writer.transport.abort()
+
+
 def idle_callers(number: int) -> Disturb:
     """Callers that set a value, which no member sees, and stay idle."""
 
@@ -99,7 +105,7 @@
                 connections,
                 f'START {_DATABASE} crowd\r\nQUERY c1 SET a b\r\n'.encode(),
             )
-            await asyncio.sleep(_WATCH_S / number / 3)
+            await asyncio.sleep(_WATCH_S / number / 5)
 
     return disturb
 
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -1,5 +1,6 @@
 """The proxy role on the hosting platform."""
 
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import anyio
@@ -29,6 +30,7 @@
 from lavendergate.daemon.connection_gates import ConnectionGates
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.daemon.listening import listen, serve_aside
 from lavendergate.filters.chain import compose
 from lavendergate.filters.customers.identification import IdentificationFilter
 from lavendergate.filters.limits.charge import LimitFilter
@@ -39,12 +41,18 @@
 from lavendergate.filters.sessions.single_statement import SingleStatementFilter
 from lavendergate.filters.sessions.transaction import TransactionFilter
 from lavendergate.frontend.caller_channel import CallerChannel
+from lavendergate.frontend.planned_stop import PlannedStop
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
+from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.line_stream import make_long_lines
 from lavendergate.platform.members import LineMemberDialer
-from lavendergate.platform.readiness import serve_metrics, serve_readiness
+from lavendergate.platform.readiness import (
+    METRICS_PORT,
+    serve_metrics,
+    serve_readiness,
+)
 from lavendergate.platform.settings_file import HostSettings
 from lavendergate.rpc.fleet_service import (
     RelayOffer,
@@ -54,11 +62,6 @@
 from lavendergate.supervision.boundary import GuardedTasks
 
 _DIAL_TIMEOUT_S = 0.7
-# The balancer checks readiness once a second and stops sending callers after
-# two failed checks. Callers that it sends until then are served.
-_BALANCER_NOTICE_S = 2.3
-_EXIT_MARGIN_S = 0.5
-_DRAIN_POLL_INTERVAL_S = 0.05
 _MS_PER_S = 1000
 
 
@@ -79,9 +82,15 @@
         self._tasks = tasks
         self._events = process.events
         self._is_draining = False
-        self._peers = PeerClient(boundary=process.boundary)
+        odd_values = OddValueLog(
+            events=process.events, clock=anyio.current_time
+        )
+        self._peers = PeerClient(
+            report=odd_values.report, boundary=process.boundary
+        )
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
+        self._metrics.show_start(process.end.started_at, process.end.previous)
         self._gates = ConnectionGates(
             settings=settings, events=self._events, metrics=self._metrics
         )
@@ -191,25 +200,21 @@
             raise ValueError(
                 'bindAddrs.front or readiness is missing in the settings file'
             )
-        boundary, gates = self._process.boundary, self._gates
-        await self._tasks.start(
-            partial(
-                serve_callers,
-                addresses.front,
-                self._serve,
-                boundary=boundary,
-                gate=gates.callers(self._session_service.close_oldest_idle),
-                long_lines=make_long_lines(gates.limits.buffered_bytes),
-            )
+        gates = self._gates
+        await self._listen(
+            addresses.front,
+            serve_callers,
+            addresses.front,
+            self._serve,
+            gate=gates.callers(self._session_service.close_oldest_idle),
+            long_lines=make_long_lines(gates.limits.buffered_bytes),
         )
-        await self._tasks.start(
-            partial(
-                serve_readiness,
-                addresses.readiness,
-                lambda: self.is_ready,
-                boundary=boundary,
-                gate=gates.operations('readiness'),
-            )
+        await self._listen(
+            addresses.readiness,
+            serve_readiness,
+            addresses.readiness,
+            lambda: self.is_ready,
+            gate=gates.operations('readiness'),
         )
         self._metrics.routes_version.set_function(
             lambda: self._view.routes.version
@@ -217,34 +222,54 @@
         self._metrics.connections.labels('members').set_function(
             lambda: sum(link.opened for link in self._pools.links.values())
         )
-        await self._tasks.start(
-            partial(
-                serve_metrics,
-                self._process.settings.ip,
-                self._metrics.render,
-                boundary=boundary,
-                gate=gates.operations('metrics'),
-            )
-        )
-        await self._tasks.start(
-            partial(
-                serve_relays,
-                self._process.settings.internal_address,
-                self._home,
-                self._limit_owner,
-                boundary=boundary,
-                gate=gates.peers(),
-            )
+        internal_address = self._process.settings.internal_address
+        await self._listen(
+            internal_address,
+            serve_relays,
+            internal_address,
+            self._home,
+            self._limit_owner,
+            gate=gates.peers(),
         )
         for name, run in (
+            ('metrics', self._serve_metrics),
             ('feed', self._sync_client.run),
             ('pools', self._pools.run),
             ('home', self._home.run),
         ):
-            self._tasks.start_soon(boundary.keep_running, name, run)
+            self._tasks.start_soon(
+                self._process.boundary.keep_running, name, run
+            )
         await self._process.wait_for_stop()
         await self._drain()
 
+    async def _listen(
+        self,
+        address: str,
+        serve: Callable[..., Awaitable[None]],
+        *arguments: object,
+        **options: object,
+    ) -> None:
+        serve_contained = partial(
+            serve, *arguments, boundary=self._process.boundary, **options
+        )
+        start = partial(self._tasks.start, serve_contained)
+        await listen(self._process, address, start)
+
+    async def _serve_metrics(self) -> None:
+        ip = self._process.settings.ip
+        await serve_aside(
+            self._process,
+            f'{ip}:{METRICS_PORT}',
+            partial(
+                serve_metrics,
+                ip,
+                self._metrics.render,
+                boundary=self._process.boundary,
+                gate=self._gates.operations('metrics'),
+            ),
+        )
+
     async def _serve(self, channel: CallerChannel) -> None:
         try:
             await self._session_service.serve(channel)
@@ -254,20 +279,12 @@
 
     async def _drain(self) -> None:
         self._is_draining = True
-        self._home.stop()
         self._limit_owner.stop()
-        grace_s = self._process.settings.bounds.grace_s
-        began_at = anyio.current_time()
-        await anyio.sleep(min(_BALANCER_NOTICE_S, grace_s / 2))
-        self._session_service.close_idle()
-        await anyio.sleep_until(began_at + grace_s / 2)
-        self._session_service.end_transactions()
-        await self._home.end_transactions()
-        while anyio.current_time() < began_at + grace_s - _EXIT_MARGIN_S:
-            self._session_service.close_idle()
-            if not self._session_service.session_count and self._home.is_idle:
-                break
-            await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
+        await PlannedStop(
+            sessions=self._session_service,
+            home=self._home,
+            grace_s=self._process.settings.bounds.grace_s,
+        ).run()
 
     def _build_session_service(self) -> SessionService:
         positions = self._positions
--- a/lavendergate/observability/process_events.py
+++ b/lavendergate/observability/process_events.py
@@ -68,7 +68,7 @@
         Level.error,
         '{task} failed: {reason}',
         'Report the lines around this event to the developers.',
-        extra=('traceback',),
+        extra=('traceback', 'suppressed'),
     )
     events_dropped = define(
         7032,
@@ -77,6 +77,13 @@
         'If the reason is an error of the operating system, check the disk of '
         'the data directory or the reader of standard output.',
     )
+    odd_values_dropped = define(
+        7045,
+        Level.warning,
+        '{dropped} odd values were dropped from {place}: {reason}',
+        'A host of an earlier build holds them. They name no member; upgrade '
+        'that host.',
+    )
     credentials_missing = define(
         7033,
         Level.error,
@@ -97,3 +104,59 @@
         'connection limits: {callers} callers, {peers} hosts, {members} '
         'members, {operations} operations',
     )
+    process_failed = define(
+        7057,
+        Level.error,
+        'the process ends with status {status}: {reason}',
+        'Report this line to the developers.',
+        extra=('place', 'traceback'),
+    )
+    previous_stop = define(
+        7058,
+        Level.info,
+        'the previous process of this host was stopped at {ended_at}: {reason}',
+    )
+    previous_failure = define(
+        7059,
+        Level.warning,
+        'the previous process of this host ended by itself at {ended_at} with '
+        'status {status}: {reason}',
+        'Report this line to the developers.',
+        extra=('place',),
+    )
+    previous_end_unknown = define(
+        7060,
+        Level.warning,
+        'the previous process of this host left no record of its end: {reason}',
+        'Look for a kill, a loss of power, or a process over its memory limit.',
+    )
+    library_warning = define(
+        7061,
+        Level.warning,
+        '{library} reported: {reason}',
+        'Nothing, unless statements fail at the same time.',
+        extra=('suppressed',),
+    )
+    settings_late = define(
+        7050,
+        Level.warning,
+        'the settings file was read again for {duration_ms} ms: {reason}',
+        'Replace the settings file by renaming a complete one into its place.',
+    )
+    address_taken = define(
+        7051,
+        Level.warning,
+        'cannot listen on {address} yet: {reason}',
+        'End the process that holds the port; the host tries again.',
+    )
+    address_free = define(
+        7052,
+        Level.info,
+        'listens on {address} after {duration_ms} ms',
+    )
+    start_refused = define(
+        7053,
+        Level.error,
+        'the process ends with status {status}: {reason}',
+        'Follow the reason; docs/operations/exit-codes.md lists the statuses.',
+    )
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -4,8 +4,16 @@
 with their log positions.
 """
 
+from typing import Annotated, ClassVar
+
 import msgspec
 
+from lavendergate.core.bounds.ranges import (
+    IN_COUNT,
+    Count,
+    DurationS,
+    Integer,
+)
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.types import (
@@ -25,7 +33,7 @@
 
     service: GroupId
     upstream_id: UpstreamId
-    term: Term
+    term: Annotated[Term, IN_COUNT]
 
 
 class PositionNotice(
@@ -45,8 +53,8 @@
 
     service: GroupId
     position: LogPosition
-    age_ms: int
-    proved_age_ms: int | None = None
+    age_ms: Integer
+    proved_age_ms: Integer | None = None
 
 
 class PrimaryReachability(
@@ -72,7 +80,7 @@
     """
 
     source: str = ''
-    version: int = 0
+    version: Count = 0
 
 
 class RelayOffer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -92,7 +100,7 @@
     address: str
     failure_domain: FailureDomain
     is_stopping: bool
-    known_version: int
+    known_version: Count
 
 
 class ProxyChanges(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -109,7 +117,7 @@
         Addresses of proxies that are no longer live.
     """
 
-    version: int
+    version: Count
     live: dict[FailureDomain, tuple[str, ...]]
     gone: tuple[str, ...]
 
@@ -141,7 +149,7 @@
     known: FleetVersion
     routes_version: int
     reach: tuple[PrimaryReachability, ...]
-    wait_s: float
+    wait_s: DurationS
     withheld: tuple[GroupId, ...] = ()
     relay: RelayOffer | None = None
 
@@ -175,6 +183,12 @@
         Changes of the live proxies since the version in the request.
     """
 
+    separable_fields: ClassVar[tuple[str, ...]] = (
+        'entries',
+        'primaries',
+        'positions',
+    )
+
     version: FleetVersion
     is_leader: bool
     leader: str | None
@@ -184,8 +198,8 @@
     entries: tuple[MemberEntry, ...]
     primaries: tuple[PrimaryNotice, ...]
     positions: tuple[PositionNotice, ...]
-    proxies: int
-    lease_ms: int = 0
+    proxies: Integer
+    lease_ms: Integer = 0
     withheld: tuple[GroupId, ...] = ()
     replacing: tuple[GroupId, ...] = ()
     proxy_changes: ProxyChanges | None = None
@@ -194,6 +208,8 @@
 class MergeRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Forwards entries of members announced to another control host."""
 
+    separable_fields: ClassVar[tuple[str, ...]] = ('entries',)
+
     entries: tuple[MemberEntry, ...]
 
 
@@ -287,6 +303,26 @@
     is_leader: bool
 
 
+class SilentHost(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A control host that does not answer.
+
+    Parameters
+    ----------
+    silent_ms
+        Time since its last answer to any leader, in milliseconds.
+    """
+
+    host_id: HostId
+    incarnation: str
+    silent_ms: int
+
+
+class SilenceReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Silent control hosts that the leader, or the receiver, knows of."""
+
+    hosts: tuple[SilentHost, ...]
+
+
 SYNC = Method(
     path='/lavendergate.Fleet/Sync',
     request_type=SyncRequest,
@@ -317,3 +353,8 @@
     request_type=LeaveRequest,
     reply_type=LeaveReply,
 )
+REPORT_SILENCES = Method(
+    path='/lavendergate.Fleet/ReportSilences',
+    request_type=SilenceReport,
+    reply_type=SilenceReport,
+)
--- a/lavendergate/rpc/peers.py
+++ b/lavendergate/rpc/peers.py
@@ -6,6 +6,8 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from lavendergate.core.bounds.addresses import AddressError
+from lavendergate.rpc.codec import ReportProblems
 from lavendergate.rpc.service import Method, call, open_channel
 from lavendergate.supervision.boundary import Boundary
 
@@ -30,11 +32,21 @@
 
     Parameters
     ----------
+    report
+        Receives the problems of parts that were dropped from replies; see
+        `MessagePackCodec`.
     boundary
-        Receives unexpected errors of calls, which fail like lost ones.
+        Receives unexpected errors of calls, which fail like lost ones; None
+        if nobody does.
     """
 
-    def __init__(self, *, boundary: Boundary) -> None:
+    def __init__(
+        self,
+        *,
+        report: ReportProblems | None = None,
+        boundary: Boundary | None = None,
+    ) -> None:
+        self._report = report
         self._boundary = boundary
         self._channels: dict[str, Channel] = {}
 
@@ -60,10 +72,7 @@
         PeerCallError
             If no valid reply arrives within the time limit.
         """
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = open_channel(address)
-            self._channels[address] = channel
+        channel = self._channel(address)
         try:
             return await call(channel, method, request, timeout_s=timeout_s)
         except _CALL_ERRORS as error:
@@ -76,11 +85,22 @@
         except Exception as error:
             # One odd reply must not end the work with other hosts.
             self._discard_channel(address, channel)
-            self._boundary.report('peer call', error)
+            if self._boundary is not None:
+                self._boundary.report('peer call', error)
             raise PeerCallError(f'failed call of {address}: {error!r}') from (
                 error
             )
 
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            try:
+                channel = open_channel(address, report=self._report)
+            except AddressError as error:
+                raise PeerCallError(str(error)) from error
+            self._channels[address] = channel
+        return channel
+
     def _discard_channel(self, address: str, channel: Channel) -> None:
         if self._channels.get(address) is channel:
             self._channels.pop(address)
--- a/lavendergate/rpc/relay_stream.py
+++ b/lavendergate/rpc/relay_stream.py
@@ -16,6 +16,13 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup, TaskStatus
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from lavendergate.core.bounds.addresses import split_address
+from lavendergate.core.bounds.decoding import (
+    NotEncodableError,
+    decode_msgpack,
+    encode_msgpack,
+)
+from lavendergate.core.bounds.ranges import Integer
 from lavendergate.rpc.limit_service import (
     LimitReply,
     LimitRequest,
@@ -58,7 +65,7 @@
     It is a question for the time if it holds neither.
     """
 
-    number: int
+    number: Integer
     request: RelayRequest | None
     limit_request: LimitRequest | None = None
 
@@ -66,9 +73,9 @@
 class _ReplyFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Answer to the request with this number."""
 
-    number: int
+    number: Integer
     reply: RelayReply | None
-    now_ms: int
+    now_ms: Integer
     limit_reply: LimitReply | None = None
 
 
@@ -127,7 +134,7 @@
         return await self._buffer.receive_exactly(length)
 
     async def write(self, message: _RequestFrame | _ReplyFrame) -> None:
-        encoded = _encoder.encode(message)
+        encoded = encode_msgpack(_encoder, message)
         async with self._lock:
             length = len(encoded).to_bytes(_LENGTH_BYTES)
             await self._stream.send(length + encoded)
@@ -230,7 +237,8 @@
             while self._running >= _MAX_RUNNING:
                 self._has_room = anyio.Event()
                 await self._has_room.wait()
-            frame = _request_decoder.decode(await self._frames.read())
+            content = await self._frames.read()
+            frame = decode_msgpack(_request_decoder, content)
             if self._on_first_frame is not None:
                 self._on_first_frame()
                 self._on_first_frame = None
@@ -275,6 +283,9 @@
     async def _write(self, reply: _ReplyFrame) -> None:
         try:
             await self._frames.write(reply)
+        except NotEncodableError:
+            # Nothing was sent, and the connection is whole.
+            raise
         except _LOST_ERRORS:
             # The reader of this connection notices the loss, too.
             return
@@ -318,7 +329,9 @@
         """Distribute the replies until the connection is lost."""
         try:
             while True:
-                reply = _reply_decoder.decode(await self._frames.read())
+                reply = decode_msgpack(
+                    _reply_decoder, await self._frames.read()
+                )
                 answered = self._waiting.get(reply.number)
                 if answered is not None:
                     self._replies[reply.number] = reply
@@ -397,10 +410,9 @@
 
 
 async def _open(address: str) -> _Connection:
-    ip, _, port = address.rpartition(':')
     try:
         with anyio.fail_after(_CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(ip, int(port))
+            stream = await anyio.connect_tcp(*split_address(address))
     except OSError as error:
         raise RelayNotSentError(
             f'no connection to {address}: {error!r}'
--- a/lavendergate/tests/supervision/test_call_sites.py
+++ b/lavendergate/tests/supervision/test_call_sites.py
@@ -29,8 +29,9 @@
             'asyncio reports the errors of a connection and of accept to the '
             'handler of the loop, and goes on'
         ),
-        ('daemon/hosted.py', '_run'): _ROLE,
-        ('daemon/hosted_proxy.py', 'run'): _ROLE,
+        ('daemon/hosted_process.py', 'run'): _ROLE,
+        ('daemon/listening.py', 'serve_aside'): _JOINED,
+        ('daemon/hosted_proxy.py', '_listen'): _ROLE,
         ('daemon/hosted_proxy.py', 'run_proxy'): _ROLE,
         ('daemon/hosted_control.py', 'run'): _LOG,
         ('daemon/hosted_control.py', 'run_control'): _ROLE,
@@ -53,6 +54,7 @@
         ('controllers/group_formation.py', 'leave'): _JOINED,
         ('controllers/group_formation.py', '_create_group'): _JOINED,
         ('controllers/group_formation.py', '_request_join'): _JOINED,
+        ('controllers/group_formation.py', '_exchange_silences'): _JOINED,
         ('controllers/member_poller.py', 'run'): _CONTAINED,
         ('controllers/member_poller.py', '_start_polling'): _CONTAINED,
         ('controllers/membership.py', 'run'): _JOINED,
@@ -93,6 +95,8 @@
     source = path.read_text()
     for function, call in _functions(ast.parse(source)):
         called = call.func
+        if ast.unparse(called) == 'partial':
+            called = call.args[0]
         if not isinstance(called, ast.Attribute):
             continue
         receiver = ast.unparse(called.value)
--- a/lavendergate/tests/test_platform_sockets.py
+++ b/lavendergate/tests/test_platform_sockets.py
@@ -25,7 +25,7 @@
     SessionAnswer,
     Write,
 )
-from lavendergate.core.types import Term, UpstreamId
+from lavendergate.core.types import GroupId, Term, UpstreamId
 from lavendergate.frontend.caller_channel import (
     CallerChannel,
     CallerDisconnectedError,
@@ -104,6 +104,34 @@
 
         run_scenario(scenario)
 
+    def test_entry_without_a_usable_address_is_unreachable(self) -> None:
+        """Guards against an odd entry of an earlier build that ends a proxy."""
+
+        async def scenario(tasks: TaskGroup) -> None:
+            entry = SessionGroup(names=('a', 'b')).member('a').entry
+            for address in (
+                '127.0.0.1:70000',
+                '127.0.0.1:99999999999999999999999',
+                '127.0.0.1:-1',
+                '127.0.0.1:²',
+                '127.0.0.1:',
+                'localhost:8080',
+                '\x00:80',
+                'a' * 300 + ':80',
+                '',
+            ):
+                odd = msgspec.structs.replace(entry, address=address)
+                with self.assertRaises(MemberUnreachableError):
+                    await dialer().dial(odd)
+            odd = msgspec.structs.replace(
+                await start_member(tasks, SessionGroup(names=('a', 'b')), 'a'),
+                service=GroupId('\ud800'),
+            )
+            with self.assertRaises(MemberUnreachableError):
+                await dialer().dial(odd)
+
+        run_scenario(scenario)
+
     def test_address_of_another_member_is_refused(self) -> None:
         """Guards against a statement that runs on the wrong member.
 
@@ -254,13 +282,24 @@
             handle = ControlHttp(calls=calls).handle
             announcement = (
                 b'{"service":"s","address":"10.0.0.1:80","zone":"z",'
-                b'"capacity":2,"state":"ready","dbRole":"replica",'
-                b'"sequence":1,"born":1}'
+                b'"version":"v1","capacity":2,"state":"ready",'
+                b'"warmupLeftMs":0,"dbRole":"replica","sequence":1,"born":1}'
             )
             table = b'{"version":3,"routes":[],"services":[]}'
             cases = (
                 ('PUT', '/instances/i-1', announcement, 200, 503),
                 ('PUT', '/instances/i-1', b'{}', 400, 400),
+                ('PUT', '/instances/', announcement, 400, 400),
+                ('PUT', '/instances/i%FF', announcement, 400, 400),
+                ('PUT', '/instances/i%20%0D%0A', announcement, 400, 400),
+                (
+                    'PUT',
+                    f'/instances/{"i" * 3000}',
+                    announcement,
+                    400,
+                    400,
+                ),
+                ('DELETE', '/instances/i%FF', b'', 400, 400),
                 ('DELETE', '/instances/i-1', b'', 200, 503),
                 ('PUT', '/config', table, 200, 503),
                 ('PUT', '/config', b'{"version":', 400, 400),
