--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -21,6 +21,7 @@
 from lavendergate.core.loss_tolerance import LossTolerance
 from lavendergate.core.routes import NO_ROUTES, RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
+from lavendergate.daemon.connection_gates import ConnectionGates
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.listening import listen, serve_aside
@@ -74,6 +75,10 @@
         self._routes = RouteTable()
         self._unreadable_version = NO_ROUTES
         settings = process.settings
+        self._gates = ConnectionGates(
+            settings=settings, events=process.events, metrics=self._metrics
+        )
+        process.observe(self._gates.change)
         self._takeover = TakeoverController(
             node=self._node,
             fleet=self._fleet,
@@ -86,6 +91,7 @@
             real_clock=boottime_s,
             events=process.events,
             metrics=self._metrics,
+            boundary=process.boundary,
         )
 
     async def start(self) -> None:
@@ -101,6 +107,8 @@
             ControlHttp(calls=self).handle,
             max_body_bytes=MAX_BODY_BYTES,
             boundary=self._process.boundary,
+            gate=self._gates.callers(),
+            max_buffered_bytes=self._gates.limits.buffered_bytes,
         )
         await listen(
             self._process,
@@ -195,6 +203,7 @@
                 ip,
                 self._metrics.render,
                 boundary=self._process.boundary,
+                gate=self._gates.operations('metrics'),
             ),
         )
 
