--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -142,6 +142,18 @@
             ('outcome',),
             registry=registry,
         )
+        self.connections = Gauge(
+            'lavendergate_connections',
+            'Open connections by kind; shows which kind uses the descriptors',
+            ('kind',),
+            registry=registry,
+        )
+        self.refused_connections = Counter(
+            'lavendergate_refused_connections',
+            'Connections refused at the limit of their kind',
+            ('kind',),
+            registry=registry,
+        )
 
     def show_start(self, started_at: float, previous_end: str) -> None:
         """Show when the process started and how the one before it ended.
--- a/properties/decoder_targets.py
+++ b/properties/decoder_targets.py
@@ -248,7 +248,9 @@
         _check_entries((entry,))
         return True
 
-    async def remove_member(self, upstream_id: UpstreamId) -> bool:
+    async def remove_member(
+        self, upstream_id: UpstreamId, born: int | None
+    ) -> bool:
         return True
 
     async def publish_routes(
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -12,6 +12,7 @@
 
 from lavendergate.backends.sessions import (
     AnswerLostError,
+    MemberAbsentError,
     MemberDialer,
     MemberRefusedError,
     MemberSession,
@@ -171,6 +172,8 @@
     former_primary_continues
         Whether a primary that a promotion replaced still considers itself
         the primary of its term until it is demoted.
+    synchronous_replicas
+        Replicas that receive a transaction before it is acknowledged.
     """
 
     def __init__(
@@ -179,9 +182,13 @@
         names: tuple[str, ...],
         service: str = 'rounds',
         former_primary_continues: bool = False,
+        synchronous_replicas: int = 1,
     ) -> None:
         self.service = GroupId(service)
         self.former_primary_continues = former_primary_continues
+        self.synchronous_replicas = synchronous_replicas
+        # Addresses that drop every packet.
+        self.silent_addresses: set[str] = set()
         self.term = Term(1)
         self.max_connections = DEFAULT_CONNECTIONS
         self.members = {
@@ -222,7 +229,7 @@
         Returns
         -------
         bool
-            Whether a replica received it.
+            Whether enough replicas received it.
         """
         position = LogPosition(
             term=primary.term, position=next(self._positions)
@@ -230,14 +237,14 @@
         entry = LogEntry(position=position, writes=tuple(writes.items()))
         primary.log.append(entry)
         primary.applied = len(primary.log)
-        received = False
+        received = 0
         for replica in self.members.values():
             if self._follows(replica, primary) and self.receives(replica):
                 replica.log = list(primary.log)
-                received = True
+                received += 1
                 if not replica.is_apply_stopped:
                     replica.applied = len(replica.log)
-        return received
+        return received >= self.synchronous_replicas
 
     def receives(self, replica: Member) -> bool:
         """Return whether a replica receives new entries."""
@@ -295,8 +302,12 @@
         await anyio.lowlevel.checkpoint()
         group = self._groups[member.service]
         target = group.members.get(member.upstream_id)
-        if target is None or target.is_down or target.is_silent:
-            raise MemberUnreachableError(f'{member.upstream_id} is down')
+        if target is not None and target.is_down:
+            raise MemberAbsentError(f'{member.upstream_id} is down')
+        if target is None or target.entry.address != member.address:
+            raise self._find_other(group, member)
+        if target.is_silent:
+            raise MemberUnreachableError(f'{member.upstream_id} is silent')
         if target.connections >= group.max_connections:
             raise MemberRefusedError(
                 refusal=Refused(code=RefusalCode.connection_limit)
@@ -305,6 +316,19 @@
         target.connections += 1
         return GroupSession(group=group, member=target), target.position
 
+    def _find_other(
+        self, group: SessionGroup, member: MemberEntry
+    ) -> MemberRefusedError | MemberUnreachableError:
+        """Return the error for an address without that member."""
+        for other in group.members.values():
+            if other.entry.address == member.address and not other.is_down:
+                return MemberRefusedError(
+                    refusal=Refused(code=RefusalCode.misrouted)
+                )
+        if member.address in group.silent_addresses:
+            return MemberUnreachableError(f'{member.address} is silent')
+        return MemberAbsentError(f'nobody listens at {member.address}')
+
 
 class GroupSession(MemberSession):
     """A connection to a member."""
