Let no control host join the group under an address without a port

A request to join was decoded with any text as the address. It would have gone into the configuration in the log, where no voter could call it and no build could take it out again.

The new test fails without the type.

--- a/lavendergate/core/bounds/ranges.py
+++ b/lavendergate/core/bounds/ranges.py
@@ -45,6 +45,7 @@
     {
         IP_PATTERN: 'an IPv4 address',
         ADDRESS_PATTERN: 'ip:port with an IPv4 address and a port up to 65535',
+        HOST_AND_PORT_PATTERN: 'host:port with a port up to 65535',
         NAME_PATTERN: 'a name without control characters',
         WORD_PATTERN: 'a word without blanks and control characters',
     }
@@ -80,6 +81,10 @@
 Ip = Annotated[str, Meta(max_length=15, pattern=IP_PATTERN)]
 # ``ip:port`` of one host.
 Address = Annotated[str, Meta(max_length=21, pattern=ADDRESS_PATTERN)]
+# Host, which may be a name, and port.
+HostAndPort = Annotated[
+    str, Meta(max_length=300, pattern=HOST_AND_PORT_PATTERN)
+]
 # An address, or an empty text for none.
 AddressOrNone = Annotated[
     str, Meta(max_length=21, pattern=rf'\A\Z|{ADDRESS_PATTERN}')
--- a/lavendergate/rpc/consensus_service.py
+++ b/lavendergate/rpc/consensus_service.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lavendergate.core.bounds.ranges import HostAndPort
 from lavendergate.core.consensus.messages import Envelope
 from lavendergate.core.types import HostId
 from lavendergate.rpc.service import Method, UnaryService
@@ -70,7 +71,7 @@
 
     host_id: HostId
     incarnation: str
-    address: str
+    address: HostAndPort
 
 
 class ClusterInitRequest(
--- a/lavendergate/tests/bounds/test_codec.py
+++ b/lavendergate/tests/bounds/test_codec.py
@@ -3,13 +3,18 @@
 import unittest
 
 import anyio
+import msgspec
 
 from lavendergate.core.bounds.decoding import (
     InvalidValueError,
     NotEncodableError,
 )
 from lavendergate.rpc.codec import MessagePackCodec
-from lavendergate.rpc.fleet_service import READ_ROUTES, FleetVersion
+from lavendergate.rpc.fleet_service import (
+    READ_ROUTES,
+    FleetVersion,
+    JoinRequest,
+)
 from lavendergate.rpc.fleet_service import RoutesRequest as Request
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 from lavendergate.rpc.transport import GrpcTransport, TransportError
@@ -37,6 +42,28 @@
             codec.encode(FleetVersion(source='\ud800'), FleetVersion)
 
 
+class JoinTest(unittest.TestCase):
+    """Requests of control hosts to join the group."""
+
+    def test_host_without_a_port_does_not_join(self) -> None:
+        """Guards against an address in the log that no voter can call."""
+        codec = MessagePackCodec()
+        for address, is_valid in (
+            ('10.0.0.1:7440', True),
+            ('localhost:7440', True),
+            ('10.0.0.1:70000', False),
+            ('10.0.0.1', False),
+            ('a b:80', False),
+        ):
+            content = msgspec.msgpack.encode([['c4', 'i4', address]])
+            with self.subTest(address):
+                if is_valid:
+                    codec.decode(content, JoinRequest)
+                    continue
+                with self.assertRaises(InvalidValueError):
+                    codec.decode(content, JoinRequest)
+
+
 class PeerAddressTest(unittest.TestCase):
     """Calls to addresses that are none."""
 
