Play signals from the first line of the program on

The cases with a time after the start depend on the speed of the machine: at a load of 30 Python itself takes 0.06 to 0.17 s. New cases wait until the process ignores SIGHUP, and then send SIGHUP every 10 ms, or SIGTERM or SIGINT 0.002 to 0.4 s later. A case with a time that fails says whether the signal came before the first line.

--- a/faults/processes.py
+++ b/faults/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import resource
 import signal
 import socket
@@ -16,6 +17,7 @@
 
 _END_WAIT_S = 3.0
 _POLL_S = 0.02
+_BEGIN_POLL_S = 0.001
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -71,6 +73,18 @@
         """What the process wrote."""
         return (self._folder / 'log').read_text('utf-8', 'replace')
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the first lines of the program have run: SIGHUP is ignored.
+
+        Before them Python itself starts, and signals have their defaults.
+        """
+        if self._process is None or self.status is not None:
+            return False
+        status = Path(f'/proc/{self._process.pid}/status').read_text()
+        ignored = re.search(r'^SigIgn:\s*(\w+)', status, re.MULTILINE)
+        return ignored is not None and bool(int(ignored[1], 16) & 1)
+
     @property
     def settings_path(self) -> Path:
         """Settings file of the process."""
@@ -140,6 +154,11 @@
         path = self._folder / 'local.toml'
         path.write_text(self._settings if content is None else content)
 
+    async def wait_for_begin(self) -> None:
+        """Return once the first lines of the program have run."""
+        while not self.has_begun and self.status is None:
+            await asyncio.sleep(_BEGIN_POLL_S)
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         if self._process is not None and self._process.poll() is None:
--- a/faults/start_cases.py
+++ b/faults/start_cases.py
@@ -19,6 +19,8 @@
 
 _METRICS_PORT = 9464
 _SIGNAL_DELAYS_S = (0.03, 0.06, 0.1, 0.2, 0.3, 0.5)
+_HANGUPS = 100
+_HANGUP_INTERVAL_S = 0.01
 _SETTINGS_DELAY_S = 1.0
 _PORT_DELAY_S = 2.0
 _WATCH_S = 3.0
@@ -41,12 +43,30 @@
     async def play(process: DisturbedProcess, program: Program) -> Finding:
         process.start(Disturbance())
         await asyncio.sleep(delay_s)
+        had_begun = process.has_begun
         process.send_signal(signal.SIGHUP)
-        return _outcome(await process.wait_for_end(_WATCH_S))
+        finding = _outcome(await process.wait_for_end(_WATCH_S))
+        if finding and not had_begun:
+            return f'{finding}, before its first line'
+        return finding
 
     return play
 
 
+async def hangups_from_begin(
+    process: DisturbedProcess, program: Program
+) -> Finding:
+    """SIGHUP every 10 ms for 1 s, from the first line of the program on."""
+    process.start(Disturbance())
+    await process.wait_for_begin()
+    for _ in range(_HANGUPS):
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(_HANGUP_INTERVAL_S)
+    return _outcome(await process.wait_for_end(_WATCH_S)) or await _reachable(
+        program
+    )
+
+
 def settings_written_late(cut: Callable[[str], str]) -> StartCase:
     """The settings file is completed some time after the start."""
 
@@ -134,6 +154,7 @@
         f'SIGHUP {delay_s} s after the start': hangup_after(delay_s)
         for delay_s in _SIGNAL_DELAYS_S
     },
+    'SIGHUP in series from the first line on': hangups_from_begin,
     'settings file empty for 1 s': settings_written_late(lambda text: ''),
     'settings file half written for 1 s': settings_written_late(
         lambda text: text[: len(text) // 2]
--- a/faults/stop_cases.py
+++ b/faults/stop_cases.py
@@ -12,6 +12,7 @@
 )
 
 _DELAYS_S = (0.03, 0.1, 0.2, 0.3, 0.5)
+_BEGIN_DELAYS_S = (0.002, 0.01, 0.03, 0.1, 0.2, 0.4)
 _END_WAIT_S = 10.0
 _STOPPED = 0
 _SERIES = 20
@@ -26,9 +27,26 @@
     async def play(process: DisturbedProcess, program: Program) -> str:
         process.start(Disturbance())
         await asyncio.sleep(delay_s)
+        had_begun = process.has_begun
         for number in numbers:
             process.send_signal(number)
-        return await _ended_as_asked(process, program, numbers)
+        finding = await _ended_as_asked(process, program, numbers)
+        if finding and not had_begun:
+            return f'{finding}, before its first line'
+        return finding
+
+    return play
+
+
+def stopped_after_begin(number: signal.Signals, delay_s: float) -> StopCase:
+    """Signal some time after the first line of the program."""
+
+    async def play(process: DisturbedProcess, program: Program) -> str:
+        process.start(Disturbance())
+        await process.wait_for_begin()
+        await asyncio.sleep(delay_s)
+        process.send_signal(number)
+        return await _ended_as_asked(process, program, ())
 
     return play
 
@@ -70,6 +88,13 @@
         for number in (signal.SIGTERM, signal.SIGINT)
         for delay_s in _DELAYS_S
     },
+    **{
+        f'{number.name} {delay_s} s after the first line': stopped_after_begin(
+            number, delay_s
+        )
+        for number in (signal.SIGTERM, signal.SIGINT)
+        for delay_s in _BEGIN_DELAYS_S
+    },
     'SIGHUP and SIGTERM 0.2 s after the start': stopped_by(
         signal.SIGHUP, signal.SIGTERM, delay_s=0.2
     ),
