--- a/faults/soak_disturbances.py
+++ b/faults/soak_disturbances.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import resource
 import signal
 import socket
@@ -21,6 +22,9 @@
 _PORT_ATTEMPTS = 40
 _PORT_PAUSE_S = 0.01
 _IDLE_PAUSE_S = 0.05
+# A process that does not handle SIGHUP after half a second gets it anyway.
+_FIRST_LINE_ATTEMPTS = 50
+_FIRST_LINE_PAUSE_S = 0.01
 
 
 class Output:
@@ -136,6 +140,8 @@
             return
         program = self._programs[step.target]
         if step.kind in self._signals:
+            if step.kind == 'hangup':
+                await _wait_for_first_line(program)
             program.send_signal(self._signals[step.kind])
         else:
             await self._actions[step.kind](program, step)
@@ -207,6 +213,26 @@
         self._outputs[program.name].read()
 
 
+async def _wait_for_first_line(program: Program) -> None:
+    """Wait until the program of a new process handles SIGHUP.
+
+    While Python itself starts, the default action of SIGHUP ends it; nothing
+    of the program runs yet that could prevent that.
+    """
+    for _ in range(_FIRST_LINE_ATTEMPTS):
+        if not program.is_running or _handles_hangup(program.pid):
+            return
+        await asyncio.sleep(_FIRST_LINE_PAUSE_S)
+
+
+def _handles_hangup(pid: int) -> bool:
+    with contextlib.suppress(OSError):
+        status = Path(f'/proc/{pid}/status').read_text()
+        masks = re.findall(r'^Sig(?:Ign|Cgt):\s*(\w+)$', status, re.MULTILINE)
+        return any(int(mask, 16) & 1 for mask in masks)
+    return True
+
+
 def _served(program: Program) -> tuple[str, int]:
     address: tuple[str, int] = (
         program.front if program.role == 'proxy' else program.control
--- a/lavendergate/daemon/hosted/__main__.py
+++ b/lavendergate/daemon/hosted/__main__.py
@@ -4,9 +4,6 @@
 import sys
 
 from lavendergate.daemon.hosted.early_signals import handle_early_signals
-from lavendergate.observability.standard_output import (
-    reserve_standard_descriptors,
-)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -17,9 +14,14 @@
 
 def _run() -> int:
     handle_early_signals()
-    reserve_standard_descriptors()
     # The other modules are imported only now, because these imports take most
     # of the start time.
+    from lavendergate.observability.standard_output import (  # noqa: WPS433
+        reserve_standard_descriptors,
+    )
+
+    # Before the first file is opened, which could get the number of one.
+    reserve_standard_descriptors()
     founding = _start_founding() if sys.argv[1:] == ['control'] else None
     from lavendergate.daemon.hosted.start import main  # noqa: WPS433
 
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -100,9 +100,13 @@
     'lavendergate.controllers.takeover',
     'lavendergate.platform.control_calls',
     'lavendergate.observability.exposition',
+    'lavendergate.daemon.control_operations',
 )
 # Pause between these imports, in seconds, so that waiting calls are answered.
 _IMPORT_PAUSE_S = 0.004
+# Pause after an import that failed, in seconds: connections that came before
+# it may use up the descriptors.
+_IMPORT_RETRY_S = 0.2
 
 
 class FleetStateReceiver(SyncReceiver):
@@ -355,7 +359,7 @@
 
     async def _start_operations(self) -> None:
         for name in _DEFERRED_MODULES:
-            import_module(name)
+            await self._import_module(name)
             await anyio.sleep(_IMPORT_PAUSE_S)
         from lavendergate.daemon.control_operations import (  # noqa: WPS433
             ControlOperations,
@@ -366,6 +370,13 @@
         )
         await operations.start()
 
+    async def _import_module(self, name: str) -> None:
+        while True:
+            with self._process.boundary.contain('deferred import'):
+                import_module(name)
+                return
+            await anyio.sleep(_IMPORT_RETRY_S)
+
     def _fleet_service(self) -> UnaryService:
         return UnaryService(
             implementations={
--- a/lavendergate/daemon/listening.py
+++ b/lavendergate/daemon/listening.py
@@ -20,7 +20,18 @@
 
 _RETRY_INTERVAL_S = 0.1
 _MS_PER_S = 1000
-_TAKEN = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+# Errors that pass: the address is taken, or connections that came before the
+# last listener use up the descriptors.
+_TEMPORARY = frozenset(
+    (
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
 
 StartListener = Callable[[], Awaitable[object]]
 
@@ -115,7 +126,7 @@
 def _check_retry(
     address: str, error: OSError, waited_s: float, limit_s: float
 ) -> None:
-    if error.errno in _TAKEN and waited_s < limit_s:
+    if error.errno in _TEMPORARY and waited_s < limit_s:
         return
     raise StartRefusedError(
         exit_code=ExitCode.address,
