--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -6,10 +6,11 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from result import Err
+from result import Ok
 
 from lavendergate.controllers.takeover import TakeoverController
 from lavendergate.controllers.tolerance_watch import ToleranceWatch
+from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.control_routes import pack_routes, unpack_routes
 from lavendergate.core.fleet_directory import (
@@ -18,19 +19,20 @@
     is_departure_known,
 )
 from lavendergate.core.loss_tolerance import LossTolerance
-from lavendergate.core.routes import RoutesVersion, RouteTable
+from lavendergate.core.routes import NO_ROUTES, RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.daemon.listening import listen, serve_aside
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.platform.control_calls import (
     MAX_BODY_BYTES,
     ControlCalls,
     ControlHttp,
 )
-from lavendergate.platform.documents import decode_routes
+from lavendergate.platform.documents import decode_accepted_routes
 from lavendergate.platform.promotion_calls import PlatformPromotions
-from lavendergate.platform.readiness import serve_metrics
+from lavendergate.platform.readiness import METRICS_PORT, serve_metrics
 from lavendergate.rpc.fleet_service import (
     PROPOSE_ROUTES,
     READ_ROUTES,
@@ -68,7 +70,9 @@
         self._tasks = tasks
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
+        self._metrics.show_start(process.end.started_at, process.end.previous)
         self._routes = RouteTable()
+        self._unreadable_version = NO_ROUTES
         settings = process.settings
         self._takeover = TakeoverController(
             node=self._node,
@@ -91,13 +95,17 @@
             raise ValueError(
                 'bindAddrs.control is missing in the settings file'
             )
-        await self._tasks.start(
-            partial(
-                serve_http,
-                settings.bind_addrs.control,
-                ControlHttp(calls=self).handle,
-                max_body_bytes=MAX_BODY_BYTES,
-            )
+        serve = partial(
+            serve_http,
+            settings.bind_addrs.control,
+            ControlHttp(calls=self).handle,
+            max_body_bytes=MAX_BODY_BYTES,
+            boundary=self._process.boundary,
+        )
+        await listen(
+            self._process,
+            settings.bind_addrs.control,
+            partial(self._tasks.start, serve),
         )
         self._metrics.is_leader.set_function(
             lambda: int(self._fleet.is_leading)
@@ -109,14 +117,13 @@
             lambda: self._node.storage_wait_s
         )
         self._show_tolerance()
-        await self._tasks.start(
-            serve_metrics, settings.ip, self._metrics.render
-        )
-        self._tasks.start_soon(
-            self._process.boundary.keep_running,
-            'takeover',
-            self._takeover.run,
-        )
+        for name, run in (
+            ('metrics', self._serve_metrics),
+            ('takeover', self._takeover.run),
+        ):
+            self._tasks.start_soon(
+                self._process.boundary.keep_running, name, run
+            )
 
     async def announce(self, entry: MemberEntry) -> bool:
         """Merge an announcement; see the base class."""
@@ -169,7 +176,27 @@
         else:
             forwarded = await self._control.call_leader(READ_ROUTES, request)
             reply = forwarded or RoutesReply(content=None)
-        return None if reply.content is None else unpack_routes(reply.content)
+        if reply.content is None:
+            return None
+        try:
+            return unpack_routes(reply.content)
+        except InvalidValueError as error:
+            # Another host may have the table; this one is not sure of it.
+            self._process.boundary.report('routes', error)
+            return None
+
+    async def _serve_metrics(self) -> None:
+        ip = self._process.settings.ip
+        await serve_aside(
+            self._process,
+            f'{ip}:{METRICS_PORT}',
+            partial(
+                serve_metrics,
+                ip,
+                self._metrics.render,
+                boundary=self._process.boundary,
+            ),
+        )
 
     def _show_tolerance(self) -> None:
         watch = self._control.tolerance_watch
@@ -183,9 +210,14 @@
     def _current_routes(self) -> RouteTable:
         record = self._node.view.state.routes
         if record.version != self._routes.version:
-            decoded = decode_routes(unpack_routes(record.content))
-            if not isinstance(decoded, Err):
+            decoded = decode_accepted_routes(record.content)
+            if isinstance(decoded, Ok):
                 self._routes = decoded.ok_value
+            elif self._unreadable_version != record.version:
+                self._unreadable_version = record.version
+                self._process.boundary.report(
+                    'routes', InvalidValueError(decoded.err_value)
+                )
         return self._routes
 
 
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -1,5 +1,8 @@
 """The proxy role on the hosting platform."""
 
+from collections.abc import Awaitable, Callable
+from functools import partial
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -26,6 +29,7 @@
 from lavendergate.core.types import FailureDomain, HostId
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
+from lavendergate.daemon.listening import listen, serve_aside
 from lavendergate.filters.chain import compose
 from lavendergate.filters.customers.identification import IdentificationFilter
 from lavendergate.filters.limits.charge import LimitFilter
@@ -36,11 +40,17 @@
 from lavendergate.filters.sessions.single_statement import SingleStatementFilter
 from lavendergate.filters.sessions.transaction import TransactionFilter
 from lavendergate.frontend.caller_channel import CallerChannel
+from lavendergate.frontend.planned_stop import PlannedStop
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
+from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.members import LineMemberDialer
-from lavendergate.platform.readiness import serve_metrics, serve_readiness
+from lavendergate.platform.readiness import (
+    METRICS_PORT,
+    serve_metrics,
+    serve_readiness,
+)
 from lavendergate.platform.settings_file import HostSettings
 from lavendergate.rpc.fleet_service import (
     RelayOffer,
@@ -50,11 +60,6 @@
 from lavendergate.supervision.boundary import GuardedTasks
 
 _DIAL_TIMEOUT_S = 0.7
-# The balancer checks readiness once a second and stops sending callers after
-# two failed checks. Callers that it sends until then are served.
-_BALANCER_NOTICE_S = 2.3
-_EXIT_MARGIN_S = 0.5
-_DRAIN_POLL_INTERVAL_S = 0.05
 _MS_PER_S = 1000
 
 
@@ -75,9 +80,13 @@
         self._tasks = tasks
         self._events = process.events
         self._is_draining = False
-        self._peers = PeerClient()
+        odd_values = OddValueLog(
+            events=process.events, clock=anyio.current_time
+        )
+        self._peers = PeerClient(report=odd_values.report)
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
+        self._metrics.show_start(process.end.started_at, process.end.previous)
         self._view = FleetView(clock=anyio.current_time)
         bounds = settings.bounds
         self._customers = CustomerRegistry(
@@ -184,23 +193,28 @@
             raise ValueError(
                 'bindAddrs.front or readiness is missing in the settings file'
             )
-        await self._tasks.start(serve_callers, addresses.front, self._serve)
-        await self._tasks.start(
-            serve_readiness, addresses.readiness, lambda: self.is_ready
+        await self._listen(
+            addresses.front, serve_callers, addresses.front, self._serve
+        )
+        await self._listen(
+            addresses.readiness,
+            serve_readiness,
+            addresses.readiness,
+            lambda: self.is_ready,
         )
         self._metrics.routes_version.set_function(
             lambda: self._view.routes.version
         )
-        await self._tasks.start(
-            serve_metrics, self._process.settings.ip, self._metrics.render
-        )
-        await self._tasks.start(
+        internal_address = self._process.settings.internal_address
+        await self._listen(
+            internal_address,
             serve_relays,
-            self._process.settings.internal_address,
+            internal_address,
             self._home,
             self._limit_owner,
         )
         for name, run in (
+            ('metrics', self._serve_metrics),
             ('feed', self._sync_client.run),
             ('pools', self._pools.run),
             ('home', self._home.run),
@@ -211,6 +225,31 @@
         await self._process.wait_for_stop()
         await self._drain()
 
+    async def _listen(
+        self,
+        address: str,
+        serve: Callable[..., Awaitable[None]],
+        *arguments: object,
+    ) -> None:
+        serve_contained = partial(
+            serve, *arguments, boundary=self._process.boundary
+        )
+        start = partial(self._tasks.start, serve_contained)
+        await listen(self._process, address, start)
+
+    async def _serve_metrics(self) -> None:
+        ip = self._process.settings.ip
+        await serve_aside(
+            self._process,
+            f'{ip}:{METRICS_PORT}',
+            partial(
+                serve_metrics,
+                ip,
+                self._metrics.render,
+                boundary=self._process.boundary,
+            ),
+        )
+
     async def _serve(self, channel: CallerChannel) -> None:
         try:
             await self._session_service.serve(channel)
@@ -220,20 +259,12 @@
 
     async def _drain(self) -> None:
         self._is_draining = True
-        self._home.stop()
         self._limit_owner.stop()
-        grace_s = self._process.settings.bounds.grace_s
-        began_at = anyio.current_time()
-        await anyio.sleep(min(_BALANCER_NOTICE_S, grace_s / 2))
-        self._session_service.close_idle()
-        await anyio.sleep_until(began_at + grace_s / 2)
-        self._session_service.end_transactions()
-        await self._home.end_transactions()
-        while anyio.current_time() < began_at + grace_s - _EXIT_MARGIN_S:
-            self._session_service.close_idle()
-            if not self._session_service.session_count and self._home.is_idle:
-                break
-            await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
+        await PlannedStop(
+            sessions=self._session_service,
+            home=self._home,
+            grace_s=self._process.settings.bounds.grace_s,
+        ).run()
 
     def _build_session_service(self) -> SessionService:
         positions = self._positions
--- a/lavendergate/platform/departure_calls.py
+++ b/lavendergate/platform/departure_calls.py
@@ -1,14 +1,13 @@
 """Decoder for the last call of a member, which may name its start."""
 
-from typing import Annotated
-
 import msgspec
 
-_MAX_BORN = (1 << 63) - 1
+from lavendergate.core.bounds.decoding import InvalidValueError, decode_json
+from lavendergate.core.bounds.ranges import UnixMs
 
 
 class _DepartureDocument(msgspec.Struct, frozen=True, kw_only=True):
-    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_BORN)] = 0
+    born: UnixMs = 0
 
 
 def decode_born(content: bytes) -> int | None:
@@ -20,7 +19,7 @@
         Body of the call. A member may send none.
     """
     try:
-        departure = msgspec.json.decode(content, type=_DepartureDocument)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        departure = decode_json(content, _DepartureDocument)
+    except InvalidValueError:
         return None
     return departure.born or None
--- a/lavendergate/tests/test_relay_stream.py
+++ b/lavendergate/tests/test_relay_stream.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -16,6 +17,7 @@
 )
 from lavendergate.rpc.relay_stream import StreamRelayTransport, serve_relays
 from lavendergate.rpc.relay_transport import RelayLostError, RelayNotSentError
+from lavendergate.tests.socket_fixture import make_boundary
 
 
 def free_address() -> str:
@@ -68,7 +70,11 @@
         address = free_address()
         handler = _Handler()
         async with anyio.create_task_group() as tasks:
-            await tasks.start(serve_relays, address, handler)
+            await tasks.start(
+                partial(
+                    serve_relays, address, handler, boundary=make_boundary()
+                )
+            )
             transport = StreamRelayTransport(tasks=tasks)
             with anyio.fail_after(10):
                 await scenario(handler, transport, address, tasks)
@@ -153,7 +159,12 @@
             tasks: TaskGroup,
         ) -> None:
             ip, _, port = address.rpartition(':')
-            for garbage in (b'\x00\x00\x00\x02\xc1\xc1', b'\xff' * 64):
+            nested = b'\x95\x01\xc0\xc0\xc0' + b'\x91' * 3000 + b'\xc0'
+            for garbage in (
+                b'\x00\x00\x00\x02\xc1\xc1',
+                b'\xff' * 64,
+                len(nested).to_bytes(4) + nested,
+            ):
                 stream = await anyio.connect_tcp(ip, int(port))
                 await stream.send(garbage)
                 with self.assertRaises(anyio.EndOfStream):
@@ -162,3 +173,18 @@
             self.assertEqual(reply.rows, ('x',))
 
         play(scenario)
+
+    def test_address_without_a_port_is_not_connected(self) -> None:
+        """Guards against an odd address of a home that ends a proxy."""
+
+        async def scenario(
+            handler: _Handler,
+            transport: StreamRelayTransport,
+            address: str,
+            tasks: TaskGroup,
+        ) -> None:
+            for odd in ('127.0.0.1:70000', '127.0.0.1', '', 'x:²'):
+                with self.assertRaises(RelayNotSentError):
+                    await transport.run(odd, request('x'))
+
+        play(scenario)
