--- a/lavendergate/tests/start/test_settings_wait.py
+++ b/lavendergate/tests/start/test_settings_wait.py
@@ -9,7 +9,6 @@
 
 from lavendergate.daemon.hosted.settings_wait import (
     SETTINGS_WAIT_S,
-    SETTLE_S,
     WaitedSettings,
     wait_for_settings,
 )
@@ -17,6 +16,7 @@
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.platform.settings_file import (
     SETTINGS_VARIABLE,
+    SETTLE_S,
     SettingsFileError,
     load_settings,
 )
