Pass the start of a DELETE to the fuzzed control calls

The decoder targets replace ControlCalls, whose remove_member has one parameter more. mypy failed on the merge before; properties.test_decoders passes.

--- a/properties/decoder_targets.py
+++ b/properties/decoder_targets.py
@@ -248,7 +248,10 @@
         _check_entries((entry,))
         return True
 
-    async def remove_member(self, upstream_id: UpstreamId) -> bool:
+    async def remove_member(
+        self, upstream_id: UpstreamId, born: int | None
+    ) -> bool:
+        assert born is None or 0 < born < 1 << 63
         return True
 
     async def publish_routes(
