--- /dev/null
+++ b/lavendergate/tests/members/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of members that leave."""
