--- a/lavendergate/tests/supervision/test_start_without_descriptors.py
+++ b/lavendergate/tests/supervision/test_start_without_descriptors.py
@@ -8,12 +8,15 @@
 import anyio
 import msgspec
 
+from lavendergate.core.consensus.types import NodeId
+from lavendergate.core.types import HostId
 from lavendergate.daemon import hosted_control
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess
 from lavendergate.daemon.listening import listen
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.platform.settings_file import HostSettings
+from lavendergate.storage.memory import MemoryStorage
 
 _SETTINGS = HostSettings(
     node_name='a',
@@ -45,7 +48,13 @@
     async def test_deferred_import_is_tried_again(self) -> None:
         """Guards against an end by connections that came before an import."""
         async with anyio.create_task_group() as tasks:
-            control = HostedControl(process=self.process, tasks=tasks)
+            identity = NodeId(host_id=HostId('a'), incarnation='1')
+            control = HostedControl(
+                process=self.process,
+                tasks=tasks,
+                storage=MemoryStorage(identity=identity),
+                damage=None,
+            )
             with mock.patch.object(
                 hosted_control, 'import_module', side_effect=[_FULL, None]
             ):
