--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -34,7 +34,6 @@
 from lavendergate.daemon.listening import listen
 from lavendergate.daemon.start_refusal import ExitCode, StartRefusedError
 from lavendergate.daemon.storage_start import log_directory_of, open_storage
-from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.platform.members import LineMemberDialer
@@ -72,6 +71,7 @@
     remove_founding_record,
     write_founding_record,
 )
+from lavendergate.supervision.odd_values import OddValueLog
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -44,7 +44,6 @@
 from lavendergate.frontend.planned_stop import PlannedStop
 from lavendergate.frontend.session_service import SessionService
 from lavendergate.observability.exposition import HttpMetrics
-from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.line_stream import make_long_lines
 from lavendergate.platform.members import LineMemberDialer
@@ -60,6 +59,7 @@
 from lavendergate.rpc.peers import PeerClient
 from lavendergate.rpc.relay_stream import StreamRelayTransport, serve_relays
 from lavendergate.supervision.boundary import GuardedTasks
+from lavendergate.supervision.odd_values import OddValueLog
 
 _DIAL_TIMEOUT_S = 0.7
 _MS_PER_S = 1000
--- a/lavendergate/tests/bounds/test_earlier_state.py
+++ b/lavendergate/tests/bounds/test_earlier_state.py
@@ -14,10 +14,10 @@
     merge,
 )
 from lavendergate.observability.log import MemoryEventLog
-from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.rpc.codec import MessagePackCodec
 from lavendergate.rpc.fleet_service import MergeRequest, SyncReply
 from lavendergate.storage.fleet_state_file import FleetStateFile
+from lavendergate.supervision.odd_values import OddValueLog
 from lavendergate.tests.bounds.odd_messages import (
     ODD_FIELDS,
     earlier_entries,
