--- a/properties/decoder_targets.py
+++ b/properties/decoder_targets.py
@@ -251,6 +251,7 @@
     async def remove_member(
         self, upstream_id: UpstreamId, born: int | None
     ) -> bool:
+        assert born is None or 0 < born < 1 << 63
         return True
 
     async def publish_routes(
