--- a/lavendergate/tests/members/test_last_calls.py
+++ b/lavendergate/tests/members/test_last_calls.py
@@ -13,9 +13,17 @@
 from lavendergate.daemon.control_operations import ControlOperations
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess
+from lavendergate.platform.settings_file import HostSettings
 from lavendergate.tests.takeover_fixture import TakeoverFixture, run_scenario
 
 C = UpstreamId('c')
+_SETTINGS = HostSettings(
+    node_name='control-1',
+    ip='127.0.0.1',
+    zone='z',
+    region='r',
+    internal_ports=(7440, 7455),
+)
 
 
 class ControlHost:
@@ -24,10 +32,6 @@
     def __init__(self, control: TakeoverFixture) -> None:
         self.forwarded: list[MemberEntry] = []
         self.is_reached = True
-        settings = SimpleNamespace(
-            cloud_api=SimpleNamespace(address='127.0.0.1:1'),
-            node_name='control-1',
-        )
         self.operations = ControlOperations(
             control=cast(
                 HostedControl,
@@ -39,15 +43,7 @@
                     forward_entries=self.forward,
                 ),
             ),
-            process=cast(
-                HostedProcess,
-                SimpleNamespace(
-                    settings=settings,
-                    boundary=control.boundary,
-                    end=SimpleNamespace(started_at=0.0, previous=None),
-                    events=control.events,
-                ),
-            ),
+            process=HostedProcess(settings=_SETTINGS, events=control.events),
             tasks=cast(TaskGroup, None),
         )
 
