--- a/faults/soak.py
+++ b/faults/soak.py
@@ -201,6 +201,10 @@
             await asyncio.sleep(self._plan.first_kill_s)
             for host in fleet.control:
                 host.send_signal(signal.SIGKILL)
+            # Hosts without a founding record can't form the group again.
+            for host in fleet.control:
+                files = sorted(path.name for path in _data_of(host).glob('*'))
+                self._record(f'{host.name} had the files {files}')
         self._start_task(platform.send_heartbeats(fleet))
         await publish(fleet, configuration(1, [service]))
         await wait_until_served(fleet, [_DATABASE])
@@ -252,6 +256,11 @@
         return found
 
 
+def _data_of(host: Program) -> Path:
+    folder: Path = host._folder
+    return folder / 'data'
+
+
 async def _play_seed(seed: int, logs: Path) -> list[str]:
     folder = logs / f'seed-{seed}'
     shutil.rmtree(folder, ignore_errors=True)
--- a/faults/soak_plan.py
+++ b/faults/soak_plan.py
@@ -57,8 +57,8 @@
     def __str__(self) -> str:
         """Return a line of the printed plan."""
         lasts = f' for {self.lasts_s:.2f} s' if self.lasts_s else ''
-        words = f'{self.kind} {self.detail}'.strip()
-        return f'{self.at_s:6.2f} s  {words} {self.target}{lasts}'
+        words = ' '.join(filter(None, (self.kind, self.detail, self.target)))
+        return f'{self.at_s:6.2f} s  {words}{lasts}'
 
 
 @dataclass(frozen=True, kw_only=True)
