--- a/faults/processes.py
+++ b/faults/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import resource
 import signal
 import socket
@@ -16,6 +17,7 @@
 
 _END_WAIT_S = 3.0
 _POLL_S = 0.02
+_BEGIN_POLL_S = 0.001
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,11 +33,17 @@
         Limit of open descriptors; None for the ordinary one.
     has_output
         Whether standard output is open.
+    is_first_start
+        Whether the settings say that the whole system starts.
+    max_file_bytes
+        Length of a file beyond which writes fail; None for no limit.
     """
 
     settings: Callable[[str], str] = str
     descriptors: int | None = None
     has_output: bool = True
+    is_first_start: bool = True
+    max_file_bytes: int | None = None
 
 
 class DisturbedProcess:
@@ -65,8 +73,43 @@
         """What the process wrote."""
         return (self._folder / 'log').read_text('utf-8', 'replace')
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the first lines of the program have run: SIGHUP is ignored.
+
+        Before them Python itself starts, and signals have their defaults.
+        """
+        if self._process is None or self.status is not None:
+            return False
+        status = Path(f'/proc/{self._process.pid}/status').read_text()
+        ignored = re.search(r'^SigIgn:\s*(\w+)', status, re.MULTILINE)
+        return ignored is not None and bool(int(ignored[1], 16) & 1)
+
+    @property
+    def settings_path(self) -> Path:
+        """Settings file of the process."""
+        return self._folder / 'local.toml'
+
+    @property
+    def data_directory(self) -> Path:
+        """Data directory of a control host."""
+        return self._folder / 'data'
+
+    def limit_file_size(self, limit_bytes: int) -> None:
+        """Refuse writes beyond a length; -1 for none, as a full disk does."""
+        if self._process is not None and self.status is None:
+            resource.prlimit(
+                self._process.pid,
+                resource.RLIMIT_FSIZE,
+                (limit_bytes, resource.RLIM_INFINITY),
+            )
+
     def start(self, disturbance: Disturbance) -> None:
         """Start the process."""
+        if not disturbance.is_first_start:
+            self._settings = self._settings.replace(
+                'bootstrap = true', 'bootstrap = false'
+            )
         self.write_settings(disturbance.settings(self._settings))
         temporary = self._folder / 'tmp'
         temporary.mkdir(exist_ok=True)
@@ -82,6 +125,11 @@
             if disturbance.descriptors is not None:
                 limit = disturbance.descriptors
                 resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+            if disturbance.max_file_bytes is not None:
+                resource.setrlimit(
+                    resource.RLIMIT_FSIZE,
+                    (disturbance.max_file_bytes, resource.RLIM_INFINITY),
+                )
             if not disturbance.has_output:
                 os.close(1)
 
@@ -106,6 +154,11 @@
         path = self._folder / 'local.toml'
         path.write_text(self._settings if content is None else content)
 
+    async def wait_for_begin(self) -> None:
+        """Return once the first lines of the program have run."""
+        while not self.has_begun and self.status is None:
+            await asyncio.sleep(_BEGIN_POLL_S)
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         if self._process is not None and self._process.poll() is None:
@@ -127,6 +180,21 @@
             self._process.wait()
 
 
+def outcome(status: int | None) -> str:
+    """Return what an end by itself shows; empty while the process runs."""
+    return '' if status is None else f'ended by itself with status {status}'
+
+
+def served(program: Program) -> tuple[str, int]:
+    """Return the address that a program serves."""
+    return program.front if program.role == 'proxy' else program.control
+
+
+async def reachable(program: Program) -> str:
+    """Return what is wrong with the served address; empty if nothing is."""
+    return '' if await accepts(served(program)) else 'does not serve'
+
+
 async def accepts(address: tuple[str, int], limit_s: float = 5.0) -> bool:
     """Return whether a connection is accepted within a time."""
     loop = asyncio.get_running_loop()
@@ -158,5 +226,8 @@
     'Program',
     'Record',
     'accepts',
+    'outcome',
+    'reachable',
+    'served',
     'take_port',
 )
--- a/faults/start_cases.py
+++ b/faults/start_cases.py
@@ -14,9 +14,13 @@
     accepts,
     take_port,
 )
+from faults.start_file_cases import DISK_CASES, FILE_CASES
+from faults.stop_cases import STOP_CASES
 
 _METRICS_PORT = 9464
 _SIGNAL_DELAYS_S = (0.03, 0.06, 0.1, 0.2, 0.3, 0.5)
+_HANGUPS = 100
+_HANGUP_INTERVAL_S = 0.01
 _SETTINGS_DELAY_S = 1.0
 _PORT_DELAY_S = 2.0
 _WATCH_S = 3.0
@@ -39,12 +43,30 @@
     async def play(process: DisturbedProcess, program: Program) -> Finding:
         process.start(Disturbance())
         await asyncio.sleep(delay_s)
+        had_begun = process.has_begun
         process.send_signal(signal.SIGHUP)
-        return _outcome(await process.wait_for_end(_WATCH_S))
+        finding = _outcome(await process.wait_for_end(_WATCH_S))
+        if finding and not had_begun:
+            return f'{finding}, before its first line'
+        return finding
 
     return play
 
 
+async def hangups_from_begin(
+    process: DisturbedProcess, program: Program
+) -> Finding:
+    """SIGHUP every 10 ms for 1 s, from the first line of the program on."""
+    process.start(Disturbance())
+    await process.wait_for_begin()
+    for _ in range(_HANGUPS):
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(_HANGUP_INTERVAL_S)
+    return _outcome(await process.wait_for_end(_WATCH_S)) or await _reachable(
+        program
+    )
+
+
 def settings_written_late(cut: Callable[[str], str]) -> StartCase:
     """The settings file is completed some time after the start."""
 
@@ -132,6 +154,7 @@
         f'SIGHUP {delay_s} s after the start': hangup_after(delay_s)
         for delay_s in _SIGNAL_DELAYS_S
     },
+    'SIGHUP in series from the first line on': hangups_from_begin,
     'settings file empty for 1 s': settings_written_late(lambda text: ''),
     'settings file half written for 1 s': settings_written_late(
         lambda text: text[: len(text) // 2]
@@ -140,9 +163,17 @@
     'port of the role taken for 2 s': served_port_taken,
     'standard output closed': output_closed,
     'more connections than descriptors': descriptors_used_up,
+    **STOP_CASES,
+    **FILE_CASES,
+    **DISK_CASES,
 }
 
 
+def roles_of(name: str) -> tuple[str, ...]:
+    """Return the roles that a case concerns."""
+    return ('control',) if name in DISK_CASES else _ROLES
+
+
 async def play_start_case(name: str, role: str, record: Record) -> Finding:
     """Play one case on a process of its own; return what was seen."""
     fleet = Fleet(record, '127.0.0.1:9', control=3, proxies=1)
--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -13,10 +13,15 @@
 from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.control_routes import pack_routes, unpack_routes
-from lavendergate.core.fleet_directory import MemberEntry, departed_entry
+from lavendergate.core.fleet_directory import (
+    MemberEntry,
+    departure_of,
+    is_departure_known,
+)
 from lavendergate.core.loss_tolerance import LossTolerance
 from lavendergate.core.routes import NO_ROUTES, RoutesVersion, RouteTable
 from lavendergate.core.types import HostId, UpstreamId
+from lavendergate.daemon.connection_gates import ConnectionGates
 from lavendergate.daemon.hosted_control import HostedControl
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.listening import listen, serve_aside
@@ -70,6 +75,10 @@
         self._routes = RouteTable()
         self._unreadable_version = NO_ROUTES
         settings = process.settings
+        self._gates = ConnectionGates(
+            settings=settings, events=process.events, metrics=self._metrics
+        )
+        process.observe(self._gates.change)
         self._takeover = TakeoverController(
             node=self._node,
             fleet=self._fleet,
@@ -82,6 +91,7 @@
             real_clock=boottime_s,
             events=process.events,
             metrics=self._metrics,
+            boundary=process.boundary,
         )
 
     async def start(self) -> None:
@@ -97,6 +107,8 @@
             ControlHttp(calls=self).handle,
             max_body_bytes=MAX_BODY_BYTES,
             boundary=self._process.boundary,
+            gate=self._gates.callers(),
+            max_buffered_bytes=self._gates.limits.buffered_bytes,
         )
         await listen(
             self._process,
@@ -130,12 +142,19 @@
             return True
         return await self._control.forward_entries((entry,))
 
-    async def remove_member(self, upstream_id: UpstreamId) -> bool:
-        """Remove a member; see the base class."""
-        entry = self._fleet.directory.entries.get(upstream_id)
-        if entry is None:
-            return True
-        departed = departed_entry(entry)
+    async def remove_member(
+        self, upstream_id: UpstreamId, born: int | None
+    ) -> bool:
+        """Remove a start of a member; see the base class."""
+        known = self._fleet.directory.entries.get(upstream_id)
+        if known is None:
+            # Another host may know the member.
+            return self._fleet.is_leading
+        departed = departure_of(known, born)
+        if departed is None:
+            if not is_departure_known(known, born):
+                return False
+            departed = known
         self._fleet.merge((departed,))
         return self._fleet.is_leading or await self._control.forward_entries(
             (departed,)
@@ -184,6 +203,7 @@
                 ip,
                 self._metrics.render,
                 boundary=self._process.boundary,
+                gate=self._gates.operations('metrics'),
             ),
         )
 
--- a/lavendergate/observability/process_events.py
+++ b/lavendergate/observability/process_events.py
@@ -90,6 +90,20 @@
         'account {account} is not configured',
         'Set the environment variable that the page of options names.',
     )
+    connections_refused = define(
+        7040,
+        Level.warning,
+        '{refused} connections of kind {kind} were refused: {open} are open, '
+        'the limit is {limit}',
+        'Spread the callers over more hosts, or raise the descriptors and the '
+        'memory of the process.',
+    )
+    connections_limited = define(
+        7041,
+        Level.info,
+        'connection limits: {callers} callers, {peers} hosts, {members} '
+        'members, {operations} operations',
+    )
     process_failed = define(
         7057,
         Level.error,
@@ -146,3 +160,10 @@
         'the process ends with status {status}: {reason}',
         'Follow the reason; docs/operations/exit-codes.md lists the statuses.',
     )
+    disk_refused = define(
+        7054,
+        Level.error,
+        'the disk of the control log refuses: {reason}',
+        'Check the disk of the data directory; until it takes writes the host '
+        'neither votes nor leads, and it tries again.',
+    )
