--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterable
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Err
 
 from lavendergate.backends.promotion import OrderOutcome, PromotionOrders
@@ -12,6 +11,7 @@
 from lavendergate.controllers.leases.grants import LeaseGrants
 from lavendergate.controllers.member_poller import MemberPoller
 from lavendergate.controllers.takeovers.former_primaries import FormerPrimaries
+from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.commands import OrderPromotion
 from lavendergate.core.leases.granting import (
     PromotionHistory,
@@ -41,6 +41,7 @@
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
+from lavendergate.supervision.boundary import Boundary, GuardedTasks
 
 _INTERVAL_S = 0.1
 _RETRY_S = 0.2
@@ -59,6 +60,9 @@
 # is primary, in seconds.
 _PROMOTION_TIMEOUT_S = 3.0
 _PROMOTION_POLL_S = 0.08
+# Time without a candidate after which operators are told, in seconds. Most
+# takeovers end within it.
+_BLOCKED_AFTER_S = 3.0
 _MS_PER_S = 1000
 
 
@@ -102,7 +106,10 @@
         real_clock: Callable[[], float],
         events: EventLog,
         metrics: HttpMetrics,
+        boundary: Boundary | None = None,
     ) -> None:
+        # An error in the work on one service must not stop the others'.
+        self._boundary = boundary or Boundary(events=events)
         self._metrics = metrics
         self._node = node
         self._fleet = fleet
@@ -118,10 +125,14 @@
         self._former_primaries = FormerPrimaries(poller=poller, events=events)
         self._leading_since: float | None = None
         self._last_reason: dict[GroupId, str] = {}
+        self._ahead: dict[GroupId, UpstreamId] = {}
+        self._takeovers: dict[GroupId, float] = {}
+        self._blocked: set[GroupId] = set()
 
     async def run(self) -> None:
         """Check the primaries while this host leads, until cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as group:
+            tasks = GuardedTasks(tasks=group, boundary=self._boundary)
             while True:
                 await anyio.sleep(_INTERVAL_S)
                 if not self._fleet.is_leading:
@@ -134,20 +145,24 @@
                 if now - self._leading_since >= _OBSERVATION_S:
                     self._check_services(tasks)
 
-    def _update_leases(self, tasks: TaskGroup) -> None:
+    def _update_leases(self, tasks: TaskStarter) -> None:
         """Lease the primaries that are known and healthy."""
         for service in self._routes().services:
-            observed = self._poller.observe(service)
-            self._former_primaries.demote(tasks, service, observed)
-            if service in self._running:
-                # The takeover decides when the service is leased again.
-                continue
-            if self._poller.is_complete(service) and may_grant_lease(
-                observed, self._promotion_history(service), self._clock()
-            ):
-                self._leases.grant(service)
-            else:
-                self._leases.withhold(service)
+            with self._boundary.contain('lease'):
+                self._update_lease(tasks, service)
+
+    def _update_lease(self, tasks: TaskStarter, service: GroupId) -> None:
+        observed = self._poller.observe(service)
+        self._former_primaries.demote(tasks, service, observed)
+        if service in self._running:
+            # The takeover decides when the service is leased again.
+            return
+        if self._poller.is_complete(service) and may_grant_lease(
+            observed, self._promotion_history(service), self._clock()
+        ):
+            self._leases.grant(service)
+        else:
+            self._leases.withhold(service)
 
     def _promotion_history(self, service: GroupId) -> PromotionHistory:
         return PromotionHistory(
@@ -155,22 +170,26 @@
             newest_term=self._fleet.newest_term(service),
         )
 
-    def _check_services(self, tasks: TaskGroup) -> None:
+    def _check_services(self, tasks: TaskStarter) -> None:
         for service in self._routes().services:
             if service in self._running or not self._poller.is_complete(
                 service
             ):
                 continue
-            observed = self._poller.observe(service)
-            match decide_replacement(observed, self._clock()):
-                case ReplacePrimary(reason=reason):
-                    self._running.add(service)
-                    self._leases.begin_replacing(service)
-                    tasks.start_soon(self._take_over, service, reason)
-                case KeepPrimary() if self._must_confirm(service, observed):
-                    self._running.add(service)
-                    self._leases.withhold(service)
-                    tasks.start_soon(self._resume_paused, service)
+            with self._boundary.contain('primary check'):
+                self._check_service(tasks, service)
+
+    def _check_service(self, tasks: TaskStarter, service: GroupId) -> None:
+        observed = self._poller.observe(service)
+        match decide_replacement(observed, self._clock()):
+            case ReplacePrimary(reason=reason):
+                self._leases.begin_replacing(service)
+                self._running.add(service)
+                tasks.start_soon(self._take_over, service, reason)
+            case KeepPrimary() if self._must_confirm(service, observed):
+                self._leases.withhold(service)
+                self._running.add(service)
+                tasks.start_soon(self._resume_paused, service)
 
     def _must_confirm(
         self, service: GroupId, observed: ServiceObservation
@@ -194,18 +213,21 @@
             term=_newest_term(observed),
         )
         outcome = 'this host is no longer the leader'
+        self._takeovers[service] = began_at
         try:
             while self._fleet.is_leading:
                 ended = await self._try_promotion(service)
                 if ended is not None:
                     outcome = ended
                     break
-                if not self._leases.remaining_s(service):
-                    await anyio.sleep(_RETRY_S)
+                await anyio.sleep(self._retry_s(service))
         finally:
             self._running.discard(service)
             self._leases.end_replacing(service)
             self._last_reason.pop(service, None)
+            self._ahead.pop(service, None)
+            self._takeovers.pop(service, None)
+            self._report_unblocked(service, outcome, began_at)
         self._events.emit(
             SessionEvent.takeover_ended,
             service=service,
@@ -213,6 +235,10 @@
             duration_ms=round((self._clock() - began_at) * _MS_PER_S),
         )
 
+    def _retry_s(self, service: GroupId) -> float:
+        lease_s = self._leases.remaining_s(service)
+        return min(lease_s, _LEASE_WAIT_S) if lease_s else _RETRY_S
+
     async def _try_promotion(self, service: GroupId) -> str | None:
         """Try once to replace the primary.
 
@@ -229,20 +255,21 @@
                 service, 'a new member has not been polled yet', None
             )
             return None
-        lease_s = self._leases.remaining_s(service)
-        if lease_s:
+        if self._leases.remaining_s(service):
             self._report_wait(
                 service, 'proxies may still hold leases on the primary', None
             )
-            await anyio.sleep(min(lease_s, _LEASE_WAIT_S))
             return None
         proved_at = self._real_clock()
         candidate = choose_candidate(
-            observed, self._last_ordered_member(service)
+            observed,
+            self._last_ordered_member(service),
+            self._ahead.get(service),
         )
         if candidate is None:
             self._report_wait(service, 'no replica answers', None)
             return None
+        born = self._poller.born(candidate)
         evidence = await self._gather_evidence(observed, candidate)
         if evidence is None:
             self._report_wait(
@@ -252,14 +279,20 @@
         proof = check_promotion(
             self._poller.observe(service),
             evidence,
-            self._clock(),
             synchronous_replicas=self._synchronous_replicas(service),
         )
         match proof:
-            case NotPromotable(reason=reason):
+            case NotPromotable(reason=reason, more_advanced=ahead):
+                if ahead is not None:
+                    self._ahead[service] = ahead
                 self._report_wait(service, reason, candidate)
                 return None
             case Promotable():
+                if self._poller.born(candidate) != born:
+                    self._report_wait(
+                        service, 'the candidate was restarted', candidate
+                    )
+                    return None
                 return await self._promote(service, evidence, proved_at)
 
     async def _gather_evidence(
@@ -469,6 +502,7 @@
     def _report_wait(
         self, service: GroupId, reason: str, candidate: UpstreamId | None
     ) -> None:
+        self._report_blocked(service, reason, candidate)
         if self._last_reason.get(service) == reason:
             return
         self._last_reason[service] = reason
@@ -479,6 +513,34 @@
             candidate=candidate,
         )
 
+    def _report_blocked(
+        self, service: GroupId, reason: str, candidate: UpstreamId | None
+    ) -> None:
+        """Report once that a takeover finds no safe candidate."""
+        waited_s = self._clock() - self._takeovers.get(service, self._clock())
+        if service in self._blocked or waited_s < _BLOCKED_AFTER_S:
+            return
+        self._blocked.add(service)
+        self._events.emit(
+            SessionEvent.takeover_blocked,
+            service=service,
+            reason=reason,
+            candidate=candidate,
+            waited_ms=round(waited_s * _MS_PER_S),
+        )
+
+    def _report_unblocked(
+        self, service: GroupId, outcome: str, began_at: float
+    ) -> None:
+        if service in self._blocked:
+            self._blocked.discard(service)
+            self._events.emit(
+                SessionEvent.takeover_unblocked,
+                service=service,
+                outcome=outcome,
+                waited_ms=round((self._clock() - began_at) * _MS_PER_S),
+            )
+
 
 def _has_paused_replica(observed: ServiceObservation) -> bool:
     return any(replica.paused_term for replica in observed.replicas)
--- a/lavendergate/daemon/hosted/__main__.py
+++ b/lavendergate/daemon/hosted/__main__.py
@@ -4,6 +4,9 @@
 import sys
 
 from lavendergate.daemon.hosted.early_signals import handle_early_signals
+from lavendergate.observability.standard_output import (
+    reserve_standard_descriptors,
+)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -14,6 +17,7 @@
 
 def _run() -> int:
     handle_early_signals()
+    reserve_standard_descriptors()
     # The other modules are imported only now, because these imports take most
     # of the start time.
     founding = _start_founding() if sys.argv[1:] == ['control'] else None
--- a/lavendergate/daemon/hosted/start.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -25,7 +25,6 @@
 from lavendergate.observability.standard_output import (
     STANDARD_OUTPUT,
     LineStream,
-    reserve_standard_descriptors,
 )
 from lavendergate.platform.settings_file import (
     HostSettings,
@@ -48,7 +47,6 @@
     founding
         Thread that writes the founding record; awaited before the role runs.
     """
-    reserve_standard_descriptors()
     words = sys.argv[1:] if arguments is None else arguments
     role = words[0] if len(words) == 1 else ''
     if role not in {'proxy', 'control'}:
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -141,6 +141,7 @@
         self._fleet.merge(reply.entries)
         for notice in reply.primaries:
             self._fleet.publish_primary(notice)
+        self._fleet.record_notices(reply.positions, sent_at)
 
 
 class HostedControl:
@@ -174,7 +175,9 @@
         self._odd_values = OddValueLog(
             events=process.events, clock=anyio.current_time
         )
-        self._peers = PeerClient(report=self._odd_values.report)
+        self._peers = PeerClient(
+            report=self._odd_values.report, boundary=process.boundary
+        )
         self._log_directory = log_directory_of(settings)
         if damage is not None:
             self._events.emit(SessionEvent.log_replaced, reason=damage)
@@ -182,7 +185,7 @@
         self._node = ControlNode(
             host_id=self._host_id,
             address=settings.internal_address,
-            transport=GrpcTransport(),
+            transport=GrpcTransport(boundary=process.boundary),
             storage=storage,
             options=DriverOptions(
                 node=NodeOptions(
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -27,6 +27,7 @@
     relayed_share,
 )
 from lavendergate.core.types import FailureDomain, HostId
+from lavendergate.daemon.connection_gates import ConnectionGates
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.listening import listen, serve_aside
@@ -45,6 +46,7 @@
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.observability.odd_values import OddValueLog
 from lavendergate.platform.callers import serve_callers
+from lavendergate.platform.line_stream import make_long_lines
 from lavendergate.platform.members import LineMemberDialer
 from lavendergate.platform.readiness import (
     METRICS_PORT,
@@ -83,10 +85,15 @@
         odd_values = OddValueLog(
             events=process.events, clock=anyio.current_time
         )
-        self._peers = PeerClient(report=odd_values.report)
+        self._peers = PeerClient(
+            report=odd_values.report, boundary=process.boundary
+        )
         self._metrics = HttpMetrics()
         process.boundary.observe(self._metrics.count_contained_error)
         self._metrics.show_start(process.end.started_at, process.end.previous)
+        self._gates = ConnectionGates(
+            settings=settings, events=self._events, metrics=self._metrics
+        )
         self._view = FleetView(clock=anyio.current_time)
         bounds = settings.bounds
         self._customers = CustomerRegistry(
@@ -193,18 +200,28 @@
             raise ValueError(
                 'bindAddrs.front or readiness is missing in the settings file'
             )
+        gates = self._gates
         await self._listen(
-            addresses.front, serve_callers, addresses.front, self._serve
+            addresses.front,
+            serve_callers,
+            addresses.front,
+            self._serve,
+            gate=gates.callers(self._session_service.close_oldest_idle),
+            long_lines=make_long_lines(gates.limits.buffered_bytes),
         )
         await self._listen(
             addresses.readiness,
             serve_readiness,
             addresses.readiness,
             lambda: self.is_ready,
+            gate=gates.operations('readiness'),
         )
         self._metrics.routes_version.set_function(
             lambda: self._view.routes.version
         )
+        self._metrics.connections.labels('members').set_function(
+            lambda: sum(link.opened for link in self._pools.links.values())
+        )
         internal_address = self._process.settings.internal_address
         await self._listen(
             internal_address,
@@ -212,6 +229,7 @@
             internal_address,
             self._home,
             self._limit_owner,
+            gate=gates.peers(),
         )
         for name, run in (
             ('metrics', self._serve_metrics),
@@ -230,9 +248,10 @@
         address: str,
         serve: Callable[..., Awaitable[None]],
         *arguments: object,
+        **options: object,
     ) -> None:
         serve_contained = partial(
-            serve, *arguments, boundary=self._process.boundary
+            serve, *arguments, boundary=self._process.boundary, **options
         )
         start = partial(self._tasks.start, serve_contained)
         await listen(self._process, address, start)
@@ -247,6 +266,7 @@
                 ip,
                 self._metrics.render,
                 boundary=self._process.boundary,
+                gate=self._gates.operations('metrics'),
             ),
         )
 
@@ -352,6 +372,7 @@
         )
 
     def _change_settings(self, settings: HostSettings) -> None:
+        self._gates.change(settings)
         self._sync_client.change_seeds(settings.internal_control_addresses)
 
 
--- a/lavendergate/rpc/peers.py
+++ b/lavendergate/rpc/peers.py
@@ -9,6 +9,7 @@
 from lavendergate.core.bounds.addresses import AddressError
 from lavendergate.rpc.codec import ReportProblems
 from lavendergate.rpc.service import Method, call, open_channel
+from lavendergate.supervision.boundary import Boundary
 
 RequestT = TypeVar('RequestT')
 ReplyT = TypeVar('ReplyT')
@@ -34,10 +35,19 @@
     report
         Receives the problems of parts that were dropped from replies; see
         `MessagePackCodec`.
+    boundary
+        Receives unexpected errors of calls, which fail like lost ones; None
+        if nobody does.
     """
 
-    def __init__(self, *, report: ReportProblems | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        report: ReportProblems | None = None,
+        boundary: Boundary | None = None,
+    ) -> None:
         self._report = report
+        self._boundary = boundary
         self._channels: dict[str, Channel] = {}
 
     async def call(
@@ -72,6 +82,14 @@
             raise PeerCallError(f'no answer from {address}: {error!r}') from (
                 error
             )
+        except Exception as error:
+            # One odd reply must not end the work with other hosts.
+            self._discard_channel(address, channel)
+            if self._boundary is not None:
+                self._boundary.report('peer call', error)
+            raise PeerCallError(f'failed call of {address}: {error!r}') from (
+                error
+            )
 
     def _channel(self, address: str) -> Channel:
         channel = self._channels.get(address)
