Try again for the port of a listener that has a task group of its own

Cause: that listener runs in a task group, which wraps the error.

Change: the retry looks into a group that holds one error.

--- a/lavendergate/daemon/listening.py
+++ b/lavendergate/daemon/listening.py
@@ -57,7 +57,8 @@
     while True:
         try:
             await start()
-        except OSError as error:
+        except (OSError, ExceptionGroup) as failure:
+            error = _os_error_in(failure)
             _check_retry(
                 address, error, anyio.current_time() - began_at, limit_s
             )
@@ -112,6 +113,16 @@
     await anyio.sleep(duration_s)
 
 
+def _os_error_in(failure: Exception) -> OSError:
+    """Return the error of a listener that runs in a task group of its own."""
+    error = failure
+    while isinstance(error, ExceptionGroup) and len(error.exceptions) == 1:
+        error = error.exceptions[0]
+    if isinstance(error, OSError):
+        return error
+    raise failure
+
+
 def _check_retry(
     address: str, error: OSError, waited_s: float, limit_s: float
 ) -> None:
--- a/lavendergate/tests/start/test_listening.py
+++ b/lavendergate/tests/start/test_listening.py
@@ -63,6 +63,20 @@
             [ProcessEvent.address_taken, ProcessEvent.address_free],
         )
 
+    async def test_port_of_a_listener_in_a_task_group_is_tried_again(
+        self,
+    ) -> None:
+        """Guards against an end because a group wraps the listener's error."""
+        taken = OSError(errno.EADDRINUSE, 'taken')
+        start = mock.AsyncMock(side_effect=[ExceptionGroup('', [taken]), None])
+        await listen(self.process, '127.0.0.1:1', start)
+        self.assertEqual(start.await_count, 2)
+        other = ExceptionGroup('', [ValueError('unexpected')])
+        with self.assertRaises(ExceptionGroup):
+            await listen(
+                self.process, '127.0.0.1:1', mock.AsyncMock(side_effect=other)
+            )
+
     async def test_port_that_stays_taken_is_refused_with_its_address(
         self,
     ) -> None:
