Start the processes without the site modules of the machine

Until the first line of the program, SIGHUP ends a process by its default action. On this machine that takes 0.084 s (median), 0.075 s of which are Python with its site modules; python3 -S -c pass takes 0.013 s. The libraries come from target/deps, so that no site module is needed.

--- a/faults/processes.py
+++ b/faults/processes.py
@@ -137,6 +137,7 @@
             self._process = subprocess.Popen(
                 [
                     'python3',
+                    '-S',
                     '-m',
                     'lavendergate.daemon.hosted',
                     self._program.role,
