Start a proxy whose port for callers is taken for a moment

The error of the listener is raised itself again, as the docstring says.

Before: test_taken_address_is_a_plain_error failed with the group; now it passes.

--- a/lavendergate/platform/callers.py
+++ b/lavendergate/platform/callers.py
@@ -34,6 +34,7 @@
 )
 from lavendergate.supervision.boundary import Boundary
 from lavendergate.supervision.connection_gate import ConnectionGate
+from lavendergate.supervision.error_text import leaf_errors
 from lavendergate.supervision.listener import Listener
 
 _BACKLOG = 4096
@@ -175,11 +176,17 @@
     listener = Listener(
         place='callers', serve=connections.serve, boundary=boundary
     )
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(
-            boundary.keep_running, 'slow readers', connections.close_slow
-        )
-        await listener.run(address, backlog=_BACKLOG, task_status=task_status)
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                boundary.keep_running, 'slow readers', connections.close_slow
+            )
+            await listener.run(
+                address, backlog=_BACKLOG, task_status=task_status
+            )
+    except ExceptionGroup as group:
+        # Only the listener raises: who starts it tries again on `OSError`.
+        raise next(leaf_errors(group)) from group
 
 
 class _CallerConnections:
