Ask again for changes whose handling failed

A host that failed to handle a reply of the control leader never got its changes again: the version was recorded before they were applied, and the next request asked from there on.

The version is recorded once the changes are applied. The new test failed before and passes now.

--- a/lavendergate/controllers/control_sync.py
+++ b/lavendergate/controllers/control_sync.py
@@ -201,6 +201,8 @@
             return None
         self._record_answer(address, reply)
         self._receiver.apply(reply, sent_at)
+        # Only now, so that changes whose handling failed are asked for again.
+        self._known_versions[address] = reply.version
         return reply
 
     def _record_failure(self, address: str, reason: str) -> None:
@@ -231,7 +233,6 @@
             # Another host may use the address of one that has left.
             if self._departed_skips_s.pop(named, None) is not None:
                 self._skipped_until.pop(named, None)
-        self._known_versions[address] = reply.version
         self._control_hosts = list(reply.control_hosts)
         self._leader = address if reply.is_leader else reply.leader
         if reply.is_leader and address != self._followed:
--- a/lavendergate/tests/test_control_sync.py
+++ b/lavendergate/tests/test_control_sync.py
@@ -1,5 +1,6 @@
 """Tests of the client that finds and polls the leading control host."""
 
+import contextlib
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
@@ -34,6 +35,7 @@
         self.leader: str | None = None
         self.named: tuple[str, ...] = _SEEDS
         self.calls: list[tuple[float, str]] = []
+        self.known: list[FleetVersion] = []
 
     async def call(
         self, address: str, method: Any, request: Any, *, timeout_s: float
@@ -41,6 +43,7 @@
         """Answer with the state of the host at the current time."""
         assert isinstance(request, SyncRequest)
         self.calls.append((anyio.current_time(), address))
+        self.known.append(request.known)
         if anyio.current_time() < self.started_at[address]:
             await anyio.sleep(timeout_s)
             raise PeerCallError(f'no answer from {address}')
@@ -65,6 +68,7 @@
     def __init__(self) -> None:
         self.answered_at: list[float] = []
         self.leads = False
+        self.fails = False
 
     @property
     def is_leader(self) -> bool:
@@ -82,6 +86,8 @@
 
     def apply(self, reply: SyncReply, sent_at: float) -> None:
         """Record the time of the answer."""
+        if self.fails:
+            raise ValueError('unexpected')
         self.answered_at.append(anyio.current_time())
 
 
@@ -212,6 +218,22 @@
 
         run_scenario(scenario)
 
+    def test_changes_whose_handling_failed_are_asked_for_again(self) -> None:
+        """Guards against an error that loses the changes of a reply."""
+
+        async def scenario(fixture: _Fixture) -> None:
+            fixture.hosts.leader = _SEEDS[0]
+            fixture.receiver.fails = True
+            with contextlib.suppress(Exception):
+                await fixture.client.run()
+            fixture.receiver.fails = False
+            known = len(fixture.hosts.known)
+            with anyio.move_on_after(3):
+                await fixture.client.run()
+            self.assertEqual(fixture.hosts.known[known], FleetVersion())
+
+        run_scenario(scenario)
+
     def test_former_leader_follows_its_successor(self) -> None:
         """Guards against a control host whose members stay as they were.
 
