End the transactions at a stopping home at the same time

Each one takes up to 0.5 s at a silent member. One after the other, six of them used up half of the grace period, so that statements were cut that should have been answered before the exit. Found by reading, in the review of the incident on FAULT; the tests of homes and of the planned stop pass.

--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -137,9 +137,16 @@
     async def end_transactions(self) -> None:
         """Roll back all transactions, now or once their statement has run."""
         self._is_ending_transactions = True
-        for number, transaction in tuple(self._transactions.items()):
-            if transaction.used_at is not None:
-                await self._end(number)
+        waiting = [
+            number
+            for number, transaction in self._transactions.items()
+            if transaction.used_at is not None
+        ]
+        # At the same time, since a silent member takes `_ROLLBACK_TIMEOUT_S`
+        # for each of them.
+        async with anyio.create_task_group() as tasks:
+            for number in waiting:
+                tasks.start_soon(self._end, number)
 
     async def run(self) -> None:
         """Roll back transactions that were left behind, until cancelled."""
