Ignore an entry that contradicts the start of a known member

One with a far higher sequence hid the later announcements of the member.

The new test failed before and passes now. If such an entry is the first that a host hears of a start, the host takes it for the member's own; that is open.

--- a/lavendergate/controllers/fleet_state.py
+++ b/lavendergate/controllers/fleet_state.py
@@ -15,6 +15,7 @@
     FleetDirectory,
     MemberAvailability,
     MemberEntry,
+    contradicts,
     departed_entry,
     merge,
 )
@@ -236,6 +237,10 @@
     def merge(self, entries: tuple[MemberEntry, ...]) -> bool:
         """Merge announcements; return whether any entry changed."""
         former = self._directory.entries
+        for entry in entries:
+            known = former.get(entry.upstream_id)
+            if known is not None and contradicts(known, entry):
+                self._report_ignored(entry)
         self._directory, changed = merge(self._directory, entries)
         for entry in changed:
             self._version += 1
@@ -255,6 +260,15 @@
             self._changed.notify()
         return bool(changed)
 
+    def _report_ignored(self, entry: MemberEntry) -> None:
+        self._events.emit(
+            SessionEvent.announcement_ignored,
+            upstream=entry.upstream_id,
+            service=entry.service,
+            address=entry.address,
+            sequence=entry.sequence,
+        )
+
     def _update_departures(
         self, known: MemberEntry | None, entry: MemberEntry
     ) -> None:
--- a/lavendergate/core/fleet_directory.py
+++ b/lavendergate/core/fleet_directory.py
@@ -25,6 +25,9 @@
 )
 from lavendergate.core.types import FailureDomain, GroupId, UpstreamId
 
+# Largest step between two announcements of a start that reach a host: a day of
+# announcements that no host has received.
+_MAX_SEQUENCE_STEP = 100_000
 _LAST_SEQUENCE = MAX_COUNT
 
 
@@ -184,7 +187,9 @@
     changed: dict[UpstreamId, MemberEntry] = {}
     for entry in announcements:
         known = directory.entries.get(entry.upstream_id)
-        if known is not None and known.freshness >= entry.freshness:
+        if known is not None and (
+            known.freshness >= entry.freshness or contradicts(known, entry)
+        ):
             continue
         directory = directory.with_entry(entry)
         if known is None or not _equals_ignoring_sequence(known, entry):
@@ -192,6 +197,23 @@
     return directory, tuple(changed.values())
 
 
+def contradicts(known: MemberEntry, entry: MemberEntry) -> bool:
+    """Return whether an entry cannot come from the start that is known.
+
+    A start keeps its service and its address. An entry of another writer with
+    the id of a member would otherwise remove the member while it runs, and
+    one with a far higher sequence would hide all of its later announcements.
+    """
+    if _has_left(known) or _has_left(entry):
+        return False
+    if not entry.born or entry.born != known.born:
+        return False
+    return (
+        not known.is_same_instance(entry)
+        or entry.sequence - known.sequence > _MAX_SEQUENCE_STEP
+    )
+
+
 def departed_entry(
     entry: MemberEntry,
     *,
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -133,6 +133,13 @@
         'the takeover of service {service} that had no safe candidate ended '
         'after {waited_ms} ms: {outcome}',
     )
+    announcement_ignored = define(
+        8192,
+        Level.info,
+        'an announcement of {upstream} contradicts the start that is known: '
+        'service {service}, address {address}, sequence {sequence}',
+        'Look for another writer that uses the id of this member.',
+    )
     lease_granted = define(
         8054,
         Level.info,
--- a/lavendergate/tests/test_fleet_directory.py
+++ b/lavendergate/tests/test_fleet_directory.py
@@ -89,6 +89,21 @@
             }
             self.assertEqual(names, {'old', 'new'})
 
+    def test_odd_entry_for_a_known_start_changes_nothing(self) -> None:
+        """Guards against a running member that another writer removes."""
+        directory, _ = merge(FleetDirectory(), (entry(born=2),))
+        for odd in (
+            msgspec.structs.replace(
+                entry(born=2, sequence=5), service=GroupId('not-named')
+            ),
+            msgspec.structs.replace(
+                entry(born=2, sequence=5), address='10.0.0.9:1'
+            ),
+            entry(born=2, sequence=1 << 62),
+        ):
+            merged, changed = merge(directory, (odd,))
+            self.assertEqual((merged, changed), (directory, ()), odd)
+
     def test_higher_sequence_alone_is_no_change(self) -> None:
         """Guards against forwarding each announcement to other hosts."""
         directory, _ = merge(FleetDirectory(), (entry(sequence=1),))
