Refuse messages of the log that this host cannot read

What callers saw: an AppendRequest with a configuration entry that cannot be decoded ended the control host, and ended it again after each start when the sender repeated it.

Nothing checked that the indexes of entries follow one another. The check of stored entries did not decode a configuration as the state machine does.

A message that fails has no reply, like a lost one. It is counted, and logged at most once in 10 s with sender and reason, through the warnings of libraries. A stored configuration that cannot be decoded refuses the start, with the directory and the remedy.

--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -15,6 +15,7 @@
 from lavendergate.controllers.exchange import exchange
 from lavendergate.controllers.inbox import Inbox, InboxItem
 from lavendergate.controllers.log_storage.readable import check_stored
+from lavendergate.controllers.log_storage.received import ReceivedMessages
 from lavendergate.controllers.pending import (
     PendingProposals,
     PendingReads,
@@ -99,6 +100,7 @@
         self._random = random
         self._options = options
         self._inbox = Inbox()
+        self._received = ReceivedMessages(clock=anyio.current_time)
         self._proposals = PendingProposals()
         self._reads = PendingReads()
         self._find_change_problem = find_change_problem
@@ -307,7 +309,10 @@
         return Err(NoQuorum(may_commit=False))
 
     async def deliver(self, envelope: Envelope) -> Envelope | None:
-        """Handle a message from another node and return the reply, if any."""
+        """Handle a message from another node and return the reply, if any.
+
+        A message that this build cannot read has no reply.
+        """
         received = events.Receive(envelope=envelope)
         return await self._inbox.post_and_wait(received)
 
@@ -371,6 +376,10 @@
         self._start_snapshot(tasks)
 
     def _step(self, event: events.Event, now: float) -> events.Effects:
+        # Requests and replies of peers both pass here.
+        if isinstance(event, events.Receive):
+            if not self._received.is_valid(event.envelope):
+                return ()
         node, effects = step(self.node, event, now)
         self._node = node
         return effects
--- a/lavendergate/controllers/log_storage/readable.py
+++ b/lavendergate/controllers/log_storage/readable.py
@@ -4,7 +4,11 @@
 from contextlib import contextmanager
 
 from lavendergate.core.bounds.decoding import InvalidValueError
-from lavendergate.core.consensus.payload import decode_command
+from lavendergate.core.consensus.payload import (
+    decode_command,
+    decode_configuration,
+)
+from lavendergate.core.consensus.types import Entry
 from lavendergate.core.control_state import decode_state
 from lavendergate.storage.base import StoredState, UnreadableLogError
 
@@ -44,4 +48,17 @@
             decode_state(stored.snapshot.state)
     for entry in stored.log.entries:
         with readable(f'entry {entry.index}', location):
-            decode_command(entry.payload)
+            decode_entry(entry)
+
+
+def decode_entry(entry: Entry) -> None:
+    """Decode an entry as it is decoded when it is appended and applied.
+
+    Raises
+    ------
+    InvalidValueError
+        If this build cannot read the entry.
+    """
+    decode_command(entry.payload)
+    if entry.is_configuration:
+        decode_configuration(entry.payload)
--- a/lavendergate/tests/bounds/test_stored_records.py
+++ b/lavendergate/tests/bounds/test_stored_records.py
@@ -11,7 +11,7 @@
 from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.commands import ChangeVoters
 from lavendergate.core.consensus.log import Log
-from lavendergate.core.consensus.payload import decode_command
+from lavendergate.core.consensus.payload import NO_OPERATION, decode_command
 from lavendergate.core.consensus.types import (
     ConsensusTerm,
     Entry,
@@ -127,6 +127,20 @@
             storage.close()
             self.assert_refused('entry 1')
 
+    def test_odd_configuration_is_refused_and_kept(self) -> None:
+        """Guards against a host that ends at each start without a remedy."""
+        storage = self.storage()
+        odd = Entry(
+            index=1,
+            term=ConsensusTerm(1),
+            payload=NO_OPERATION,
+            is_configuration=True,
+        )
+        storage.append((odd,))
+        storage.sync()
+        storage.close()
+        self.assert_refused('entry 1')
+
     def test_snapshot_of_a_newer_build_is_refused_and_kept(self) -> None:
         """Guards against a downgrade that empties all control hosts."""
         storage = self.storage()
