End a control host that cannot read its log, with the reason

What callers saw: a control host that met an entry it cannot decode, when it applied the entry or read its files again after a refused write, never followed again and logged only a refusing disk, once.

Cause: UnreadableLogError is a StorageError, and the driver took each StorageError but damage for a disk that refuses writes for a time.

Change: the driver lets UnreadableLogError through, as DamagedFileError.

--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -57,12 +57,16 @@
     LogStorage,
     StorageError,
     StoredState,
+    UnreadableLogError,
 )
 from lavendergate.storage.effects import persist
 
 ResultT = TypeVar('ResultT')
 
 _PROPOSAL_TIMEOUT_S = 5.0
+# Errors that end the node: the disk takes writes, and trying again meets the
+# same bytes. The next start resets the host for damage only.
+_CONTENT_ERRORS = (DamagedFileError, UnreadableLogError)
 
 
 class ConsensusDriver:
@@ -170,8 +174,10 @@
         Raises
         ------
         StorageError, OSError
-            If a write failed and `storage_retry_s` is not given. The node
-            cannot know which of its state is durable.
+            If a write failed and `storage_retry_s` is not given: the node
+            cannot know which of its state is durable. In any case if the log
+            is damaged or this build cannot read it; in an exception group
+            where a task of the node met it.
         """
         try:
             while True:
@@ -185,6 +191,9 @@
             async with anyio.create_task_group() as tasks:
                 while True:
                     await self._handle_next_batch(tasks)
+        except* _CONTENT_ERRORS:
+            # Reading it again cannot help.
+            raise
         except* (OSError, StorageError) as failure:
             if self._options.storage_retry_s is None:
                 raise
@@ -219,8 +228,7 @@
         try:
             stored = await self._call_blocking(self._storage.reload)
             check_stored(stored, self._storage.location)
-        except DamagedFileError:
-            # Synced records are lost; the next start resets the host.
+        except _CONTENT_ERRORS:
             raise
         except (OSError, StorageError):
             return None
--- a/lavendergate/tests/control/test_refusing_disk.py
+++ b/lavendergate/tests/control/test_refusing_disk.py
@@ -12,12 +12,16 @@
 import anyio
 import looptime
 
+from lavendergate.controllers import applied_state
 from lavendergate.controllers.control_node import ControlNode
+from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import ConsensusTerm, Entry, HardState
 from lavendergate.core.routes import RoutesVersion
 from lavendergate.core.types import HostId
+from lavendergate.storage.base import UnreadableLogError
 from lavendergate.storage.files import FileStorage
+from lavendergate.supervision.error_text import leaf_errors
 from lavendergate.tests.control.cluster_fixture import Cluster
 
 _RETRY_S = 1.0
@@ -123,6 +127,64 @@
         self.run_cluster(scenario)
 
 
+class UnreadableLogTest(unittest.TestCase):
+    """Errors of the content of a log, which its disk does not cause."""
+
+    def assert_ends(
+        self, scenario: Callable[[Cluster, ControlNode], Awaitable[None]]
+    ) -> None:
+        """Expect that a node names the entry that it cannot read, and ends."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                cluster = Cluster(tasks, storage_retry_s=_RETRY_S)
+                await cluster.start('c1')
+                await cluster.initialise('c1')
+                leader = await cluster.leader()
+                with anyio.fail_after(30):
+                    await scenario(cluster, leader)
+                    await anyio.sleep_forever()
+
+        with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+            with self.assertRaises(ExceptionGroup) as ended:
+                runner.run(main())
+        (error,) = leaf_errors(ended.exception)
+        self.assertIsInstance(error, UnreadableLogError)
+        self.assertRegex(str(error), 'cannot read entry .* Keep the data')
+
+    def test_entry_that_cannot_be_applied_ends_the_node(self) -> None:
+        """Guards against a host that never follows again, silently."""
+        decode = mock.patch.object(
+            applied_state,
+            'decode_command',
+            side_effect=InvalidValueError('odd'),
+        )
+
+        async def scenario(cluster: Cluster, leader: ControlNode) -> None:
+            self.enterContext(decode)
+            await leader.propose(routes(1))
+
+        self.assert_ends(scenario)
+
+    def test_unreadable_entry_after_a_refused_write_ends_the_node(
+        self,
+    ) -> None:
+        """Guards against a log that is read again without an end."""
+
+        async def scenario(cluster: Cluster, leader: ControlNode) -> None:
+            storage = cluster.storage_of(leader)
+            storage.fail_after(0)
+            self.assertTrue((await leader.propose(routes(1))).is_err())
+            storage.fail_after(None)
+            index = leader.view.state.applied_index + 1
+            storage.append(
+                (Entry(index=index, term=ConsensusTerm(9), payload=b'\xc1'),)
+            )
+            storage.sync()
+
+        self.assert_ends(scenario)
+
+
 class ReloadTest(unittest.TestCase):
     """Files that are read again after a failed write."""
 
