Refuse the start on a stored record of another build, and keep it

All hosts of a group that do this lose its state.

Cause: UnreadableRecordError was a DamagedFileError, which resets the host, although the checksum of such a record is right and no byte is lost.

Change: it is a StorageError of its own. After a refused write it ends the process, as other errors of the content. A wrong checksum resets the host as before.

--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -58,6 +58,7 @@
     StorageError,
     StoredState,
     UnreadableLogError,
+    UnreadableRecordError,
 )
 from lavendergate.storage.effects import persist
 
@@ -66,7 +67,7 @@
 _PROPOSAL_TIMEOUT_S = 5.0
 # Errors that end the node: the disk takes writes, and trying again meets the
 # same bytes. The next start resets the host for damage only.
-_CONTENT_ERRORS = (DamagedFileError, UnreadableLogError)
+_CONTENT_ERRORS = (DamagedFileError, UnreadableLogError, UnreadableRecordError)
 
 
 class ConsensusDriver:
--- a/lavendergate/daemon/storage_start.py
+++ b/lavendergate/daemon/storage_start.py
@@ -18,7 +18,11 @@
 from lavendergate.daemon.start_refusal import ExitCode, StartRefusedError
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.platform.settings_file import HostSettings
-from lavendergate.storage.base import LogStorage, StorageError
+from lavendergate.storage.base import (
+    LogStorage,
+    StorageError,
+    UnreadableRecordError,
+)
 from lavendergate.storage.recovery import open_or_reset
 
 # Time for which a storage that is in use, or a directory that cannot be used,
@@ -79,7 +83,8 @@
     ------
     StartRefusedError
         If the storage is in use, belongs to another host, or its directory
-        cannot be used, for `STORAGE_WAIT_S`.
+        cannot be used, for `STORAGE_WAIT_S`; at once if this build cannot
+        read a record.
     """
     settings = process.settings
     open_log = partial(
@@ -92,6 +97,10 @@
     while True:
         try:
             return await run_in_thread(open_log)
+        except UnreadableRecordError as error:
+            raise StartRefusedError(
+                exit_code=ExitCode.storage, reason=str(error)
+            ) from error
         except (OSError, StorageError) as error:
             now = anyio.current_time()
             _check_retry(settings, error, now - began_at)
--- a/lavendergate/storage/base.py
+++ b/lavendergate/storage/base.py
@@ -49,9 +49,12 @@
         self.offset = offset
 
 
-class UnreadableRecordError(DamagedFileError):
+class UnreadableRecordError(StorageError):
     """A record is complete, but this build cannot decode it.
 
+    Its checksum is right: no byte is lost, and the build that wrote the
+    record can read it.
+
     Parameters
     ----------
     path
@@ -63,12 +66,13 @@
     """
 
     def __init__(self, *, path: str, offset: int, reason: str) -> None:
-        super().__init__(path=path, offset=offset)
-        self.reason = reason
-
-    def __str__(self) -> str:
-        """Return the message, which ends with the reason."""
-        return f'{super().__str__()}. The record cannot be read: {self.reason}'
+        super().__init__(
+            f'this build cannot read the record at byte {offset} of {path}: '
+            f'{reason}. Keep the data directory, and start the build that '
+            'wrote it'
+        )
+        self.path = path
+        self.offset = offset
 
 
 class UnreadableLogError(StorageError):
@@ -117,7 +121,8 @@
         Raises
         ------
         StorageError
-            If the storage is damaged, in use, or belongs to another host.
+            If the storage is damaged, in use, holds a record that this build
+            cannot read, or belongs to another host.
         """
 
     def reload(self) -> StoredState:
--- a/lavendergate/storage/recovery.py
+++ b/lavendergate/storage/recovery.py
@@ -29,6 +29,12 @@
     -------
     The storage, not yet loaded, and a description of the damage; None if
     there was none.
+
+    Raises
+    ------
+    StorageError, OSError
+        If the storage cannot be used for another reason. A record that this
+        build cannot read is no damage; the files are kept.
     """
     storage = FileStorage(directory=directory, host_id=host_id)
     try:
--- a/lavendergate/tests/start/test_storage_start.py
+++ b/lavendergate/tests/start/test_storage_start.py
@@ -18,6 +18,7 @@
 from lavendergate.observability.process_events import ProcessEvent
 from lavendergate.platform.settings_file import HostSettings
 from lavendergate.storage.files import FileStorage
+from lavendergate.storage.framing import encode_frame
 
 
 class StorageStartTest(unittest.IsolatedAsyncioTestCase):
@@ -78,6 +79,16 @@
         self.settings = msgspec.structs.replace(self.settings, data_dir=None)
         await self._expect_refusal('dataDir is missing')
 
+    async def test_unreadable_record_is_refused_at_once(self) -> None:
+        """Guards against a wait of 60 s, or a reset, after a downgrade."""
+        storage, _ = await open_storage(self.process())
+        storage.close()
+        log = self.data / 'log' / 'log'
+        log.write_bytes(encode_frame(b'\xc1'))
+        await self._expect_refusal(f'byte 0 of {log}: .* start the build')
+        self.assertEqual(log.read_bytes(), encode_frame(b'\xc1'))
+        self.assertEqual(self.events.occurrences, ())
+
     async def test_missing_directory_is_created(self) -> None:
         """Guards against a refusal where the platform creates no folder."""
         storage, damage = await open_storage(self.process())
