Bound the terms and indexes in messages of the log to 53 bits

What callers saw: a peer that sent a term of 2^63-1 moved the next election of a control host to 2^63, which neither peers nor the host's own stored record can hold.

Cause: messages allowed the same range as the storage, and a node counts on from what it receives.

Change: terms, indexes and read rounds in messages end at 2^53-1, and so do the indexes of the entries that a message names or holds. These entries may not be of a later term than the message. Their types are those of the storage, which keeps its range, so the check of received messages covers them.

--- a/lavendergate/controllers/log_storage/received.py
+++ b/lavendergate/controllers/log_storage/received.py
@@ -5,6 +5,7 @@
 
 from lavendergate.controllers.log_storage.readable import decode_entry
 from lavendergate.core.bounds.decoding import InvalidValueError
+from lavendergate.core.bounds.ranges import MAX_LOG_POSITION
 from lavendergate.core.consensus.messages import (
     AppendRequest,
     Envelope,
@@ -64,6 +65,15 @@
 
 def problem_with_message(message: Message) -> str | None:
     """Return why a message cannot be handled, or None if it can."""
+    for entry_id in message.entry_ids:
+        # The types of entries are those of the storage, with its range.
+        if entry_id.index > MAX_LOG_POSITION:
+            return f'index {entry_id.index} is above {MAX_LOG_POSITION}'
+        if entry_id.term > message.term:
+            return (
+                f'entry {entry_id.index} is of term {entry_id.term}, later '
+                f'than term {message.term} of the message'
+            )
     try:
         match message:
             case AppendRequest():
--- a/lavendergate/core/bounds/ranges.py
+++ b/lavendergate/core/bounds/ranges.py
@@ -13,6 +13,9 @@
 MAX_COUNT: Final = (1 << 63) - 1
 # What MessagePack can hold.
 MAX_UNSIGNED: Final = (1 << 64) - 1
+# Largest term and index that a message of the replicated log may carry. A node
+# counts on from them, and what it stores must stay within `MAX_COUNT`.
+MAX_LOG_POSITION: Final = (1 << 53) - 1
 # Largest integer that every JSON reader keeps exactly. Added to the time on a
 # clock, it stays within `MAX_COUNT`.
 MAX_DURATION_MS: Final = (1 << 53) - 1
@@ -53,6 +56,7 @@
 
 # Ranges for types that have a name of their own.
 IN_COUNT: Final = Meta(ge=0, le=MAX_COUNT)
+IN_LOG_POSITION: Final = Meta(ge=0, le=MAX_LOG_POSITION)
 IN_NAME: Final = Meta(max_length=MAX_NAME_CHARACTERS, pattern=NAME_PATTERN)
 IN_WORD: Final = Meta(max_length=MAX_NAME_CHARACTERS, pattern=WORD_PATTERN)
 
@@ -60,6 +64,8 @@
 Integer = Annotated[int, Meta(ge=-MAX_COUNT - 1, le=MAX_COUNT)]
 # Number of things, or a version, term, position or index.
 Count = Annotated[int, IN_COUNT]
+# Term, index or read round in a message of the replicated log.
+LogPosition = Annotated[int, IN_LOG_POSITION]
 PositiveCount = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 DurationMs = Annotated[int, Meta(ge=0, le=MAX_DURATION_MS)]
 # Time that must pass, as a time limit.
--- a/lavendergate/core/consensus/messages.py
+++ b/lavendergate/core/consensus/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lavendergate.core.bounds.ranges import IN_COUNT, Count
+from lavendergate.core.bounds.ranges import IN_LOG_POSITION, LogPosition
 from lavendergate.core.consensus.types import (
     ConsensusTerm,
     Entry,
@@ -22,10 +22,16 @@
     Parameters
     ----------
     term
-        Term of the sender; in a pre-vote, the term that it would begin.
+        Term of the sender; in a pre-vote, the term that it would begin. No
+        entry in the message has a later one.
     """
 
-    term: Annotated[ConsensusTerm, IN_COUNT]
+    term: Annotated[ConsensusTerm, IN_LOG_POSITION]
+
+    @property
+    def entry_ids(self) -> tuple[EntryId, ...]:
+        """Entries that the message names or holds; by default none."""
+        return ()
 
 
 class VoteRequest(_Message, frozen=True, kw_only=True, tag=True):
@@ -43,6 +49,11 @@
     last: EntryId
     pre_vote: bool
 
+    @property
+    def entry_ids(self) -> tuple[EntryId, ...]:
+        """Entries that the message names or holds."""
+        return (self.last,)
+
 
 class VoteReply(_Message, frozen=True, kw_only=True, tag=True):
     """Answer to `VoteRequest`."""
@@ -67,15 +78,26 @@
 
     previous: EntryId
     entries: tuple[Entry, ...]
-    commit_index: Count
-    read_round: Count
+    commit_index: LogPosition
+    read_round: LogPosition
+
+    @property
+    def entry_ids(self) -> tuple[EntryId, ...]:
+        """Entries that the message names or holds."""
+        held = (entry.entry_id for entry in self.entries)
+        return (self.previous, *held)
 
 
 class SnapshotRequest(_Message, frozen=True, kw_only=True, tag=True):
     """Snapshot for a node that needs entries the leader has compacted."""
 
     snapshot: Snapshot
-    read_round: Count
+    read_round: LogPosition
+
+    @property
+    def entry_ids(self) -> tuple[EntryId, ...]:
+        """Entries that the message names or holds."""
+        return (self.snapshot.last,)
 
 
 class AppendReply(_Message, frozen=True, kw_only=True, tag=True):
@@ -93,8 +115,8 @@
     """
 
     accepted: bool
-    match_index: Count
-    read_round: Count
+    match_index: LogPosition
+    read_round: LogPosition
 
 
 Message = (
