--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -15,6 +15,7 @@
 from lavendergate.controllers.exchange import exchange
 from lavendergate.controllers.inbox import Inbox, InboxItem
 from lavendergate.controllers.log_storage.readable import check_stored
+from lavendergate.controllers.log_storage.received import ReceivedMessages
 from lavendergate.controllers.pending import (
     PendingProposals,
     PendingReads,
@@ -56,12 +57,17 @@
     LogStorage,
     StorageError,
     StoredState,
+    UnreadableLogError,
+    UnreadableRecordError,
 )
 from lavendergate.storage.effects import persist
 
 ResultT = TypeVar('ResultT')
 
 _PROPOSAL_TIMEOUT_S = 5.0
+# Errors that end the node: the disk takes writes, and trying again meets the
+# same bytes. The next start resets the host for damage only.
+_CONTENT_ERRORS = (DamagedFileError, UnreadableLogError, UnreadableRecordError)
 
 
 class ConsensusDriver:
@@ -99,6 +105,7 @@
         self._random = random
         self._options = options
         self._inbox = Inbox()
+        self._received = ReceivedMessages(clock=anyio.current_time)
         self._proposals = PendingProposals()
         self._reads = PendingReads()
         self._find_change_problem = find_change_problem
@@ -168,8 +175,10 @@
         Raises
         ------
         StorageError, OSError
-            If a write failed and `storage_retry_s` is not given. The node
-            cannot know which of its state is durable.
+            If a write failed and `storage_retry_s` is not given: the node
+            cannot know which of its state is durable. In any case if the log
+            is damaged or this build cannot read it; in an exception group
+            where a task of the node met it.
         """
         try:
             while True:
@@ -183,6 +192,9 @@
             async with anyio.create_task_group() as tasks:
                 while True:
                     await self._handle_next_batch(tasks)
+        except* _CONTENT_ERRORS:
+            # Reading it again cannot help.
+            raise
         except* (OSError, StorageError) as failure:
             if self._options.storage_retry_s is None:
                 raise
@@ -217,8 +229,7 @@
         try:
             stored = await self._call_blocking(self._storage.reload)
             check_stored(stored, self._storage.location)
-        except DamagedFileError:
-            # Synced records are lost; the next start resets the host.
+        except _CONTENT_ERRORS:
             raise
         except (OSError, StorageError):
             return None
@@ -307,7 +318,10 @@
         return Err(NoQuorum(may_commit=False))
 
     async def deliver(self, envelope: Envelope) -> Envelope | None:
-        """Handle a message from another node and return the reply, if any."""
+        """Handle a message from another node and return the reply, if any.
+
+        A message that this build cannot read has no reply.
+        """
         received = events.Receive(envelope=envelope)
         return await self._inbox.post_and_wait(received)
 
@@ -371,6 +385,10 @@
         self._start_snapshot(tasks)
 
     def _step(self, event: events.Event, now: float) -> events.Effects:
+        # Requests and replies of peers both pass here.
+        if isinstance(event, events.Receive):
+            if not self._received.is_valid(event.envelope):
+                return ()
         node, effects = step(self.node, event, now)
         self._node = node
         return effects
