Do not promote past an absent replica while the primary serves

A replica whose address refuses connections and whose bound the candidate has did not count in the check of a promotion. While the order took effect it could return, receive and confirm a commit of a primary that still served, and the candidate was promoted without that commit.

- The rule applies only if the primary does not answer and most proxies do not reach it.
- Absent replicas are asked again after the order has been committed to the log, before each time it is sent.
What the poller saw last is compared once more when the connection to the platform is open.
If one is not absent, the attempt ends, and the next one pauses and compares it.
- A planned replacement does not begin while as many replicas are absent as it takes to acknowledge a commit.
The primary stays leased meanwhile.

Tests that failed before with a lost commit ('' != 'acknowledged'): test_absent_replica_is_waited_for_while_the_primary_serves (order takes 0.4 s), test_absent_replica_that_returns_before_the_order_is_asked (both subtests). They pass now, and so do the six modules around them. In between, with the first two changes alone, two tests failed that relied on the former rule; they are replaced:

- test_leaving_replica_that_alone_has_all_commits_is_promoted expected that a primary that leaves hands over although the crashed member may return.
It now checks that the service stays leased, and that the other replica follows both when the crashed member returns and when the primary ends, with both commits.
- test_new_member_during_a_lease_does_not_stop_the_process expected an order while the primary served and a member was absent.
It now checks that there is none, and that there is one after the crash of the primary, which shows as before that the takeover control still runs.

--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -25,6 +25,7 @@
     PausedReplica,
     Promotable,
     PromotionEvidence,
+    ReplacementDecision,
     ReplacePrimary,
     ServiceObservation,
     check_promotion,
@@ -181,7 +182,7 @@
 
     def _check_service(self, tasks: TaskStarter, service: GroupId) -> None:
         observed = self._poller.observe(service)
-        match decide_replacement(observed, self._clock()):
+        match self._decide(service, observed):
             case ReplacePrimary(reason=reason):
                 self._leases.begin_replacing(service)
                 self._running.add(service)
@@ -191,6 +192,15 @@
                 self._running.add(service)
                 tasks.start_soon(self._resume_paused, service)
 
+    def _decide(
+        self, service: GroupId, observed: ServiceObservation
+    ) -> ReplacementDecision:
+        return decide_replacement(
+            observed,
+            self._clock(),
+            synchronous_replicas=self._synchronous_replicas(service),
+        )
+
     def _must_confirm(
         self, service: GroupId, observed: ServiceObservation
     ) -> bool:
@@ -248,7 +258,7 @@
             Outcome of the takeover, or None if it has to be tried again.
         """
         observed = self._poller.observe(service)
-        if isinstance(decide_replacement(observed, self._clock()), KeepPrimary):
+        if isinstance(self._decide(service, observed), KeepPrimary):
             return 'the primary serves again'
         if not self._poller.is_complete(service):
             self._report_wait(
@@ -280,6 +290,7 @@
             self._poller.observe(service),
             evidence,
             synchronous_replicas=self._synchronous_replicas(service),
+            now=self._clock(),
         )
         match proof:
             case NotPromotable(reason=reason, more_advanced=ahead):
@@ -287,13 +298,13 @@
                     self._ahead[service] = ahead
                 self._report_wait(service, reason, candidate)
                 return None
-            case Promotable():
+            case Promotable(absent=absent):
                 if self._poller.born(candidate) != born:
                     self._report_wait(
                         service, 'the candidate was restarted', candidate
                     )
                     return None
-                return await self._promote(service, evidence, proved_at)
+                return await self._promote(service, evidence, absent, proved_at)
 
     async def _gather_evidence(
         self, observed: ServiceObservation, candidate: UpstreamId
@@ -337,7 +348,11 @@
             )
 
     async def _promote(
-        self, service: GroupId, evidence: PromotionEvidence, proved_at: float
+        self,
+        service: GroupId,
+        evidence: PromotionEvidence,
+        absent: frozenset[UpstreamId],
+        proved_at: float,
     ) -> str | None:
         candidate = evidence.candidate
         token = await self._commit_order(service, candidate)
@@ -350,15 +365,22 @@
                 service, 'the proof of a safe promotion has expired', candidate
             )
             return None
-        outcome = await self._send_order(service, candidate, token, proved_at)
+        if not await self._confirm_absence(service, absent):
+            self._report_wait(service, 'an absent replica returned', candidate)
+            return None
+        outcome = await self._send_order(
+            service, candidate, token, proved_at, absent
+        )
         for _ in range(_ORDER_ATTEMPTS - 1):
             if outcome != OrderOutcome.unclear:
                 break
             await anyio.sleep(_RETRY_S)
             if not await self._leases.confirm():
                 break
+            if not await self._confirm_absence(service, absent):
+                break
             outcome = await self._send_order(
-                service, candidate, token, self._leases.confirmed_at
+                service, candidate, token, self._leases.confirmed_at, absent
             )
         if outcome != OrderOutcome.done:
             return None
@@ -376,6 +398,29 @@
         )
         return f'{candidate} was promoted'
 
+    async def _confirm_absence(
+        self, service: GroupId, absent: frozenset[UpstreamId]
+    ) -> bool:
+        """Ask absent replicas again and return whether all are still absent.
+
+        One that answers may receive commits that the candidate lacks, so it
+        has to be paused and compared first.
+        """
+        async with anyio.create_task_group() as tasks:
+            for replica in absent:
+                tasks.start_soon(self._poller.ask, replica, ReportStatus())
+        return self._are_absent(service, absent)
+
+    def _are_absent(
+        self, service: GroupId, replicas: frozenset[UpstreamId]
+    ) -> bool:
+        if not replicas:
+            return True
+        observed = self._poller.observe(service)
+        return replicas <= {
+            known.upstream_id for known in observed.members if known.is_absent
+        }
+
     async def _wait_until_primary(self, upstream_id: UpstreamId) -> bool:
         """Wait until a promoted member reports that it is primary.
 
@@ -413,6 +458,7 @@
         upstream_id: UpstreamId,
         token: int,
         proved_at: float,
+        absent: frozenset[UpstreamId] = frozenset(),
     ) -> OrderOutcome:
         """Send an order, unless the proof for it has become too old.
 
@@ -421,13 +467,18 @@
         proved_at
             Time at which this host was the leader and the promotion was safe,
             on the real clock, in seconds.
+        absent
+            Replicas that must be absent when the order is sent.
         """
         outcome = await self._orders.promote(
             service=service,
             upstream_id=upstream_id,
             holder=self._host_id,
             token=token,
-            may_send=lambda: self._is_valid_proof(proved_at),
+            may_send=lambda: (
+                self._is_valid_proof(proved_at)
+                and self._are_absent(service, absent)
+            ),
         )
         self._metrics.promotion_orders.labels(service, outcome.value).inc()
         self._events.emit(
--- a/lavendergate/core/primary_replacement.py
+++ b/lavendergate/core/primary_replacement.py
@@ -145,13 +145,21 @@
 
 
 def decide_replacement(
-    observed: ServiceObservation, now: float
+    observed: ServiceObservation, now: float, *, synchronous_replicas: int = 1
 ) -> ReplacementDecision:
-    """Decide whether a service needs another primary."""
+    """Decide whether a service needs another primary.
+
+    Parameters
+    ----------
+    synchronous_replicas
+        Number of replicas that have a commit before it is acknowledged.
+    now
+        Monotonic time, in seconds.
+    """
     primary = observed.member(observed.primary)
     if primary is None:
         return _decide_without_primary(observed)
-    if primary.is_leaving and _has_available_replica(observed):
+    if primary.is_leaving and _may_hand_over(observed, synchronous_replicas):
         return ReplacePrimary(reason='the primary is leaving')
     if _is_unresponsive(primary, now) and not _most_proxies_reach_primary(
         observed, now
@@ -178,7 +186,17 @@
     return ReplacePrimary(reason='no member is primary')
 
 
-def _has_available_replica(observed: ServiceObservation) -> bool:
+def _may_hand_over(
+    observed: ServiceObservation, synchronous_replicas: int
+) -> bool:
+    """Whether a replica may follow a primary that still serves.
+
+    Absent replicas may return and confirm commits before a promotion takes
+    effect. The primary serves until they have returned or it has ended.
+    """
+    absent_count = sum(replica.is_absent for replica in observed.replicas)
+    if absent_count >= max(1, synchronous_replicas):
+        return False
     return any(
         not replica.is_leaving and replica.failing_since is None
         for replica in observed.replicas
@@ -261,9 +279,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Promotable:
-    """The candidate has every acknowledged commit and may be promoted."""
+    """The candidate has every acknowledged commit and may be promoted.
+
+    Parameters
+    ----------
+    absent
+        Replicas that are not paused and whose bound the candidate has. The
+        check holds only while no process listens at their addresses.
+    """
 
     upstream_id: UpstreamId
+    absent: frozenset[UpstreamId] = field(default_factory=frozenset)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -341,6 +367,7 @@
     evidence: PromotionEvidence,
     *,
     synchronous_replicas: int,
+    now: float,
 ) -> PromotionCheck:
     """Check whether the candidate has every acknowledged commit.
 
@@ -353,11 +380,21 @@
     synchronous_replicas
         Number of replicas that have a commit before it is acknowledged. With
         0, no replica is certain to have any commit.
+    now
+        Monotonic time, in seconds.
     """
+    absent: frozenset[UpstreamId] = frozenset()
+    # A primary that serves sends its commits to an absent replica that returns
+    # before the promotion takes effect.
+    if not _may_serve(observed, now):
+        absent = frozenset(
+            name
+            for name in evidence.unconfirmed
+            if _has_commits_of_absent(observed.member(name), evidence)
+        )
     uncertain = [
         f'replica {name} did not confirm the pause'
-        for name in sorted(evidence.unconfirmed)
-        if not _has_commits_of_absent(observed.member(name), evidence)
+        for name in sorted(evidence.unconfirmed - absent)
     ]
     uncertain.extend(
         _explain_departure(departure)
@@ -374,7 +411,17 @@
                 ),
                 more_advanced=replica.upstream_id,
             )
-    return Promotable(upstream_id=evidence.candidate)
+    return Promotable(upstream_id=evidence.candidate, absent=absent)
+
+
+def _may_serve(observed: ServiceObservation, now: float) -> bool:
+    """Whether control or most proxies reach the primary."""
+    primary = observed.member(observed.primary)
+    if primary is None:
+        return False
+    return not _is_unresponsive(primary, now) or _most_proxies_reach_primary(
+        observed, now
+    )
 
 
 def _has_commits_of_absent(
--- a/lavendergate/tests/test_primary_replacement.py
+++ b/lavendergate/tests/test_primary_replacement.py
@@ -140,6 +140,21 @@
         followed = service(leaving, member(B))
         self.assertIsInstance(decide_replacement(followed, NOW), ReplacePrimary)
 
+    def test_primary_that_leaves_waits_for_an_absent_replica(self) -> None:
+        """Guards against a leaving primary that serves nobody meanwhile."""
+        leaving = replace(member(A), is_leaving=True)
+        absent = replace(silent(member(C)), is_absent=True)
+        observed = service(leaving, member(B), absent)
+        for count, expected in (
+            (0, KeepPrimary),
+            (1, KeepPrimary),
+            (2, ReplacePrimary),
+        ):
+            decision = decide_replacement(
+                observed, NOW, synchronous_replicas=count
+            )
+            self.assertIsInstance(decision, expected, count)
+
 
 class CheckPromotionTest(unittest.TestCase):
     """Conditions under which a promotion loses no acknowledged commit."""
@@ -148,7 +163,7 @@
         """Guards against waiting although the promotion is safe."""
         observed = service(silent(member(A)), member(B), member(C))
         check = check_promotion(
-            observed, evidence(7, 7), synchronous_replicas=1
+            observed, evidence(7, 7), synchronous_replicas=1, now=NOW
         )
         self.assertEqual(check, Promotable(upstream_id=B))
 
@@ -156,7 +171,7 @@
         """Guards against losing a commit that only `c` received."""
         observed = service(silent(member(A)), member(B), member(C))
         check = check_promotion(
-            observed, evidence(6, 7), synchronous_replicas=1
+            observed, evidence(6, 7), synchronous_replicas=1, now=NOW
         )
         assert isinstance(check, NotPromotable)
         self.assertEqual(check.more_advanced, C)
@@ -168,6 +183,7 @@
             observed,
             evidence(7, unconfirmed=(C,)),
             synchronous_replicas=1,
+            now=NOW,
         )
         self.assertIsInstance(check, NotPromotable)
 
@@ -178,6 +194,7 @@
             observed,
             evidence(7, unconfirmed=(C,)),
             synchronous_replicas=2,
+            now=NOW,
         )
         self.assertIsInstance(check, Promotable)
 
@@ -188,11 +205,13 @@
             departures=(departure('d'),),
         )
         check = check_promotion(
-            observed, evidence(7, 7), synchronous_replicas=1
+            observed, evidence(7, 7), synchronous_replicas=1, now=NOW
         )
         self.assertIsInstance(check, NotPromotable)
         bounded = replace(observed, departures=(departure('d', bound=7),))
-        check = check_promotion(bounded, evidence(7, 7), synchronous_replicas=1)
+        check = check_promotion(
+            bounded, evidence(7, 7), synchronous_replicas=1, now=NOW
+        )
         self.assertIsInstance(check, Promotable)
 
     def test_departed_replica_delays_until_the_candidate_caught_up(
@@ -207,11 +226,11 @@
             departures=(departure('d', bound=8),),
         )
         behind = check_promotion(
-            observed, evidence(7, 7), synchronous_replicas=1
+            observed, evidence(7, 7), synchronous_replicas=1, now=NOW
         )
         self.assertIsInstance(behind, NotPromotable)
         caught_up = check_promotion(
-            observed, evidence(8, 7), synchronous_replicas=1
+            observed, evidence(8, 7), synchronous_replicas=1, now=NOW
         )
         self.assertIsInstance(caught_up, Promotable)
 
@@ -235,6 +254,7 @@
                 observed,
                 evidence(7, unconfirmed=unconfirmed),
                 synchronous_replicas=2,
+                now=NOW,
             )
             self.assertIsInstance(check, expected, (departures, unconfirmed))
 
@@ -255,9 +275,28 @@
                 service(silent(member(A)), member(B), lost),
                 evidence(7, unconfirmed=(C,)),
                 synchronous_replicas=1,
+                now=NOW,
             )
             self.assertIsInstance(check, expected, (bound, is_absent))
 
+    def test_absent_replica_counts_while_the_primary_serves(self) -> None:
+        """Guards against a commit that it confirms before the promotion."""
+        lost = replace(silent(member(C)), is_absent=True, bound=at(7))
+        reached = ReachabilityReport(reported_at=NOW, reachable=True)
+        for primary, reports, expected in (
+            (silent(member(A)), (), Promotable),
+            (replace(member(A), is_leaving=True), (), NotPromotable),
+            (replace(member(A), failing_since=NOW - 0.2), (), NotPromotable),
+            (silent(member(A)), (reached,), NotPromotable),
+        ):
+            check = check_promotion(
+                replace(service(primary, member(B), lost), reports=reports),
+                evidence(7, unconfirmed=(C,)),
+                synchronous_replicas=1,
+                now=NOW,
+            )
+            self.assertIsInstance(check, expected, (primary, reports))
+
 
 class ChooseCandidateTest(unittest.TestCase):
     """Choice of the candidate."""
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -5,8 +5,11 @@
 
 import anyio
 import msgspec
+from result import Err, Ok
 
-from lavendergate.core.commands import OrderPromotion
+from lavendergate.core.commands import Command, OrderPromotion
+from lavendergate.core.consensus.errors import NoQuorum
+from lavendergate.core.control_records import Answer
 from lavendergate.core.fleet_directory import (
     MemberEntry,
     departed_entry,
@@ -296,10 +299,23 @@
             group.member('b').is_replication_cut = False
             group.commit(group.member('c'), {'y': '1'})
             await anyio.sleep(6)
+            reply = await control.sync()
+            self.assertEqual(reply.withheld, ())
+            if returns:
+                group.member('a').is_down = False
+            else:
+                departed = departure_of(group.member('c').entry, None)
+                assert departed is not None
+                control.fleet.merge((departed,))
+                group.member('c').is_down = True
+            await anyio.sleep(6)
             self.assertTrue(group.member('b').is_primary)
             self.assertEqual(group.primary.content('x'), 'acknowledged')
+            self.assertEqual(group.primary.content('y'), '1')
 
-        run_scenario(scenario)
+        for returns in (True, False):
+            with self.subTest(returns=returns):
+                run_scenario(scenario)
 
     def test_lost_replica_no_longer_blocks_once_the_primary_was_seen(
         self,
@@ -318,6 +334,71 @@
 
         run_scenario(scenario)
 
+    def test_absent_replica_is_waited_for_while_the_primary_serves(
+        self,
+    ) -> None:
+        """Guards against a commit that it confirms after the order."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            control.orders.delay_s = 0.4
+            await anyio.sleep(2)
+            group.member('b').is_down = True
+            await anyio.sleep(3)
+            control.start_leaving('a')
+            with anyio.move_on_after(5):
+                while not control.orders.orders:
+                    await anyio.sleep(0.01)
+            group.member('b').is_down = False
+            group.member('c').is_replication_cut = True
+            self.assertTrue(
+                group.commit(group.member('a'), {'x': 'acknowledged'})
+            )
+            await anyio.sleep(5)
+            self.assertTrue(group.member('b').is_primary)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+
+        run_scenario(scenario)
+
+    def test_absent_replica_that_returns_before_the_order_is_asked(
+        self,
+    ) -> None:
+        """Guards against a commit that it confirmed after the check."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            commit_order = control.node.propose
+            control.orders.connect_s = connect_s
+
+            async def return_later() -> None:
+                await anyio.sleep(return_s)
+                group.member('b').is_down = False
+                group.member('c').is_replication_cut = True
+                self.assertTrue(
+                    group.commit(group.member('a'), {'x': 'acknowledged'})
+                )
+
+            async def propose(command: Command) -> Ok[Answer] | Err[NoQuorum]:
+                if not control.node.view.state.promotions:
+                    tasks.start_soon(return_later)
+                    await anyio.sleep(0.01)
+                return await commit_order(command)
+
+            await anyio.sleep(2)
+            group.member('b').is_down = True
+            await anyio.sleep(3)
+            # It still serves, but control does not reach it.
+            group.member('a').is_silent = True
+            async with anyio.create_task_group() as tasks:
+                with mock.patch.object(control.node, 'propose', propose):
+                    await anyio.sleep(8)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+            self.assertTrue(group.member('b').is_primary)
+
+        for connect_s, return_s in ((0.0, 0.0), (0.3, 0.1)):
+            with self.subTest(connect_s=connect_s):
+                run_scenario(scenario)
+
     def test_last_member_is_promoted_after_the_others_have_left(self) -> None:
         """Guards against a service whose only member is never promoted."""
 
@@ -536,6 +617,10 @@
             with mock.patch.object(control.poller, 'is_complete', count_checks):
                 control.fleet.merge((odd_entry(control),))
                 await anyio.sleep(3)
+                # While it serves, an absent member is waited for.
+                self.assertFalse(control.orders.orders)
+                control.group.member('a').is_down = True
+                await anyio.sleep(3)
             self.assertEqual(len(control.orders.orders), 1)
 
         run_scenario(scenario)
