Settle a departure once enough members for a commit have its bound

A departure was settled only with three members. If a replica left and two members remained, its bound stayed in memory. After a restart of all control hosts, with the primary lost before its first report, no order was ever sent ("the primary has not been seen since"), although the other replica had every commit.

A departure is now settled once all present members answer and have its bound, and they are at least the primary and max(1, syncReplicas) replicas: two with the default, three with two synchronous replicas as before, four with three. This loses nothing: a candidate that lacks such a commit joined later, and as many replicas as acknowledge a commit have it. Each of these that is not paused and compared counts as uncertain, until the candidate has a bound given by a primary with the commit, and together they prevent the promotion. The takeover control settles departures, since it knows syncReplicas.

--- a/lavendergate/controllers/member_poller.py
+++ b/lavendergate/controllers/member_poller.py
@@ -65,9 +65,6 @@
     MemberRefusedError,
     MemberUnreachableError,
 )
-# The primary and two replicas. A departed replica is forgotten only once this
-# many members have its commits, so that the loss of one of them loses none.
-_SETTLED_MEMBERS = 3
 _NEVER = float('-inf')
 
 
@@ -386,8 +383,6 @@
             member.update_behind_since(primary, now)
         if self._publish_if_primary(member, report, now):
             self._record_primary(member.entry.service, report, asked_at)
-        if self._fleet.is_leading:
-            self._settle_departures(member.entry.service)
         if not self._fleet.is_leading:
             self._record_proof(member.entry.service)
         return report
@@ -400,7 +395,16 @@
             if member.entry.service == service:
                 member.record_primary(report.received, asked_at)
 
-    def _settle_departures(self, service: GroupId) -> None:
+    def settle_departures(
+        self, service: GroupId, synchronous_replicas: int
+    ) -> None:
+        """Forget ended starts whose commits are on all members.
+
+        Parameters
+        ----------
+        synchronous_replicas
+            Number of replicas that have a commit before it is acknowledged.
+        """
         if not self._fleet.departures(service) or not self.is_complete(service):
             return
         reports = [
@@ -410,7 +414,7 @@
         ]
         received = [report.received for report in reports if report is not None]
         is_known = len(received) == len(reports)
-        if is_known and len(received) >= _SETTLED_MEMBERS:
+        if is_known and len(received) >= _settled_count(synchronous_replicas):
             self._fleet.settle_departures(service, min(received))
 
     def _record_proof(self, service: GroupId) -> None:
@@ -528,6 +532,18 @@
         )
 
 
+def _settled_count(synchronous_replicas: int) -> int:
+    """Return how many members must have the commits of an ended start.
+
+    They are the primary and as many replicas as acknowledge a commit. A
+    candidate that lacks a commit of theirs joined later. Each of these replicas
+    that cannot be paused and compared with it counts as uncertain, until the
+    candidate has a bound that a primary with the commit gave. All of them
+    together are enough to prevent the promotion.
+    """
+    return 1 + max(1, synchronous_replicas)
+
+
 def _is_restarted(former: MemberReport | None, report: MemberReport) -> bool:
     """Whether a report shows that the log of an earlier one is lost.
 
--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -155,6 +155,9 @@
     def _update_lease(self, tasks: TaskStarter, service: GroupId) -> None:
         observed = self._poller.observe(service)
         self._former_primaries.demote(tasks, service, observed)
+        self._poller.settle_departures(
+            service, self._synchronous_replicas(service)
+        )
         if service in self._running:
             # The takeover decides when the service is leased again.
             return
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -1,6 +1,7 @@
 """Tests of takeovers with members, orders and a log in memory."""
 
 import unittest
+from functools import partial
 from unittest import mock
 
 import anyio
@@ -19,7 +20,7 @@
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.fleet_service import PrimaryReachability
 from lavendergate.tests.takeover_fixture import TakeoverFixture, run_scenario
-from standin.session_group import Member
+from standin.session_group import Member, SessionGroup
 
 
 def odd_entry(control: TakeoverFixture) -> MemberEntry:
@@ -399,6 +400,61 @@
             with self.subTest(connect_s=connect_s):
                 run_scenario(scenario)
 
+    def test_departure_is_settled_with_two_members_before_a_restart(
+        self,
+    ) -> None:
+        """Guards against a promotion that all control hosts' restart stops."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            await anyio.sleep(2)
+            control.start_leaving('c')
+            former = group.members.pop(UpstreamId('c'))
+            former.is_down = True
+            control.fleet.merge((departed_entry(former.entry),))
+            await anyio.sleep(6)
+            stored = tuple(control.fleet.directory.entries.values())
+            control.node.view.is_leader = False
+            group.member('a').is_down = True
+            async with anyio.create_task_group() as tasks:
+                restarted = TakeoverFixture(tasks=tasks, group=group)
+                restarted.fleet.merge(stored)
+                await anyio.sleep(8)
+                tasks.cancel_scope.cancel()
+            self.assertTrue(group.member('b').is_primary)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+
+        run_scenario(scenario)
+
+    def test_departure_is_not_settled_by_fewer_than_confirm_a_commit(
+        self,
+    ) -> None:
+        """Guards against a commit that only lost replicas still had."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            control.start_leaving('c')
+            former = group.members.pop(UpstreamId('c'))
+            former.is_down = True
+            control.fleet.merge((departed_entry(former.entry),))
+            await anyio.sleep(6)
+            self.assertEqual(
+                len(control.fleet.departures(group.service)), expected
+            )
+
+        for count, expected in ((1, 0), (2, 1)):
+            with self.subTest(count=count):
+                run_scenario(
+                    scenario,
+                    make_group=partial(
+                        SessionGroup,
+                        names=('a', 'b', 'c'),
+                        synchronous_replicas=count,
+                    ),
+                )
+
     def test_last_member_is_promoted_after_the_others_have_left(self) -> None:
         """Guards against a service whose only member is never promoted."""
 
