Shorten the name of a sender in the line on a refused log message

Cause: the name comes from the message and has no bound, so a long one pushed the reason out of the logged text, and line breaks passed.

Change: the name is quoted and shortened, as other values in messages.

Measured: test_long_name_of_a_sender_is_shortened_in_the_log passes; before, it failed with a line of 20,084 characters. The named modules: 53 tests pass.

--- a/lavendergate/controllers/log_storage/received.py
+++ b/lavendergate/controllers/log_storage/received.py
@@ -13,6 +13,7 @@
     SnapshotRequest,
 )
 from lavendergate.core.control_state import decode_state
+from lavendergate.core.errors import quoted
 
 _logger = logging.getLogger(__name__)
 
@@ -56,7 +57,7 @@
             self._log_at = now + _INTERVAL_S
             _logger.warning(
                 'a log message of %s was refused, %d since the start: %s',
-                envelope.sender.host_id,
+                quoted(envelope.sender.host_id),
                 self._refused,
                 problem,
             )
--- a/lavendergate/tests/control/test_unreadable_messages.py
+++ b/lavendergate/tests/control/test_unreadable_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lavendergate.controllers.control_node import ControlNode
+from lavendergate.controllers.log_storage.received import ReceivedMessages
 from lavendergate.core.commands import ChangeVoters
 from lavendergate.core.consensus.messages import (
     AppendRequest,
@@ -21,6 +22,7 @@
     ConsensusTerm,
     Entry,
     EntryId,
+    NodeId,
     Snapshot,
 )
 from lavendergate.core.types import HostId
@@ -171,6 +173,24 @@
 
         self.run_cluster(scenario)
 
+    def test_long_name_of_a_sender_is_shortened_in_the_log(self) -> None:
+        """Guards against a name that hides the reason, or breaks the line."""
+        last = EntryId(term=ConsensusTerm(1), index=1)
+        name = HostId('x\n' * 10_000)
+        odd = Envelope(
+            sender=NodeId(host_id=name, incarnation='1'),
+            recipient=NodeId(host_id=HostId('c1'), incarnation='1'),
+            cluster_id='',
+            message=unreadable_messages(last)[4],
+        )
+        received = ReceivedMessages(clock=lambda: 0)
+        with self.assertLogs() as logged:
+            self.assertFalse(received.is_valid(odd))
+        line = logged.records[0].getMessage()
+        self.assertLess(len(line), 500)
+        self.assertNotIn('\n', line)
+        self.assertIn('entry 3 is in the place of entry 2', line)
+
     def envelope(
         self, sender: ControlNode, recipient: ControlNode, message: Message
     ) -> Envelope:
