--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -6,7 +6,17 @@
 from result import Err, Ok
 
 from lavendergate.controllers.control_node import ControlNode
-from lavendergate.core.group_founding import Founder, Founding, SeedAnswer
+from lavendergate.core.control_group.group_founding import (
+    Founder,
+    Founding,
+    SeedAnswer,
+)
+from lavendergate.core.control_group.voter_silences import (
+    Silence,
+    longest_silences,
+    observed_silences,
+    with_silences,
+)
 from lavendergate.core.types import HostId
 from lavendergate.core.voter_changes import (
     REPLACED_VOTER_TIMEOUT_S,
@@ -19,12 +29,6 @@
     leaving_hosts,
     without_returned,
 )
-from lavendergate.core.voter_silences import (
-    Silence,
-    longest_silences,
-    observed_silences,
-    with_silences,
-)
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.consensus_service import (
--- /dev/null
+++ b/lavendergate/core/control_group/__init__.py
@@ -0,0 +1,1 @@
+"""Forming the control group and following its voters."""
--- a/lavendergate/daemon/hosted_control.py
+++ b/lavendergate/daemon/hosted_control.py
@@ -27,8 +27,8 @@
 from lavendergate.core.bounds.ranges import MAX_COUNT
 from lavendergate.core.commands import PublishRoutes
 from lavendergate.core.consensus.types import NodeOptions
+from lavendergate.core.control_group.group_founding import founder_of
 from lavendergate.core.fleet_directory import MemberEntry
-from lavendergate.core.group_founding import founder_of
 from lavendergate.core.types import HostId
 from lavendergate.daemon.hosted_process import HostedProcess, boottime_s
 from lavendergate.daemon.listening import listen
--- a/lavendergate/tests/control/test_departed_voters.py
+++ b/lavendergate/tests/control/test_departed_voters.py
@@ -14,7 +14,7 @@
 
 from lavendergate.controllers.group_formation import GroupFormation
 from lavendergate.core.commands import PublishRoutes
-from lavendergate.core.group_founding import Founder
+from lavendergate.core.control_group.group_founding import Founder
 from lavendergate.core.routes import RoutesVersion
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.rpc.fleet_service import (
--- a/lavendergate/tests/control/test_voter_silences.py
+++ b/lavendergate/tests/control/test_voter_silences.py
@@ -2,14 +2,14 @@
 
 import unittest
 
-from lavendergate.core.types import HostId
-from lavendergate.core.voter_changes import NodeProgress
-from lavendergate.core.voter_silences import (
+from lavendergate.core.control_group.voter_silences import (
     Silence,
     longest_silences,
     observed_silences,
     with_silences,
 )
+from lavendergate.core.types import HostId
+from lavendergate.core.voter_changes import NodeProgress
 
 _HOST = HostId('b')
 _NOW = 100.0
--- a/lavendergate/tests/start/founding_model.py
+++ b/lavendergate/tests/start/founding_model.py
@@ -13,7 +13,11 @@
 from dataclasses import dataclass, replace
 from itertools import permutations
 
-from lavendergate.core.group_founding import Founder, Founding, SeedAnswer
+from lavendergate.core.control_group.group_founding import (
+    Founder,
+    Founding,
+    SeedAnswer,
+)
 
 SEEDS = ('a', 'b', 'c')
 _HOSTS = (0, 1, 2)
--- a/lavendergate/tests/start/test_group_founding.py
+++ b/lavendergate/tests/start/test_group_founding.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lavendergate.core.group_founding import (
+from lavendergate.core.control_group.group_founding import (
     Founder,
     Founding,
     SeedAnswer,
