--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo measure soak start-faults environment
+.PHONY: test demo measure soak start-faults review environment
 
 environment:
 	tools/make_environment
@@ -20,3 +20,12 @@
 start-faults:
 	sh deploy/build
 	python3 -m faults
+
+# A table of the cases in review/: status 0 held, 1 broken, 2 could not run.
+review:
+	sh deploy/build
+	sh review/build.sh
+	@for case in 1 2 3 4 5; do \
+	  result=$$(review/$$case/run.sh 2>/dev/null); \
+	  printf 'case %s  status %s  %s\n' $$case $$? "$$result"; \
+	done
