--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -284,6 +284,7 @@
             sessions=self._session_service,
             home=self._home,
             grace_s=self._process.settings.bounds.grace_s,
+            boundary=self._process.boundary,
         ).run()
 
     def _build_session_service(self) -> SessionService:
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -53,6 +53,7 @@
     RelayRequest,
     RelayStatus,
 )
+from lavendergate.supervision.boundary import Boundary
 
 _MS_PER_S = 1000
 # Least remaining time with which a statement is accepted, in seconds.
@@ -134,7 +135,7 @@
         """Decline new statements; those of open transactions still run."""
         self._is_stopping = True
 
-    async def end_transactions(self) -> None:
+    async def end_transactions(self, boundary: Boundary) -> None:
         """Roll back all transactions, now or once their statement has run."""
         self._is_ending_transactions = True
         waiting = [
@@ -146,7 +147,9 @@
         # for each of them.
         async with anyio.create_task_group() as tasks:
             for number in waiting:
-                tasks.start_soon(self._end, number)
+                tasks.start_soon(
+                    boundary.run, 'relayed transaction', self._end, number
+                )
 
     async def run(self) -> None:
         """Roll back transactions that were left behind, until cancelled."""
--- a/lavendergate/frontend/planned_stop.py
+++ b/lavendergate/frontend/planned_stop.py
@@ -4,6 +4,7 @@
 
 from lavendergate.filters.relays.home import RelayHome
 from lavendergate.frontend.session_service import SessionService
+from lavendergate.supervision.boundary import Boundary
 
 # The balancer checks readiness once a second and stops sending callers after
 # two failed checks. Callers that it sends until then are served.
@@ -32,14 +33,22 @@
         Statements that run here for other proxies.
     grace_s
         Grace period from the stop signal, in seconds.
+    boundary
+        Contains errors of one transaction, which must not cut the others.
     """
 
     def __init__(
-        self, *, sessions: SessionService, home: RelayHome, grace_s: float
+        self,
+        *,
+        sessions: SessionService,
+        home: RelayHome,
+        grace_s: float,
+        boundary: Boundary,
     ) -> None:
         self._sessions = sessions
         self._home = home
         self._grace_s = grace_s
+        self._boundary = boundary
 
     async def run(self) -> None:
         """Return once nothing is open, or when the process must exit."""
@@ -51,7 +60,7 @@
         self._sessions.close_idle()
         await anyio.sleep_until(began_at + half_s)
         self._sessions.end_transactions()
-        await self._home.end_transactions()
+        await self._home.end_transactions(self._boundary)
         await self._wait_until_idle(exit_at - _ANSWER_MARGIN_S)
         self._sessions.give_up_statements()
         await self._wait_until_idle(exit_at)
--- a/lavendergate/tests/stops/test_planned_stop.py
+++ b/lavendergate/tests/stops/test_planned_stop.py
@@ -15,6 +15,8 @@
     Write,
 )
 from lavendergate.frontend.planned_stop import EXIT_MARGIN_S, PlannedStop
+from lavendergate.observability.log import MemoryEventLog
+from lavendergate.supervision.boundary import Boundary
 from lavendergate.tests.relay_fixture import RelayFixture
 from lavendergate.tests.relay_fixture import play as play_relays
 from lavendergate.tests.session_fixture import PRIMARY
@@ -87,7 +89,10 @@
             home = RelayFixture(tasks=proxy.tasks, proxies=1).proxies[0].home
             began_at = anyio.current_time()
             await PlannedStop(
-                sessions=proxy.service, home=home, grace_s=_GRACE_S
+                sessions=proxy.service,
+                home=home,
+                grace_s=_GRACE_S,
+                boundary=Boundary(events=MemoryEventLog()),
             ).run()
             await check(proxy, caller, began_at)
 
@@ -142,7 +147,10 @@
             home = RelayFixture(tasks=proxy.tasks, proxies=1).proxies[0].home
             began_at = anyio.current_time()
             await PlannedStop(
-                sessions=proxy.service, home=home, grace_s=_GRACE_S
+                sessions=proxy.service,
+                home=home,
+                grace_s=_GRACE_S,
+                boundary=Boundary(events=MemoryEventLog()),
             ).run()
             self.assertLessEqual(
                 anyio.current_time() - began_at,
@@ -174,7 +182,7 @@
                     proxy.send, session, Write(item='x', content='2')
                 )
                 await anyio.sleep(_STATEMENT_S / 2)
-                await home.end_transactions()
+                await home.end_transactions(Boundary(events=MemoryEventLog()))
                 self.assertFalse(home.is_idle)
             await anyio.sleep(_STATEMENT_S)
             self.assertTrue(home.is_idle)
--- a/lavendergate/tests/supervision/test_call_sites.py
+++ b/lavendergate/tests/supervision/test_call_sites.py
@@ -64,8 +64,10 @@
         ('controllers/shares.py', '_close_retired'): _JOINED,
         ('controllers/shares.py', '_check_members'): _JOINED,
         ('controllers/takeover.py', 'run'): _GUARDED,
+        ('controllers/takeover.py', '_confirm_absence'): _JOINED,
         ('controllers/takeover.py', '_gather_evidence'): _JOINED,
         ('controllers/takeover.py', '_resume_replicas'): _JOINED,
+        ('filters/relays/home.py', 'end_transactions'): _CONTAINED,
     }
 )
 
