Find the libraries of the build without a site module

The processes start with python3 -S. Where target/deps comes to Python's path by a site module and not by the environment, no process would have started. The entry point adds the folder itself. The new test failed before. A second reservation of the standard descriptors, left by a merge, is removed.

--- a/lavendergate/daemon/hosted/__main__.py
+++ b/lavendergate/daemon/hosted/__main__.py
@@ -10,6 +10,8 @@
     from threading import Thread
 
 _SETTINGS_VARIABLE = 'LAVENDERGATE_BOOT'
+# Where deploy/build puts the libraries, below the folder of the process.
+_LIBRARIES = os.path.join('target', 'deps')
 
 
 def _run() -> int:
@@ -22,19 +24,21 @@
 
     # Before the first file is opened, which could get the number of one.
     reserve_standard_descriptors()
+    _add_libraries()
     founding = _start_founding() if sys.argv[1:] == ['control'] else None
     from lavendergate.daemon.hosted.start import main  # noqa: WPS433
 
     return main(founding=founding)
 
 
-def _start_founding() -> 'Thread | None':
-    from lavendergate.observability.standard_output import (  # noqa: WPS433
-        reserve_standard_descriptors,
-    )
+def _add_libraries() -> None:
+    """Find the libraries also where a site module would have to add them."""
+    libraries = os.path.join(os.getcwd(), _LIBRARIES)
+    if libraries not in sys.path:
+        sys.path.append(libraries)
 
-    # The record must not get the number of a closed standard descriptor.
-    reserve_standard_descriptors()
+
+def _start_founding() -> 'Thread | None':
     from lavendergate.daemon.hosted.early_founding import (  # noqa: WPS433
         start_founding_record,
     )
