Forget the silence of a control host that no leader reports

Cause: a follower kept the silences that the leader had reported until it got the one empty report that all hosts answer again. If that call was lost, the record had no end. As a later leader the follower counted it once the host had not answered for 0.5 s, so that a voter which was only restarted was removed.

Evidence: test_end_of_a_silence_that_hosts_missed loses the calls of the 0.3 s in which all hosts answer again, changes the leader and restarts the voter 10 s later. On a group of four had three voters 1.5 s after the restart began ("3 != 4").

Change: the leader repeats the empty report to each host that was told of a silence until that host has confirmed it, and a silence that no leader has reported for 6 s is forgotten, for hosts that cannot be reached. The exchange has a module of its own.

--- /dev/null
+++ b/lavendergate/controllers/control_group/__init__.py
@@ -0,0 +1,1 @@
+"""Control of the members of the control group."""
--- a/lavendergate/controllers/group_formation.py
+++ b/lavendergate/controllers/group_formation.py
@@ -5,18 +5,16 @@
 import anyio
 from result import Err, Ok
 
+from lavendergate.controllers.control_group.silence_exchange import (
+    SilenceExchange,
+)
 from lavendergate.controllers.control_node import ControlNode
 from lavendergate.core.control_group.group_founding import (
     Founder,
     Founding,
     SeedAnswer,
 )
-from lavendergate.core.control_group.voter_silences import (
-    Silence,
-    longest_silences,
-    observed_silences,
-    with_silences,
-)
+from lavendergate.core.control_group.voter_silences import with_silences
 from lavendergate.core.types import HostId
 from lavendergate.core.voter_changes import (
     REPLACED_VOTER_TIMEOUT_S,
@@ -41,13 +39,11 @@
 from lavendergate.rpc.fleet_service import (
     JOIN,
     LEAVE,
-    REPORT_SILENCES,
     JoinReply,
     JoinRequest,
     LeaveReply,
     LeaveRequest,
     SilenceReport,
-    SilentHost,
 )
 from lavendergate.rpc.peers import PeerCallError, PeerClient
 
@@ -74,7 +70,6 @@
 # A replacement takes two changes, a promotion and a removal. More than a few
 # in a row would point to a fault.
 _MAX_SUCCESSIVE_CHANGES = 4
-_MS_PER_S = 1000
 
 
 class GroupFormation:
@@ -114,11 +109,11 @@
         self._events = events
         self._join_requests: dict[HostId, tuple[JoiningHost, float]] = {}
         self._stops: dict[HostId, AnnouncedStop] = {}
-        self._silences: dict[HostId, Silence] = {}
+        self._silences = SilenceExchange(
+            address=address, addresses=self._group_addresses, peers=peers
+        )
         # Voters in whose place this leader has promoted a learner.
         self._replaced: frozenset[HostId] = frozenset()
-        self._has_reported_silences = False
-        self._reported_at = float('-inf')
         self._changing_until = float('-inf')
         self._led_term: int | None = None
         self._is_leaving = False
@@ -156,16 +151,10 @@
         return LeaveReply(is_leader=is_leader)
 
     async def handle_silences(self, request: SilenceReport) -> SilenceReport:
-        """Record which hosts do not answer the leader.
-
-        Returns
-        -------
-        What this host knew before, for a leader that was started meanwhile.
-        """
-        known = _encode_silences(self._silences, anyio.current_time())
-        if not self._node.view.is_leader:
-            self._silences = _decode_silences(request, anyio.current_time())
-        return known
+        """Record which hosts do not answer; see `SilenceExchange.handle`."""
+        return self._silences.handle(
+            request, is_leader=self._node.view.is_leader
+        )
 
     async def leave(self) -> None:
         """Announce to all control hosts that this host stops.
@@ -212,7 +201,8 @@
             if view.term != self._led_term:
                 self._led_term = view.term
                 self._expect_changes()
-            await self._exchange_silences()
+            if await self._silences.run_once(self._node.node_progress()):
+                self._expect_changes()
             await self._maintain_voters()
         elif self._founder.seeds and not self._node.view.initialised:
             await self._create_group()
@@ -300,12 +290,13 @@
                 )
 
     def _known_hosts(self) -> set[str]:
-        configuration = self._node.view.configuration
-        known = set(self._seeds)
-        if configuration is not None:
-            known.update(configuration.command.addresses.values())
+        known = {*self._seeds, *self._group_addresses().values()}
         return known - {self._address}
 
+    def _group_addresses(self) -> Mapping[HostId, str]:
+        configuration = self._node.view.configuration
+        return {} if configuration is None else configuration.command.addresses
+
     async def _send_join_request(
         self, address: str, request: JoinRequest
     ) -> None:
@@ -340,48 +331,6 @@
             # The leader also finds the stop by the missing answers.
             return
 
-    async def _exchange_silences(self) -> None:
-        """Tell the other hosts who is silent, and learn what they knew."""
-        now = anyio.current_time()
-        known = self._silences.keys()
-        self._silences = observed_silences(
-            self._silences, self._node.node_progress(), now
-        )
-        if self._silences.keys() - known:
-            self._expect_changes()
-        if now - self._reported_at < _INTERVAL_S:
-            return
-        if not (self._silences or self._has_reported_silences):
-            return
-        # An empty report tells the others that all hosts answer again.
-        self._has_reported_silences = bool(self._silences)
-        self._reported_at = now
-        report = _encode_silences(self._silences, now)
-        with anyio.move_on_after(_INTERVAL_S):
-            async with anyio.create_task_group() as tasks:
-                for address in self._answering_hosts():
-                    tasks.start_soon(self._send_silences, address, report)
-
-    def _answering_hosts(self) -> set[str]:
-        configuration = self._node.view.configuration
-        if configuration is None:
-            return set()
-        addresses = configuration.command.addresses
-        return {
-            addresses[host_id] for host_id in addresses.keys() - self._silences
-        } - {self._address}
-
-    async def _send_silences(self, address: str, report: SilenceReport) -> None:
-        try:
-            reply = await self._peers.call(
-                address, REPORT_SILENCES, report, timeout_s=_CALL_TIMEOUT_S
-            )
-        except PeerCallError:
-            # The report is repeated in the next interval.
-            return
-        reported = _decode_silences(reply, anyio.current_time())
-        self._silences = longest_silences(self._silences, reported)
-
     async def _maintain_voters(self) -> None:
         """Change the voters step by step, as the leader."""
         async with self._changes:
@@ -401,7 +350,7 @@
             if now - asked_at <= _JOIN_AGE_S
         )
         progress = with_silences(
-            self._node.node_progress(), self._silences, now
+            self._node.node_progress(), self._silences.silences, now
         )
         self._stops = without_returned(self._stops, progress, now)
         change = next_configuration(
@@ -450,30 +399,3 @@
         for host_id, node in progress.items()
         if host_id in hosts and node.since_answer_s >= REPLACED_VOTER_TIMEOUT_S
     )
-
-
-def _encode_silences(
-    silences: Mapping[HostId, Silence], now: float
-) -> SilenceReport:
-    return SilenceReport(
-        hosts=tuple(
-            SilentHost(
-                host_id=host_id,
-                incarnation=silence.incarnation,
-                silent_ms=round((now - silence.since) * _MS_PER_S),
-            )
-            for host_id, silence in silences.items()
-        )
-    )
-
-
-def _decode_silences(
-    report: SilenceReport, now: float
-) -> dict[HostId, Silence]:
-    return {
-        host.host_id: Silence(
-            incarnation=host.incarnation,
-            since=now - max(host.silent_ms, 0) / _MS_PER_S,
-        )
-        for host in report.hosts
-    }
--- a/lavendergate/core/control_group/voter_silences.py
+++ b/lavendergate/core/control_group/voter_silences.py
@@ -14,6 +14,11 @@
 # Time without an answer to this leader itself before an inherited silence
 # counts, in seconds: two heartbeats, in which a host that is back answers.
 _OWN_SILENCE_S = 0.5
+# Time after the last report of a leader for which a silence is kept, in
+# seconds: an election after which the winner is lost, too, and a second one.
+# Without an end, a host that missed the end of a silence would count it for a
+# voter that is only restarted much later.
+_KEPT_S = 6.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,15 +29,34 @@
     ----------
     since
         Monotonic time of the last answer that any leader got, in seconds.
+    reported_at
+        Monotonic time at which a leader last missed the host, or reported
+        that it does, in seconds.
     """
 
     incarnation: str
     since: float
+    reported_at: float
 
 
 Silences = Mapping[HostId, Silence]
 
 
+def current_silences(known: Silences, now: float) -> dict[HostId, Silence]:
+    """Return the silences that a leader missed or reported recently.
+
+    Parameters
+    ----------
+    now
+        Time on the monotonic clock, in seconds.
+    """
+    return {
+        host_id: silence
+        for host_id, silence in known.items()
+        if now - silence.reported_at <= _KEPT_S
+    }
+
+
 def observed_silences(
     known: Silences, progress: Mapping[HostId, NodeProgress], now: float
 ) -> dict[HostId, Silence]:
@@ -48,14 +72,17 @@
         Time on the monotonic clock, in seconds.
     """
     silences: dict[HostId, Silence] = {}
+    current = current_silences(known, now)
     for host_id, node in progress.items():
         if node.has_answered and node.since_answer_s <= _OWN_SILENCE_S:
             continue
-        earlier = known.get(host_id)
+        earlier = current.get(host_id)
         since = now - node.since_answer_s
         if earlier is not None and earlier.incarnation == node.incarnation:
             since = min(since, earlier.since)
-        silences[host_id] = Silence(incarnation=node.incarnation, since=since)
+        silences[host_id] = Silence(
+            incarnation=node.incarnation, since=since, reported_at=now
+        )
     return silences
 
 
--- a/lavendergate/tests/control/test_departed_voters.py
+++ b/lavendergate/tests/control/test_departed_voters.py
@@ -41,13 +41,15 @@
     caller: str
     formations: dict[str, GroupFormation]
     cluster: Cluster
+    is_lost: Callable[[object], bool]
 
     async def call(
         self, address: str, method: Any, request: Any, *, timeout_s: float
     ) -> object:
         formation = self.formations.get(address)
         blocked = self.cluster.network.blocked_links
-        if formation is None or (self.caller, address) in blocked:
+        is_cut = (self.caller, address) in blocked
+        if formation is None or is_cut or self.is_lost(request):
             await anyio.sleep(timeout_s)
             raise PeerCallError(f'no answer from {address}')
         with anyio.move_on_after(timeout_s):
@@ -64,6 +66,7 @@
     """Control hosts with their formations; a host's address is its id."""
 
     def __init__(self, tasks: TaskGroup) -> None:
+        self.is_lost: Callable[[object], bool] = lambda request: False
         self.cluster = Cluster(tasks)
         self.formations: dict[str, GroupFormation] = {}
         self.events: dict[str, MemoryEventLog] = {}
@@ -98,6 +101,7 @@
                     caller=host_id,
                     formations=self.formations,
                     cluster=self.cluster,
+                    is_lost=lambda request: self.is_lost(request),
                 ),
             ),
             events=events,
@@ -306,6 +310,38 @@
             with self.subTest(tenths=tenths):
                 self.run_hosts(3, partial(scenario, tenths / 10))
 
+    def test_end_of_a_silence_that_hosts_missed(self) -> None:
+        """Guards against a voter that is removed for a silence of long ago."""
+
+        async def scenario(hosts: _ControlHosts) -> None:
+            first = await hosts.cluster.leader()
+            first_id = str(first.view.identity.host_id)
+            restarted = next(one for one in hosts.present if one != first_id)
+            await hosts.stop(restarted)
+            await anyio.sleep(2)
+            answered_at = float('inf')
+
+            def is_lost(request: object) -> bool:
+                # The calls of the moment in which all hosts answer again.
+                nonlocal answered_at
+                if isinstance(request, SilenceReport) and not request.hosts:
+                    answered_at = min(answered_at, anyio.current_time())
+                return 0 <= anyio.current_time() - answered_at < 0.3
+
+            hosts.is_lost = is_lost
+            await hosts.start(restarted)
+            await anyio.sleep(_CALM_S)
+            self.assertLess(answered_at, float('inf'))
+            await hosts.cluster.cut_outgoing(first)
+            second = await hosts.cluster.leader(apart_from=first_id)
+            self.assertNotEqual(second.view.identity.host_id, restarted)
+            await anyio.sleep(1)
+            await hosts.stop(restarted)
+            await anyio.sleep(1.5)
+            self.assertEqual(len(await hosts.voters()), 4)
+
+        self.run_hosts(4, scenario)
+
     def check_replacements(
         self, replace: Callable[[_ControlHosts, str, str], Awaitable[None]]
     ) -> None:
--- a/lavendergate/tests/control/test_voter_silences.py
+++ b/lavendergate/tests/control/test_voter_silences.py
@@ -4,6 +4,7 @@
 
 from lavendergate.core.control_group.voter_silences import (
     Silence,
+    current_silences,
     longest_silences,
     observed_silences,
     with_silences,
@@ -27,8 +28,15 @@
     return {_HOST: node}
 
 
-def _known(silent_s: float, incarnation: str = '1') -> dict[HostId, Silence]:
-    return {_HOST: Silence(incarnation=incarnation, since=_NOW - silent_s)}
+def _known(
+    silent_s: float, incarnation: str = '1', *, age_s: float = 0
+) -> dict[HostId, Silence]:
+    silence = Silence(
+        incarnation=incarnation,
+        since=_NOW - silent_s,
+        reported_at=_NOW - age_s,
+    )
+    return {_HOST: silence}
 
 
 class VoterSilenceTest(unittest.TestCase):
@@ -52,6 +60,17 @@
         answered = _progress(0.1, has_answered=True)
         self.assertEqual(observed_silences(_known(6), answered, _NOW), {})
 
+    def test_a_silence_that_no_leader_reports_ends(self) -> None:
+        """Guards against a host that is removed for a silence of long ago."""
+        known = observed_silences(_known(90, age_s=60), _progress(0.6), _NOW)
+        self.assertEqual(known, _known(0.6))
+        self.assertEqual(current_silences(_known(90, age_s=60), _NOW), {})
+
+    def test_a_silence_outlasts_an_election(self) -> None:
+        """Guards against an age at which no new leader inherits a silence."""
+        known = observed_silences(_known(9, age_s=4), _progress(0.6), _NOW)
+        self.assertEqual(known, _known(9))
+
     def test_another_disk_has_a_silence_of_its_own(self) -> None:
         """Guards against a host that is removed for its lost disk's silence."""
         back = _progress(0.6, incarnation='2')
