Prove a promotion for the starts that were asked

Callers would have seen LOST: a commit that was acknowledged between the pauses and the order is not in the log of the promoted member.

Cause: the confirmation of a pause was kept for an id. If the replica was restarted after it, its new start was not paused; a member that joined meanwhile had not been asked at all. Both receive what a primary sends that only control cannot reach, and confirm it. Only the candidate was compared with its start.

Evidence: test_start_that_runs_since_the_pause_is_asked_before_the_order plays a restart without and with its announcement, and a member that joins.

Change: a proof covers the starts (id, born) that could run when the replicas were paused. The order is sent only if they are still the same.

--- a/lavendergate/controllers/fleet_state.py
+++ b/lavendergate/controllers/fleet_state.py
@@ -183,6 +183,18 @@
         """Return the members that are gone but may still run."""
         return frozenset(self._departing.get(service, ()))
 
+    def starts(self, service: GroupId) -> frozenset[tuple[UpstreamId, int]]:
+        """Return the starts of members that may run, as (id, `born`)."""
+        entries = self._directory.entries
+        departing = self.departing(service)
+        return frozenset(
+            (entry.upstream_id, entry.born)
+            for entry in (
+                *self._directory.members_of(service),
+                *(entries[upstream_id] for upstream_id in departing),
+            )
+        )
+
     def record_end(self, entry: MemberEntry) -> None:
         """Record that a start has ended, as its address has shown.
 
--- a/lavendergate/controllers/takeover.py
+++ b/lavendergate/controllers/takeover.py
@@ -1,6 +1,7 @@
 """Fails services over by ordering promotions from the platform."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import anyio
 from result import Err
@@ -11,6 +12,11 @@
 from lavendergate.controllers.leases.grants import LeaseGrants
 from lavendergate.controllers.member_poller import MemberPoller
 from lavendergate.controllers.takeovers.former_primaries import FormerPrimaries
+from lavendergate.controllers.takeovers.promotion_proof import (
+    PromotionProof,
+    PromotionProofs,
+    newest_term,
+)
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.commands import OrderPromotion
 from lavendergate.core.leases.granting import (
@@ -22,9 +28,7 @@
 from lavendergate.core.primary_replacement import (
     KeepPrimary,
     NotPromotable,
-    PausedReplica,
     Promotable,
-    PromotionEvidence,
     ReplacementDecision,
     ReplacePrimary,
     ServiceObservation,
@@ -34,11 +38,10 @@
 )
 from lavendergate.core.routes import RouteTable
 from lavendergate.core.sessions.statements import (
-    PauseReplication,
     ReportStatus,
     ResumeReplication,
 )
-from lavendergate.core.types import GroupId, HostId, Term, UpstreamId
+from lavendergate.core.types import GroupId, HostId, UpstreamId
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
@@ -124,6 +127,7 @@
         self._events = events
         self._running: set[GroupId] = set()
         self._former_primaries = FormerPrimaries(poller=poller, events=events)
+        self._proofs = PromotionProofs(fleet=fleet, poller=poller)
         self._leading_since: float | None = None
         self._last_reason: dict[GroupId, str] = {}
         self._ahead: dict[GroupId, UpstreamId] = {}
@@ -223,7 +227,7 @@
             service=service,
             reason=reason,
             former=observed.primary,
-            term=_newest_term(observed),
+            term=newest_term(observed),
         )
         outcome = 'this host is no longer the leader'
         self._takeovers[service] = began_at
@@ -282,83 +286,35 @@
         if candidate is None:
             self._report_wait(service, 'no replica answers', None)
             return None
-        born = self._poller.born(candidate)
-        evidence = await self._gather_evidence(observed, candidate)
-        if evidence is None:
+        proof = await self._proofs.gather(service, observed, candidate)
+        if proof is None:
             self._report_wait(
                 service, 'the candidate does not answer', candidate
             )
             return None
-        proof = check_promotion(
+        check = check_promotion(
             self._poller.observe(service),
-            evidence,
+            proof.evidence,
             synchronous_replicas=self._synchronous_replicas(service),
             now=self._clock(),
         )
-        match proof:
+        match check:
             case NotPromotable(reason=reason, more_advanced=ahead):
                 if ahead is not None:
                     self._ahead[service] = ahead
                 self._report_wait(service, reason, candidate)
                 return None
             case Promotable(absent=absent):
-                if self._poller.born(candidate) != born:
-                    self._report_wait(
-                        service, 'the candidate was restarted', candidate
-                    )
-                    return None
-                return await self._promote(service, evidence, absent, proved_at)
-
-    async def _gather_evidence(
-        self, observed: ServiceObservation, candidate: UpstreamId
-    ) -> PromotionEvidence | None:
-        """Pause all other replicas, then read the candidate's position.
-
-        A paused replica confirms no commits, so the candidate can be compared
-        with positions that no longer change. None if the candidate does not
-        answer.
-        """
-        others = [
-            known.upstream_id
-            for known in observed.replicas
-            if known.upstream_id != candidate
-        ]
-        term = Term(_newest_term(observed) + 1)
-        paused: list[PausedReplica] = []
-        async with anyio.create_task_group() as tasks:
-            for other in others:
-                tasks.start_soon(self._pause_replica, other, term, paused)
-        report = await self._poller.ask(candidate, ReportStatus())
-        if report is None:
-            return None
-        confirmed = {replica.upstream_id for replica in paused}
-        return PromotionEvidence(
-            candidate=candidate,
-            candidate_received=report.received,
-            paused=tuple(paused),
-            unconfirmed=frozenset(others) - confirmed,
-        )
-
-    async def _pause_replica(
-        self, replica: UpstreamId, term: Term, paused: list[PausedReplica]
-    ) -> None:
-        report = await self._poller.ask(replica, PauseReplication(term=term))
-        if report is None or report.paused_term < term:
-            report = await self._poller.ask(replica, ReportStatus())
-        if report is not None and report.paused_term >= term:
-            paused.append(
-                PausedReplica(upstream_id=replica, received=report.received)
-            )
+                return await self._promote(
+                    replace(proof, absent=absent), proved_at
+                )
 
     async def _promote(
-        self,
-        service: GroupId,
-        evidence: PromotionEvidence,
-        absent: frozenset[UpstreamId],
-        proved_at: float,
+        self, proof: PromotionProof, proved_at: float
     ) -> str | None:
-        candidate = evidence.candidate
-        token = await self._commit_order(service, candidate)
+        service = proof.service
+        candidate = proof.evidence.candidate
+        token = await self._commit_proved_order(proof)
         if token is None:
             return None
         if self._real_clock() - proved_at > _PROOF_AGE_S:
@@ -368,11 +324,10 @@
                 service, 'the proof of a safe promotion has expired', candidate
             )
             return None
-        if not await self._confirm_absence(service, absent):
-            self._report_wait(service, 'an absent replica returned', candidate)
+        if not await self._still_holds(proof):
             return None
         outcome = await self._send_order(
-            service, candidate, token, proved_at, absent
+            service, candidate, token, proved_at, proof
         )
         for _ in range(_ORDER_ATTEMPTS - 1):
             if outcome != OrderOutcome.unclear:
@@ -380,10 +335,10 @@
             await anyio.sleep(_RETRY_S)
             if not await self._leases.confirm():
                 break
-            if not await self._confirm_absence(service, absent):
+            if not await self._still_holds(proof):
                 break
             outcome = await self._send_order(
-                service, candidate, token, self._leases.confirmed_at, absent
+                service, candidate, token, self._leases.confirmed_at, proof
             )
         if outcome != OrderOutcome.done:
             return None
@@ -397,32 +352,39 @@
         # The order named this member, so no earlier order is unresolved.
         self._leases.grant(service)
         await self._resume_replicas(
-            replica.upstream_id for replica in evidence.paused
+            replica.upstream_id for replica in proof.evidence.paused
         )
         return f'{candidate} was promoted'
 
-    async def _confirm_absence(
-        self, service: GroupId, absent: frozenset[UpstreamId]
-    ) -> bool:
-        """Ask absent replicas again and return whether all are still absent.
+    async def _commit_proved_order(self, proof: PromotionProof) -> int | None:
+        """Commit an order while the paused replicas are asked again.
 
-        One that answers may receive commits that the candidate lacks, so it
-        has to be paused and compared first.
+        Returns
+        -------
+        int or None
+            The fencing token; None if the commit is not confirmed or a replica
+            is not paused any more.
         """
+        resumed: set[UpstreamId] = set()
+        candidate = proof.evidence.candidate
         async with anyio.create_task_group() as tasks:
-            for replica in absent:
-                tasks.start_soon(self._poller.ask, replica, ReportStatus())
-        return self._are_absent(service, absent)
+            tasks.start_soon(self._proofs.find_resumed, proof, resumed)
+            token = await self._commit_order(proof.service, candidate)
+        for replica in sorted(resumed):
+            self._report_wait(
+                proof.service,
+                f'replica {replica} is not paused any more',
+                candidate,
+            )
+        return None if resumed else token
 
-    def _are_absent(
-        self, service: GroupId, replicas: frozenset[UpstreamId]
-    ) -> bool:
-        if not replicas:
-            return True
-        observed = self._poller.observe(service)
-        return replicas <= {
-            known.upstream_id for known in observed.members if known.is_absent
-        }
+    async def _still_holds(self, proof: PromotionProof) -> bool:
+        """Return whether a proof holds after absent replicas were asked."""
+        await self._proofs.ask_absent(proof)
+        problem = self._proofs.problem(proof)
+        if problem is not None:
+            self._report_wait(proof.service, problem, proof.evidence.candidate)
+        return problem is None
 
     async def _wait_until_primary(self, upstream_id: UpstreamId) -> bool:
         """Wait until a promoted member reports that it is primary.
@@ -461,7 +423,7 @@
         upstream_id: UpstreamId,
         token: int,
         proved_at: float,
-        absent: frozenset[UpstreamId] = frozenset(),
+        proof: PromotionProof | None = None,
     ) -> OrderOutcome:
         """Send an order, unless the proof for it has become too old.
 
@@ -470,8 +432,9 @@
         proved_at
             Time at which this host was the leader and the promotion was safe,
             on the real clock, in seconds.
-        absent
-            Replicas that must be absent when the order is sent.
+        proof
+            Proof that must hold when the order is sent; None for an order
+            that names the present primary.
         """
         outcome = await self._orders.promote(
             service=service,
@@ -480,7 +443,7 @@
             token=token,
             may_send=lambda: (
                 self._is_valid_proof(proved_at)
-                and self._are_absent(service, absent)
+                and (proof is None or self._proofs.problem(proof) is None)
             ),
         )
         self._metrics.promotion_orders.labels(service, outcome.value).inc()
@@ -598,7 +561,3 @@
 
 def _has_paused_replica(observed: ServiceObservation) -> bool:
     return any(replica.paused_term for replica in observed.replicas)
-
-
-def _newest_term(observed: ServiceObservation) -> Term:
-    return max((member.term for member in observed.members), default=Term(0))
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -1,6 +1,7 @@
 """Tests of takeovers with members, orders and a log in memory."""
 
 import unittest
+from collections.abc import Callable
 from functools import partial
 from unittest import mock
 
@@ -400,6 +401,57 @@
             with self.subTest(connect_s=connect_s):
                 run_scenario(scenario)
 
+    def test_start_that_runs_since_the_pause_is_asked_before_the_order(
+        self,
+    ) -> None:
+        """Guards against the pause of one start that counts for the next."""
+
+        def restart(control: TakeoverFixture) -> None:
+            member = control.group.member('b')
+            member.paused_term = Term(0)
+            member.log = []
+
+        def restart_and_announce(control: TakeoverFixture) -> None:
+            restart(control)
+            member = control.group.member('b')
+            member.entry = msgspec.structs.replace(member.entry, born=2)
+            control.announce()
+
+        def join(control: TakeoverFixture) -> None:
+            entry = msgspec.structs.replace(
+                odd_entry(control), upstream_id=UpstreamId('d')
+            )
+            control.group.members[entry.upstream_id] = Member(entry=entry)
+            control.announce()
+
+        async def scenario(
+            begin: Callable[[TakeoverFixture], None], control: TakeoverFixture
+        ) -> None:
+            group = control.group
+            commit_order = control.node.propose
+
+            async def propose(command: Command) -> Ok[Answer] | Err[NoQuorum]:
+                if not control.node.view.state.promotions:
+                    begin(control)
+                    group.member('c').is_replication_cut = True
+                    self.assertTrue(
+                        group.commit(group.member('a'), {'x': 'acknowledged'})
+                    )
+                return await commit_order(command)
+
+            await anyio.sleep(2)
+            # It still serves, but control does not reach it.
+            group.member('a').is_silent = True
+            with mock.patch.object(control.node, 'propose', propose):
+                await anyio.sleep(5)
+            group.member('a').is_silent = False
+            await anyio.sleep(5)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+
+        for begin in (restart, restart_and_announce, join):
+            with self.subTest(begin=begin.__name__):
+                run_scenario(partial(scenario, begin))
+
     def test_departure_is_settled_with_two_members_before_a_restart(
         self,
     ) -> None:
