Acknowledge no write at a primary that is being replaced

Callers would have seen LOST: a write is answered DONE, and the promoted member lacks it.

Cause: replicas that are paused confirm nothing, but one that was absent and returns after the order was sent is not paused. A write that was sent before the lease on the primary expired waits there until this replica confirms it. Proxies stopped sending writes to such a primary, but took the success of one that was on its way.

Change: a write or a commit that ends while the control leader replaces the primary and its lease has expired is answered UNKNOWN, with the advice to read it back.

--- a/lavendergate/filters/sessions/member_selection.py
+++ b/lavendergate/filters/sessions/member_selection.py
@@ -20,7 +20,11 @@
     SessionAnswer,
 )
 from lavendergate.core.types import GroupId, LogPosition, UpstreamId
-from lavendergate.filters.sessions.base import SessionFilter, SessionRequest
+from lavendergate.filters.sessions.base import (
+    SessionFilter,
+    SessionRequest,
+    refusal_answer,
+)
 from lavendergate.filters.sessions.read_placement import ReadPlacement
 
 # A position older than this fraction of `max_staleness_ms` is refreshed in the
@@ -279,10 +283,14 @@
                 )
                 self._positions.refresh(member.service)
 
-    def record_write(
+    def acknowledge_write(
         self, request: SessionRequest, answer: SessionAnswer, sent_at: float
-    ) -> None:
-        """Record the position of an acknowledged write.
+    ) -> SessionAnswer:
+        """Return the answer for the caller to a write that a member ran.
+
+        While the primary is being replaced, a replica that was absent may
+        return after the others were paused and confirm a write that the
+        promoted member lacks.
 
         Parameters
         ----------
@@ -290,6 +298,20 @@
             When the write was sent, on the clock of `PrimaryPositions`, in
             seconds.
         """
+        route = request.known_route
+        if self._positions.is_being_replaced(route.service):
+            return refusal_answer(
+                request,
+                RefusalCode.unknown,
+                'the primary is being replaced; the write may be kept or lost: '
+                'read it back before you repeat it',
+            )
+        self._record_write(request, answer, sent_at)
+        return answer
+
+    def _record_write(
+        self, request: SessionRequest, answer: SessionAnswer, sent_at: float
+    ) -> None:
         position = answer.position
         if position is not None:
             request.session.record_write(position, sent_at)
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -266,7 +266,7 @@
             await self._pools.release(connection)
         self._selector.record_if_read_only(primary, answer)
         if isinstance(answer.outcome, Completed):
-            self._selector.record_write(request, answer, sent_at)
+            answer = self._selector.acknowledge_write(request, answer, sent_at)
         return _answer_for_caller(request, answer)
 
     async def _connect(
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -192,9 +192,9 @@
         answer = await self._send_commit(request, transaction)
         await self.end_transaction(session)
         session.phase = Phase.idle
+        if isinstance(answer.outcome, Completed) and transaction.has_written:
+            answer = self._selector.acknowledge_write(request, answer, sent_at)
         if isinstance(answer.outcome, Completed):
-            if transaction.has_written:
-                self._selector.record_write(request, answer, sent_at)
             return SessionAnswer(outcome=answer.outcome, rows=answer.rows)
         code = answer.outcome.code
         if not transaction.has_written:
--- a/lavendergate/tests/test_primary_leases.py
+++ b/lavendergate/tests/test_primary_leases.py
@@ -6,6 +6,7 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import trio
@@ -13,7 +14,9 @@
 
 from lavendergate.core.sessions.statements import (
     Begin,
+    Commit,
     Completed,
+    Phase,
     Read,
     RefusalCode,
     Refused,
@@ -264,6 +267,31 @@
 
         play(scenario)
 
+    def test_write_that_ends_while_the_primary_is_being_replaced(self) -> None:
+        """Guards against a success that an absent replica confirmed.
+
+        It returned after the promotion was ordered, so that the promoted
+        member lacks the commit.
+        """
+
+        async def scenario(last: Write | Commit, proxy: SessionFixture) -> None:
+            service = proxy.group.service
+            session = CallerSession(database=PRIMARY)
+            await anyio.sleep(_LEASE_S - 0.5)
+            if isinstance(last, Commit):
+                await proxy.send(session, Begin(read_only=False))
+                await proxy.send(session, Write(item='x', content='1'))
+            proxy.positions.record_replacing((service,))
+            proxy.group.member('a').statement_s = 0.7
+            answer = await proxy.send(session, last)
+            self.assertEqual(proxy.group.member('a').content('x'), '1')
+            self.assertEqual(code(answer), RefusalCode.unknown)
+            self.assertEqual(answer.phase, Phase.idle)
+
+        for last in (Write(item='x', content='1'), Commit()):
+            with self.subTest(last=last):
+                play(partial(scenario, last))
+
     def test_lost_control_leader_does_not_stop_writes(self) -> None:
         """Guards against refusing writes for a takeover that ended unseen."""
 
