Drop messages of the log that contradict the state of the node

Callers would have seen a control host that ends again and again (FAULT), or a control group without a leader.

Cause: messages were checked for what they are, not for whether a node of the group can have sent them now. An entry in the place of a committed one, or a second leader of a term, raised InvariantViolationError in the driver and ended the process. A message of the last term was adopted, so that the next election needed a term that no message can carry. A reply that confirmed entries beyond the log set the leader's next index past its end, and its sender was sent nothing any more.

Evidence: three tests in test_unreadable_messages.

Change: core/consensus/contradictions.py names the contradiction, and the driver drops the message, counts and logs it, as it does for messages that it cannot read. Loss of messages is tolerated by the log, so this is safe whoever sent it. The step keeps its own checks for the models.

--- a/lavendergate/controllers/consensus.py
+++ b/lavendergate/controllers/consensus.py
@@ -387,7 +387,10 @@
     def _step(self, event: events.Event, now: float) -> events.Effects:
         # Requests and replies of peers both pass here.
         if isinstance(event, events.Receive):
-            if not self._received.is_valid(event.envelope):
+            received = self._received
+            if not received.is_valid(event.envelope):
+                return ()
+            if not received.is_consistent(event.envelope, self.node):
                 return ()
         node, effects = step(self.node, event, now)
         self._node = node
--- a/lavendergate/controllers/log_storage/received.py
+++ b/lavendergate/controllers/log_storage/received.py
@@ -6,12 +6,14 @@
 from lavendergate.controllers.log_storage.readable import decode_entry
 from lavendergate.core.bounds.decoding import InvalidValueError
 from lavendergate.core.bounds.ranges import MAX_LOG_POSITION
+from lavendergate.core.consensus.contradictions import contradiction
 from lavendergate.core.consensus.messages import (
     AppendRequest,
     Envelope,
     Message,
     SnapshotRequest,
 )
+from lavendergate.core.consensus.state import NodeState
 from lavendergate.core.control_state import decode_state
 from lavendergate.core.errors import quoted
 
@@ -22,7 +24,7 @@
 
 
 class ReceivedMessages:
-    """Refuses messages that this build cannot read to their end.
+    """Refuses messages that this build cannot read, or that contradict it.
 
     Once persisted, an entry that cannot be decoded would end the host at each
     of its starts.
@@ -48,7 +50,18 @@
 
         A refused one is counted, and logged at most once in 10 s.
         """
-        problem = problem_with_message(envelope.message)
+        return self._is_allowed(
+            envelope, problem_with_message(envelope.message)
+        )
+
+    def is_consistent(self, envelope: Envelope, node: NodeState) -> bool:
+        """Return whether a valid message may be handled in a node's state.
+
+        One that contradicts the state is refused, counted and logged, too.
+        """
+        return self._is_allowed(envelope, contradiction(node, envelope))
+
+    def _is_allowed(self, envelope: Envelope, problem: str | None) -> bool:
         if problem is None:
             return True
         self._refused += 1
--- a/lavendergate/tests/control/test_unreadable_messages.py
+++ b/lavendergate/tests/control/test_unreadable_messages.py
@@ -10,8 +10,10 @@
 
 from lavendergate.controllers.control_node import ControlNode
 from lavendergate.controllers.log_storage.received import ReceivedMessages
+from lavendergate.core.bounds.ranges import MAX_LOG_POSITION
 from lavendergate.core.commands import ChangeVoters
 from lavendergate.core.consensus.messages import (
+    AppendReply,
     AppendRequest,
     Envelope,
     Message,
@@ -173,6 +175,97 @@
 
         self.run_cluster(scenario)
 
+    def test_message_that_contradicts_the_log_ends_no_host(self) -> None:
+        """Guards against a host that one message of another writer ends."""
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            self.assertTrue((await leader.propose(routes(1))).is_ok())
+            await anyio.sleep(1)
+            follower = next(
+                node for node in cluster.nodes.values() if node is not leader
+            )
+            node = follower._driver.node
+            committed = node.commit_index
+            other_entry = append(
+                EntryId(index=committed - 1, term=node.log.last.term),
+                entry(committed, NO_OPERATION),
+            )
+            second_leader = msgspec.structs.replace(
+                append(node.log.last), term=node.term
+            )
+            for recipient, message in (
+                (follower, other_entry),
+                (leader, second_leader),
+            ):
+                request = ExchangeRequest(
+                    envelope=self.envelope(follower, recipient, message)
+                )
+                with self.assertLogs() as logged:
+                    reply = await recipient.exchange(request)
+                    await anyio.sleep(11)
+                self.assertIsNone(reply.envelope)
+                self.assertIn('was refused', logged.records[0].getMessage())
+            self.assertTrue((await leader.propose(routes(2))).is_ok())
+            await anyio.sleep(1)
+            self.assertEqual(version_of(follower), 2)
+
+        self.run_cluster(scenario)
+
+    def test_last_term_leaves_a_term_for_the_next_election(self) -> None:
+        """Guards against one message after which nobody is elected."""
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            self.assertTrue((await leader.propose(routes(1))).is_ok())
+            for node in tuple(cluster.nodes.values()):
+                message = msgspec.structs.replace(
+                    append(node._driver.node.log.last),
+                    term=ConsensusTerm(MAX_LOG_POSITION),
+                )
+                request = ExchangeRequest(
+                    envelope=self.envelope(leader, node, message)
+                )
+                with self.assertLogs():
+                    await node.exchange(request)
+            await cluster.stop(leader.view.identity.host_id)
+            await anyio.sleep(10)
+            with anyio.fail_after(10):
+                successor = await cluster.leader()
+            # A message with a higher term cannot be decoded.
+            term = successor._driver.node.term
+            self.assertLessEqual(term, MAX_LOG_POSITION)
+            self.assertTrue((await successor.propose(routes(2))).is_ok())
+
+        self.run_cluster(scenario)
+
+    def test_reply_beyond_the_log_confirms_nothing(self) -> None:
+        """Guards against a node that is sent no entries any more."""
+
+        async def scenario(cluster: Cluster) -> None:
+            leader = await cluster.leader()
+            self.assertTrue((await leader.propose(routes(1))).is_ok())
+            await anyio.sleep(1)
+            odd = next(
+                node for node in cluster.nodes.values() if node is not leader
+            )
+            message = AppendReply(
+                term=leader._driver.node.term,
+                accepted=True,
+                match_index=MAX_LOG_POSITION,
+                read_round=0,
+            )
+            request = ExchangeRequest(
+                envelope=self.envelope(odd, leader, message)
+            )
+            with self.assertLogs():
+                await leader.exchange(request)
+            self.assertTrue((await leader.propose(routes(2))).is_ok())
+            await anyio.sleep(1)
+            self.assertEqual(version_of(odd), 2)
+
+        self.run_cluster(scenario)
+
     def test_long_name_of_a_sender_is_shortened_in_the_log(self) -> None:
         """Guards against a name that hides the reason, or breaks the line."""
         last = EntryId(term=ConsensusTerm(1), index=1)
