Hand over no operations of an earlier ownership

Cause: a proxy that was out of contact for so long that another one became the owner kept its bucket. Once it was the owner again and then lost the slot, it handed the old bucket over, while the proxy that had owned the slot meanwhile still granted.

Change: a bucket is handed over only if it was used since the proxy became the owner for the last time.

--- a/lavendergate/core/limits/ledger.py
+++ b/lavendergate/core/limits/ledger.py
@@ -143,7 +143,12 @@
                 self._handed_over_at[slot] = now
             return UnknownOwner()
         kept = self._slots.get(slot)
-        if kept is not None and self.view.was_owner_recently(slot, now):
+        owned_since = self.view.recently_owned_since(slot, now)
+        if (
+            kept is not None
+            and owned_since is not None
+            and (kept.used_at >= owned_since)
+        ):
             self._slots.pop(slot)
             self._handed_over_at[slot] = now
             kept.bucket.change(limit, now)
--- a/lavendergate/core/limits/ownership.py
+++ b/lavendergate/core/limits/ownership.py
@@ -144,17 +144,18 @@
             and now - since >= TAKEOVER_S
         )
 
-    def was_owner_recently(self, slot: SlotId, now: float) -> bool:
-        """Return whether this proxy could still grant by an earlier answer.
+    def recently_owned_since(self, slot: SlotId, now: float) -> float | None:
+        """Return since when this proxy owned a slot that it can hand over.
 
-        It may hand its operations over then: no other proxy can have become
-        the owner without it.
+        None if it cannot grant by any answer that it had. Otherwise no other
+        proxy can have become the owner without it since that time. Before
+        it, this proxy may have been out of contact and another one the owner.
         """
-        return any(
-            self._is_fresh(view, now)
-            and view.proxies.owner(slot) == self.own_address
-            for view in self._views
-        )
+        for index in reversed(range(len(self._views))):
+            since = self._run_start(slot, self.own_address, index)
+            if since is not None and self._is_fresh(self._views[index], now):
+                return since
+        return None
 
     def predecessor(self, slot: SlotId) -> str | None:
         """Return the owner of a slot if this proxy were not live."""
--- a/properties/test_limits.py
+++ b/properties/test_limits.py
@@ -72,6 +72,15 @@
             schedule.run()
             self.assertLessEqual(schedule.slot_excess(), _ROUNDING)
 
+    def test_bucket_of_an_earlier_ownership_is_not_handed_over(self) -> None:
+        """Guards against a bucket that is kept while another proxy owns."""
+        seeds = (200133, 300375, 1000672, 2001427)
+        schedules = [LimitSchedule(seed=seed) for seed in seeds]
+        for schedule in schedules:
+            schedule.run()
+            self.assertLessEqual(schedule.excess(), 0)
+            self.assertLessEqual(schedule.slot_excess(), _ROUNDING)
+
     def test_most_of_the_limit_is_granted(self) -> None:
         """Guards against schedules or owners that grant next to nothing."""
         schedules = [LimitSchedule(seed=seed) for seed in range(20)]
