Begin ownership of limits anew after a leader that a proxy missed

Callers would have seen more operations of a customer than its limit allows.

Cause: a proxy stayed the owner of a slot as long as all live proxies that it had been told of named it. Between two leaders a third one, which it never heard, may have published a set without it and made another proxy the owner. That one waits 3.7 s, after which nobody else should grant, but the next leader's answer confirmed the former owner.

Change: answers of the control leader carry its term and the newest earlier term whose leader committed an entry, and a leader publishes proxies only once its first entry is committed. A proxy that missed such a leader begins its ownership anew, as after a time without answers.

--- a/lavendergate/controllers/fleet_state.py
+++ b/lavendergate/controllers/fleet_state.py
@@ -485,6 +485,8 @@
             withheld=self._leases.withheld(self._primaries),
             replacing=self._leases.replacing(),
             proxy_changes=self._proxy_changes(request),
+            leader_term=view.term if self.is_leading else 0,
+            previous_term=view.previous_term if self.is_leading else 0,
         )
 
     def _proxy_changes(self, request: SyncRequest) -> ProxyChanges | None:
@@ -520,7 +522,9 @@
         )
 
     def _update_leadership(self) -> None:
-        if not self.is_leading:
+        # An earlier leader is known to its successors only once its first
+        # entry is committed; until then it publishes no proxies.
+        if not (self.is_leading and self._node.view.has_committed):
             self._leading_since = None
         elif self._leading_since is None:
             self._leading_since = self._clock()
--- a/lavendergate/controllers/limits/owner.py
+++ b/lavendergate/controllers/limits/owner.py
@@ -23,7 +23,11 @@
     SlotId,
     collect_proxies,
 )
-from lavendergate.core.limits.ownership import OwnershipView
+from lavendergate.core.limits.ownership import (
+    UNKNOWN_LEADERSHIP,
+    Leadership,
+    OwnershipView,
+)
 from lavendergate.core.relays.homes import ProxyAddress
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
@@ -94,12 +98,19 @@
         """Live proxies, from which the owners follow."""
         return self._ledger.proxies
 
-    def confirm(self, sent_at: float) -> None:
+    def confirm(
+        self, sent_at: float, leadership: Leadership = UNKNOWN_LEADERSHIP
+    ) -> None:
         """Record an answer of the control leader; see `OwnershipView`."""
-        self._ledger.view.confirm(sent_at, self._real_clock())
+        self._ledger.view.confirm(sent_at, self._real_clock(), leadership)
 
     def change_proxies(
-        self, proxies: Iterable[ProxyAddress], *, source: str, sent_at: float
+        self,
+        proxies: Iterable[ProxyAddress],
+        *,
+        source: str,
+        sent_at: float,
+        leadership: Leadership = UNKNOWN_LEADERSHIP,
     ) -> None:
         """Replace the live proxies; see `OwnershipView`."""
         self._ledger.view.replace(
@@ -107,6 +118,7 @@
             source=source,
             sent_at=sent_at,
             now=self._real_clock(),
+            leadership=leadership,
         )
 
     def stop(self) -> None:
--- a/lavendergate/controllers/view.py
+++ b/lavendergate/controllers/view.py
@@ -35,6 +35,11 @@
         Address of the leader, ``ip:port``, if known.
     initialised
         Whether the host belongs to an initialised cluster.
+    previous_term
+        While the host leads, the newest earlier term whose leader committed
+        an entry; 0 otherwise.
+    has_committed
+        Whether the host leads and its first entry is committed.
     leader_known_until
         Monotonic time until which the messages so far show who leads, in
         seconds.
@@ -51,6 +56,8 @@
     initialised: bool
     configuration: Configuration | None
     leader_known_until: float = field(compare=False)
+    previous_term: ConsensusTerm = ConsensusTerm(0)
+    has_committed: bool = False
 
     def without_leader(self) -> 'ControlView':
         """Return this view for a time when nothing shows who leads."""
@@ -122,11 +129,12 @@
 def _view_of(
     node: NodeState, state: ControlState, now: float, version: int
 ) -> ControlView:
+    role = node.role
     return ControlView(
         version=version,
         state=state,
         identity=node.identity,
-        is_leader=isinstance(node.role, Leader),
+        is_leader=isinstance(role, Leader),
         has_quorum=_has_quorum(node, now),
         leader_address=leader_address(node),
         term=node.term,
@@ -134,6 +142,11 @@
         initialised=bool(node.hard_state.cluster_id),
         configuration=node.configuration,
         leader_known_until=_leader_known_until(node),
+        previous_term=role.previous_term
+        if isinstance(role, Leader)
+        else ConsensusTerm(0),
+        has_committed=isinstance(role, Leader)
+        and node.commit_index >= role.first_index,
     )
 
 
--- a/lavendergate/core/consensus/replication.py
+++ b/lavendergate/core/consensus/replication.py
@@ -41,12 +41,13 @@
 
     Committing this entry also commits the entries of older terms.
     """
-    last_index = state.log.last.index
+    last = state.log.last
     leading = replace(
         state,
         leader=state.identity,
         role=Leader(
-            first_index=last_index + 1,
+            first_index=last.index + 1,
+            previous_term=last.term,
             heartbeat_at=now + state.options.heartbeat_interval_s,
             progress={},
         ),
--- a/lavendergate/core/consensus/state.py
+++ b/lavendergate/core/consensus/state.py
@@ -109,6 +109,9 @@
     ----------
     first_index
         Index of the leader's first entry in its own term.
+    previous_term
+        Term of the entry before it. Every leader that committed its first
+        entry before led that term or an earlier one.
     heartbeat_at
         Monotonic time of the next heartbeat, in seconds.
     progress
@@ -120,6 +123,7 @@
     """
 
     first_index: int
+    previous_term: ConsensusTerm
     heartbeat_at: float
     progress: dict[NodeId, Progress]
     read_round: int = 0
--- a/lavendergate/core/limits/ownership.py
+++ b/lavendergate/core/limits/ownership.py
@@ -20,6 +20,25 @@
 _HISTORY_S = 60.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Leadership:
+    """Term of a control leader, and of the one before it.
+
+    Parameters
+    ----------
+    term
+        Term of the leader; 0 if it is not known.
+    previous_term
+        Newest earlier term in which a leader can have published live proxies.
+    """
+
+    term: int = 0
+    previous_term: int = 0
+
+
+UNKNOWN_LEADERSHIP = Leadership()
+
+
 @dataclass(kw_only=True, slots=True)
 class _View:
     """Live proxies as a control leader published them.
@@ -48,13 +67,19 @@
 
     own_address: str
     _views: list[_View] = field(default_factory=list)
+    _term: int = 0
 
     @property
     def proxies(self) -> ProxySet:
         """Live proxies; empty before the first answer of a leader."""
         return self._views[-1].proxies if self._views else ProxySet(domains={})
 
-    def confirm(self, sent_at: float, now: float) -> None:
+    def confirm(
+        self,
+        sent_at: float,
+        now: float,
+        leadership: Leadership = UNKNOWN_LEADERSHIP,
+    ) -> None:
         """Record an answer of the control leader.
 
         After a time without answers in which others may have become owners,
@@ -64,16 +89,26 @@
         ----------
         sent_at
             When the request was sent.
+        leadership
+            Leader that answered.
         """
-        if self._views:
+        if self._follow(leadership, now) and self._views:
             self._forget_lapsed(now)
             last = self._views[-1]
             last.confirmed_at = max(last.confirmed_at, sent_at)
 
     def replace(
-        self, proxies: ProxySet, *, source: str, sent_at: float, now: float
+        self,
+        proxies: ProxySet,
+        *,
+        source: str,
+        sent_at: float,
+        now: float,
+        leadership: Leadership = UNKNOWN_LEADERSHIP,
     ) -> None:
         """Record the live proxies of an answer of the control leader."""
+        if not self._follow(leadership, now):
+            return
         if self._views and self._views[-1].proxies == proxies:
             self.confirm(sent_at, now)
             self._views[-1].source = source
@@ -161,11 +196,31 @@
         """Return the owner of a slot if this proxy were not live."""
         return self.proxies.without(self.own_address).owner(slot)
 
+    def _follow(self, leadership: Leadership, now: float) -> bool:
+        """Return whether the answer of a leader counts.
+
+        Between two leaders whose answers this proxy got, a third one may have
+        published other live proxies, so that another proxy became an owner.
+        The history starts anew then, as after a time without answers.
+        """
+        if not leadership.term:
+            return True
+        if leadership.term < self._term:
+            return False
+        has_missed_leader = leadership.previous_term > self._term
+        if has_missed_leader and self._term and self._views:
+            self._forget_history(now)
+        self._term = leadership.term
+        return True
+
     def _forget_lapsed(self, now: float) -> None:
+        if not self._is_fresh(self._views[-1], now):
+            self._forget_history(now)
+
+    def _forget_history(self, now: float) -> None:
         last = self._views[-1]
-        if not self._is_fresh(last, now):
-            last.since = now
-            self._views = [last]
+        last.since = now
+        self._views = [last]
 
     def _is_fresh(self, view: _View, now: float) -> bool:
         return now - view.confirmed_at < FENCE_S
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -18,6 +18,7 @@
 from lavendergate.core.customers.lease import confirmation_time
 from lavendergate.core.fleet_directory import MemberAvailability, MemberEntry
 from lavendergate.core.leases.granting import LEASE_S
+from lavendergate.core.limits.ownership import Leadership
 from lavendergate.core.relays.homes import ProxyAddress
 from lavendergate.core.types import FailureDomain, GroupId
 from lavendergate.observability.log import EventLog
@@ -184,9 +185,12 @@
 
     def _apply_proxies(self, reply: SyncReply, sent_at: float) -> None:
         changes = reply.proxy_changes
+        leadership = Leadership(
+            term=reply.leader_term, previous_term=reply.previous_term
+        )
         if changes is None or not changes.version or self._relays is None:
             if self._limits is not None:
-                self._limits.confirm(sent_at)
+                self._limits.confirm(sent_at, leadership)
             return
         source = reply.version.source
         known = self._proxies.get(source, _KnownProxies())
@@ -206,7 +210,10 @@
         self._relays.change_proxies(live_proxies)
         if self._limits is not None:
             self._limits.change_proxies(
-                live_proxies, source=source, sent_at=sent_at
+                live_proxies,
+                source=source,
+                sent_at=sent_at,
+                leadership=leadership,
             )
         self._events.emit(
             SessionEvent.proxies_changed, count=len(known.domains)
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -181,6 +181,10 @@
         Services whose primary is being replaced.
     proxy_changes
         Changes of the live proxies since the version in the request.
+    leader_term
+        Term of the replying leader; 0 if it is not known.
+    previous_term
+        Newest earlier term in which a leader can have published proxies.
     """
 
     separable_fields: ClassVar[tuple[str, ...]] = (
@@ -203,6 +207,8 @@
     withheld: tuple[GroupId, ...] = ()
     replacing: tuple[GroupId, ...] = ()
     proxy_changes: ProxyChanges | None = None
+    leader_term: Count = 0
+    previous_term: Count = 0
 
 
 class MergeRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/lavendergate/tests/limits/test_limit_decisions.py
+++ b/lavendergate/tests/limits/test_limit_decisions.py
@@ -24,6 +24,7 @@
 from lavendergate.core.limits.ownership import (
     FENCE_S,
     TAKEOVER_S,
+    Leadership,
     OwnershipView,
 )
 from lavendergate.core.relays.homes import ProxyAddress
@@ -240,6 +241,30 @@
         show(one, after, 10, source='another leader')
         self.assertIsInstance(one.ask(slot, 1, _LIMIT, 10), Declined)
 
+    def test_an_owner_that_missed_a_leader_waits(self) -> None:
+        """Guards against another owner of the leader in between."""
+        for missed, wanted in ((False, Granted), (True, Declined)):
+            one = ledger(1)
+            live = proxies(1, 2, 4)
+            slot = slots(live, '10.0.0.1:7440', '10.0.0.4:7440')
+            first = Leadership(term=3, previous_term=2)
+            for time in range(0, 11):
+                one.view.replace(
+                    live, source='s', sent_at=time, now=time, leadership=first
+                )
+            self.assertIsInstance(one.ask(slot, 1, _LIMIT, 10), Granted)
+            # Term 4 had no leader that published anything, or one had.
+            later = Leadership(term=5, previous_term=4 if missed else 3)
+            one.view.confirm(12, 12, later)
+            one.view.replace(
+                live, source='t', sent_at=12, now=12, leadership=later
+            )
+            with self.subTest(missed=missed):
+                self.assertIsInstance(one.ask(slot, 1, _LIMIT, 12), wanted)
+            # The late answer of a leader that was replaced counts no more.
+            one.view.confirm(15, 15, first)
+            self.assertIsInstance(one.ask(slot, 1, _LIMIT, 15.6), Declined)
+
     def test_a_frozen_owner_grants_nothing_from_the_past(self) -> None:
         """Guards against questions that are answered after a suspension."""
         one = ledger(1)
--- a/lavendergate/tests/takeover_fixture.py
+++ b/lavendergate/tests/takeover_fixture.py
@@ -42,6 +42,8 @@
 
     is_leader: bool = True
     has_quorum: bool = True
+    has_committed: bool = True
+    previous_term: int = 0
     leader_address: str | None = None
     term: int = 1
     configuration: None = None
--- a/lavendergate/tests/test_control_node.py
+++ b/lavendergate/tests/test_control_node.py
@@ -115,6 +115,27 @@
 
         self.run_cluster(scenario)
 
+    def test_leader_names_the_last_leader_that_committed(self) -> None:
+        """Guards against a leader in between of whom proxies are not told."""
+
+        async def scenario(cluster: Cluster) -> None:
+            former = await cluster.leader()
+            (await former.propose(register('m1'))).unwrap()
+            former_id, former_term = (
+                former.view.identity.host_id,
+                former.view.term,
+            )
+            self.assertTrue(former.view.has_committed)
+            await cluster.cut_outgoing(former)
+            self.assertFalse(former.view.has_committed)
+            successor = await cluster.leader(apart_from=former_id)
+            (await successor.propose(register('m2'))).unwrap()
+            self.assertTrue(successor.view.has_committed)
+            self.assertGreater(successor.view.term, former_term)
+            self.assertEqual(successor.view.previous_term, former_term)
+
+        self.run_cluster(scenario)
+
     def test_state_survives_restart_of_all_nodes(self) -> None:
         """Guards against loss of commands from the snapshot or the log."""
 
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -752,6 +752,22 @@
 
         run_scenario(scenario)
 
+    def test_leader_without_a_commit_publishes_no_proxies(self) -> None:
+        """Guards against live proxies of a leader that no successor knows."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            control.node.view.has_committed = False
+            await control.sync()
+            await anyio.sleep(3)
+            reply = await control.sync()
+            self.assertEqual((reply.proxies, reply.leader_term), (0, 1))
+            control.node.view.has_committed = True
+            await control.sync()
+            await anyio.sleep(3)
+            self.assertEqual((await control.sync()).proxies, 1)
+
+        run_scenario(scenario)
+
     def test_new_leader_waits_for_the_leases_of_its_predecessor(self) -> None:
         """Guards against an order while a proxy holds an older lease."""
 
--- a/properties/limit_schedule.py
+++ b/properties/limit_schedule.py
@@ -14,7 +14,7 @@
 from lavendergate.core.limits.budget import Tolerance, divide
 from lavendergate.core.limits.ledger import Declined, Granted, OwnerLedger
 from lavendergate.core.limits.owners import SlotId, collect_proxies
-from lavendergate.core.limits.ownership import OwnershipView
+from lavendergate.core.limits.ownership import Leadership, OwnershipView
 from lavendergate.core.relays.homes import ProxyAddress
 from lavendergate.core.types import FailureDomain
 from lavendergate.rpc.fleet_service import RelayOffer
@@ -29,6 +29,8 @@
 # a new one knows all live proxies, in seconds.
 _STALE_LEADER_S = 1.0
 _COUNT_DELAY_S = 1.5
+# Time from an election to the commit of the leader's first entry, in seconds.
+_FIRST_COMMIT_S = 0.3
 _LONG_POLL_S = 0.6
 # Share of the steps with a disturbance.
 _DISTURBED = 0.015
@@ -37,6 +39,7 @@
 @dataclass(kw_only=True)
 class _Leader:
     source: str
+    leadership: Leadership
     elected_at: float
     replaced_at: float = float('inf')
     directory: ProxyDirectory
@@ -81,6 +84,7 @@
         self.granted_at: dict[SlotId, list[float]] = {}
         self._random = random.Random(seed)
         self._now = 0.0
+        self._leaders: list[_Leader] = []
         self._leader = self._elect()
         self._proxies = {
             f'10.0.0.{number}:7440': self._make(number)
@@ -127,13 +131,26 @@
         )
 
     def _elect(self) -> _Leader:
-        return _Leader(
+        # A leader that was replaced before its first entry was committed is
+        # not in the log of its successors.
+        known = [
+            leader.leadership.term
+            for leader in self._leaders
+            if leader.replaced_at - leader.elected_at >= _FIRST_COMMIT_S
+        ]
+        elected = _Leader(
             source=f'leader-{self._now}',
+            leadership=Leadership(
+                term=len(self._leaders) + 1,
+                previous_term=max(known, default=0),
+            ),
             elected_at=self._now,
             directory=ProxyDirectory(
                 clock=lambda: self._now, lifetime_s=_LIFETIME_S
             ),
         )
+        self._leaders.append(elected)
+        return elected
 
     def _disturb(self) -> None:
         if self._random.random() > _DISTURBED:
@@ -200,7 +217,7 @@
         if proxy.cut_off_until > self._now or not is_valid:
             return
         view = proxy.ledger.view
-        view.confirm(poll.sent_at, self._now)
+        view.confirm(poll.sent_at, self._now, leader.leadership)
         if self._now < leader.elected_at + _COUNT_DELAY_S:
             return
         changes = leader.directory.changes_since(
@@ -224,6 +241,7 @@
             source=leader.source,
             sent_at=poll.sent_at,
             now=self._now,
+            leadership=leader.leadership,
         )
 
     def _borrow(self, proxy: _Proxy) -> None:
--- a/properties/test_limits.py
+++ b/properties/test_limits.py
@@ -14,7 +14,7 @@
 from properties.limit_schedule import LENGTH_S, LIMIT, LimitSchedule
 from properties.limit_window import most_in_window
 
-_SCHEDULES_WITH_FAULT = 60
+_SCHEDULES_WITH_FAULT = 120
 _ROUNDING = 1e-6
 
 
