Close few idle sessions for connections that are not served

Callers would have seen their idle sessions closed by a storm of connections.

Cause: each connection above the limit and the spare ones is cut, and closed an idle session to make room for later ones. A storm of 1,000 connections in a second closed 1,000 sessions.

Evidence: test_storm_of_connections_keeps_most_idle_sessions; before, 1000 were closed where 10 are allowed.

Change: room is made at most once in 0.1 s. A connection within the spare ones still takes the place of an idle session at once.

--- a/lavendergate/supervision/connection_gate.py
+++ b/lavendergate/supervision/connection_gate.py
@@ -17,6 +17,10 @@
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_events import ProcessEvent
 
+# Idle sessions are closed for connections above the spare ones at most once in
+# this time, in seconds. Such a connection is not served anyway, and a storm of
+# them would end the sessions of all callers.
+_ROOM_INTERVAL_S = 0.1
 # Refusals are logged once in this time; the metric counts all of them.
 _LOG_INTERVAL_S = 10.0
 
@@ -83,6 +87,7 @@
             GatedConnection, tuple[Callable[[], object], float]
         ] = {}
         self._refused = metrics.refused_connections.labels(kind)
+        self._made_room_at = float('-inf')
         self._unlogged = 0
         self._logged_at = float('-inf')
         metrics.connections.labels(kind).set_function(lambda: len(self._open))
@@ -132,13 +137,19 @@
                 if not self._close_idle():
                     connection.is_served = False
             case Cut():
-                # Makes room for the next connections.
-                self._close_idle()
+                self._make_room()
                 connection.is_served = False
                 connection.is_cut = True
         if not connection.is_served:
             self._record_refusal()
 
+    def _make_room(self) -> None:
+        """Close an idle session for the next connections."""
+        now = self._clock()
+        if now - self._made_room_at >= _ROOM_INTERVAL_S:
+            self._made_room_at = now
+            self._close_idle()
+
     def _decide(self) -> Admission:
         waited_s = None
         if self._waiting:
--- a/lavendergate/tests/connections/test_caller_limits.py
+++ b/lavendergate/tests/connections/test_caller_limits.py
@@ -4,6 +4,7 @@
 import unittest
 import unittest.mock
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from functools import partial
 
 import anyio
@@ -176,6 +177,36 @@
 
         play(scenario)
 
+    def test_storm_of_connections_keeps_most_idle_sessions(self) -> None:
+        """Guards against a storm that ends the session of each caller."""
+        closed = 0
+        now = 0.0
+
+        def close_idle() -> bool:
+            nonlocal closed
+            closed += 1
+            return True
+
+        gate = ConnectionGate(
+            kind='callers',
+            limit=lambda: 100,
+            spare=lambda: _SPARE,
+            clock=lambda: now,
+            events=MemoryEventLog(),
+            metrics=HttpMetrics(),
+            close_idle=close_idle,
+        )
+        with ExitStack() as open_connections:
+            for _ in range(100 + _SPARE):
+                open_connections.enter_context(gate.enter())
+            before = closed
+            for number in range(1000):
+                now = number / 1000
+                with gate.enter() as connection:
+                    self.assertTrue(connection.is_cut)
+        self.assertLessEqual(closed - before, 10)
+        self.assertGreater(closed, before)
+
     def test_silent_connections_above_the_spare_are_cut(self) -> None:
         """Guards against refused connections that use up the descriptors."""
 
