Bound the address and the failure domain of a relay offer

Evidence: test_offer_that_no_proxy_can_call_is_refused; before, a port of 70000, an empty address and fields of 1 MB were accepted.

Change: the offer carries the types with bounds, as JoinRequest does, so that the leader refuses it where it enters.

--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -10,8 +10,10 @@
 
 from lavendergate.core.bounds.ranges import (
     IN_COUNT,
+    IN_NAME,
     Count,
     DurationS,
+    HostAndPort,
     Integer,
 )
 from lavendergate.core.commands import PublishRoutes
@@ -97,8 +99,8 @@
         none.
     """
 
-    address: str
-    failure_domain: FailureDomain
+    address: HostAndPort
+    failure_domain: Annotated[FailureDomain, IN_NAME]
     is_stopping: bool
     known_version: Count
 
--- a/lavendergate/tests/bounds/test_codec.py
+++ b/lavendergate/tests/bounds/test_codec.py
@@ -14,6 +14,7 @@
     READ_ROUTES,
     FleetVersion,
     JoinRequest,
+    RelayOffer,
 )
 from lavendergate.rpc.fleet_service import RoutesRequest as Request
 from lavendergate.rpc.peers import PeerCallError, PeerClient
@@ -64,6 +65,28 @@
                     codec.decode(content, JoinRequest)
 
 
+class OfferTest(unittest.TestCase):
+    """Offers of proxies to be homes."""
+
+    def test_offer_that_no_proxy_can_call_is_refused(self) -> None:
+        """Guards against an odd offer that the leader sends to all proxies."""
+        codec = MessagePackCodec()
+        for address, domain, is_valid in (
+            ('10.0.0.8:7440', 'zone-a', True),
+            ('10.0.0.8:70000', 'zone-a', False),
+            ('a' * 1_000_000, 'zone-a', False),
+            ('', 'zone-a', False),
+            ('10.0.0.8:7440', 'z' * 1_000_000, False),
+        ):
+            content = msgspec.msgpack.encode([address, domain, False, 0])
+            with self.subTest(address=address[:20], domain=domain[:20]):
+                if is_valid:
+                    codec.decode(content, RelayOffer)
+                    continue
+                with self.assertRaises(InvalidValueError):
+                    codec.decode(content, RelayOffer)
+
+
 class PeerAddressTest(unittest.TestCase):
     """Calls to addresses that are none."""
 
