Answer running MySQL statements at the end of a drain

Callers saw error 2013 (lost connection) for a statement that ran when the drain reached its limit.

Cause: at the limit, the drain closed all connections.

Evidence: tests/stops/test_mysql_drain.py, a statement that outlasts the drain: 2013 instead of 9002 before.

Change: running statements are answered with error 9002 (unknown, with the way to find out), and a statement of an open transaction that arrives afterwards is refused as not run. The answers have 0.2 s to leave the host.

--- a/lavendergate/daemon/drain.py
+++ b/lavendergate/daemon/drain.py
@@ -7,6 +7,9 @@
 from lavendergate.observability.process_events import ProcessEvent
 
 POLL_INTERVAL_S = 0.05
+# Time for the answers to statements that are given up to leave the host, in
+# seconds.
+_ANSWER_S = 0.2
 
 _MS_PER_S = 1000
 
@@ -46,6 +49,10 @@
                 await self._finish_statements()
                 tasks.cancel_scope.cancel()
         aborted = listener.busy_count
+        listener.give_up_statements()
+        with anyio.move_on_after(_ANSWER_S):
+            while listener.running_count:
+                await anyio.sleep(POLL_INTERVAL_S)
         listener.close_all()
         self._report(started_at, aborted)
         if not self._ended.is_set():
--- a/lavendergate/frontend/server.py
+++ b/lavendergate/frontend/server.py
@@ -92,6 +92,13 @@
             connection.session.is_busy for connection in self._connections
         )
 
+    @property
+    def running_count(self) -> int:
+        """Number of connections whose statement has not been answered."""
+        return sum(
+            connection.session.is_running for connection in self._connections
+        )
+
     async def start(self, host: str, port: int) -> None:
         """Start to accept connections of callers."""
         self._server = await asyncio.start_server(
@@ -111,6 +118,11 @@
                 self._connections.pop(connection, None)
         return len(self._connections)
 
+    def give_up_statements(self) -> None:
+        """Answer all running statements as unknown."""
+        for connection in self._connections:
+            connection.session.give_up_statement()
+
     def close_all(self) -> int:
         """Close all connections immediately; return how many were open."""
         count = len(self._connections)
--- a/lavendergate/frontend/session.py
+++ b/lavendergate/frontend/session.py
@@ -9,7 +9,7 @@
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 from result import Err, Ok
 
-from lavendergate.core.errors import DrainingError
+from lavendergate.core.errors import DrainingError, UnknownOutcomeError
 from lavendergate.core.types import CallerId, GroupId
 from lavendergate.filters.base import (
     Forward,
@@ -50,6 +50,8 @@
         self._is_draining = is_draining
         self._state = SessionState()
         self._unanswered_statements = 0
+        self._run_scope = anyio.CancelScope()
+        self._is_ending = False
 
     @property
     def state(self) -> SessionState:
@@ -59,7 +61,12 @@
     @property
     def is_busy(self) -> bool:
         """Whether a statement is running or a transaction is open."""
-        return self._unanswered_statements > 0 or self.in_transaction
+        return self.is_running or self.in_transaction
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a statement has not been answered yet."""
+        return self._unanswered_statements > 0
 
     @property
     def in_transaction(self) -> bool:
@@ -80,24 +87,37 @@
         answer has yet to be sent.
         """
         self._unanswered_statements += 1
-        if self._is_draining() and not self.in_transaction:
+        if self._is_ending or (self._is_draining() and not self.in_transaction):
             return error_result(DrainingError())
         now = anyio.current_time()
-        result = await self._chain(
-            StatementRequest(
-                session=self._state,
-                sql=sql,
-                attributes=attributes,
-                arrived_at=now,
-                deadline=now + _INITIAL_TIMEOUT_S,
-            )
+        result: StatementResult = error_result(
+            UnknownOutcomeError(reason='this proxy stops')
         )
+        self._run_scope = anyio.CancelScope()
+        with self._run_scope:
+            result = await self._chain(
+                StatementRequest(
+                    session=self._state,
+                    sql=sql,
+                    attributes=attributes,
+                    arrived_at=now,
+                    deadline=now + _INITIAL_TIMEOUT_S,
+                )
+            )
         if isinstance(result, Ok) and not result.ok_value.columns:
             self._state.row_count = result.ok_value.affected_rows
             if result.ok_value.last_insert_id:
                 self._state.last_insert_id = result.ok_value.last_insert_id
         return result
 
+    def give_up_statement(self) -> None:
+        """Answer a running statement as unknown, since the process ends.
+
+        Later ones, also those of an open transaction, are refused.
+        """
+        self._is_ending = True
+        self._run_scope.cancel()
+
     def mark_answered(self) -> None:
         """Record that the answer to a statement was sent."""
         self._unanswered_statements -= 1
