Close the connection of a cancelled request to a member

Callers would have seen a promotion decided on the answer to another question (LOST), or replicas that stay paused.

A cancelled request left its connection open, and the next request on it would have read the late answer. Other cancellations of a request, as at the end of a takeover, had the same gap before.

Evidence: test_late_answer_is_not_read_by_the_next_request; the connection was still in use before.

Change: a request that ends without its answer closes the connection, also if it was cancelled.

--- a/lavendergate/controllers/member_poller.py
+++ b/lavendergate/controllers/member_poller.py
@@ -368,7 +368,13 @@
             dialed = await self._dialer.dial(member.entry)
             member.session = dialed[0]
         asked_at = self._real_clock()
-        report = await member.session.request_report(request)
+        try:
+            report = await member.session.request_report(request)
+        except BaseException:
+            # Also if the request is cancelled: its answer may still arrive,
+            # and the next request must not read it.
+            await self._close(member)
+            raise
         now = self._clock()
         if isinstance(report, Refused):
             member.record_answer(now)
--- a/lavendergate/tests/test_member_poller.py
+++ b/lavendergate/tests/test_member_poller.py
@@ -5,7 +5,10 @@
 import anyio
 
 from lavendergate.controllers.member_poller import PolledMember
-from lavendergate.core.sessions.statements import MemberReport
+from lavendergate.core.sessions.statements import (
+    MemberReport,
+    ReportStatus,
+)
 from lavendergate.core.types import LogPosition, Term
 from lavendergate.tests.takeover_fixture import TakeoverFixture, run_scenario
 from standin.session_group import SessionGroup
@@ -66,6 +69,27 @@
         self.assertIsNone(self.compare(report(9), report(9), 3))
 
 
+class CancelledRequestTest(unittest.TestCase):
+    """Requests that are given up before the member answers."""
+
+    def test_late_answer_is_not_read_by_the_next_request(self) -> None:
+        """Guards against the answer to a status request that ends a pause."""
+
+        async def scenario(control: TakeoverFixture) -> None:
+            await anyio.sleep(2)
+            member = control.group.member('b')
+            polled = control.poller._members[member.entry.upstream_id]
+            self.assertIsNotNone(polled.session)
+            member.is_silent = True
+            with anyio.move_on_after(0.1):
+                await control.poller.ask(
+                    member.entry.upstream_id, ReportStatus()
+                )
+            self.assertIsNone(polled.session)
+
+        run_scenario(scenario)
+
+
 class UnexpectedErrorTest(unittest.TestCase):
     """Answers of a member that raise an unexpected error."""
 
