Take no phase from a home that ran nothing

After a home was restarted, the proxy gave the session of an ended transaction to the next caller first, and each of its statements was refused with ABORTED.

Cause: RelayReply.phase had the default `idle`, so each reply of a home that had run nothing, or did not hold the transaction, claimed that none was open. RelayedSession forgot the transaction after such a reply to a COMMIT, and took itself for idle after the other.

Change: "no phase known" is a value of its own, None, on the wire and in the types, and the only default. Only an answer with a phase, or the refusal of a home that no longer holds the transaction, changes what a relayed session knows of its transaction. Its three states (none, open at a home, ended there) are data classes with one pure function for the next one. A COMMIT or ROLLBACK without an open transaction is not sent. A COMMIT that could not be sent to a home that refuses connections is answered ABORTED instead of UNKNOWN.

--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -1,5 +1,7 @@
 """Sessions whose statements run through home proxies."""
 
+from collections.abc import Callable
+
 import anyio
 
 from lavendergate.backends.sessions import (
@@ -12,6 +14,13 @@
 )
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.relays.link import RelayLink
+from lavendergate.controllers.relays.transaction import (
+    EndedTransaction,
+    NoTransaction,
+    OpenTransaction,
+    RelayedTransactionState,
+    next_transaction,
+)
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.sessions.context import (
     SYSTEM_CONTEXT,
@@ -64,6 +73,7 @@
 _LONGEST_WAIT_S = 5.0
 _ROLLBACK_TIMEOUT_S = 0.5
 _MS_PER_S = 1000
+_ENDED_TEXT = 'the home holds no such transaction; begin it again'
 
 
 class RelayDialer(MemberDialer):
@@ -123,7 +133,7 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Shape] = {}
         self._phase = Phase.idle
-        self._transaction: tuple[RelayLink, int] | None = None
+        self._transaction: RelayedTransactionState = NoTransaction()
         self._home: str | None = None
         self._context = SYSTEM_CONTEXT
         self._was_answered_by_member = False
@@ -172,6 +182,11 @@
                 self._prepared = {}
             case Execute(name=name) if name not in self._prepared:
                 return self._refuse(RefusalCode.no_statement, name)
+            case Rollback() if not self._has_open_transaction:
+                self._transaction = NoTransaction()
+                self._phase = Phase.idle
+            case _ if self._must_not_relay(statement):
+                return self._refuse(RefusalCode.aborted, _ENDED_TEXT)
             case _:
                 return await self._relay(statement, request_id, after)
         await anyio.lowlevel.checkpoint()
@@ -194,14 +209,28 @@
 
     async def close(self) -> None:
         """Roll back an open transaction at the home."""
-        if self._transaction is None:
+        if not self._has_open_transaction:
             return
         with anyio.move_on_after(_ROLLBACK_TIMEOUT_S):
             try:
                 await self._send(RelayedRollback(), None, None)
-            except (AnswerLostError, MemberUnreachableError):
+            except AnswerLostError:
                 # The home rolls the transaction back when it has been idle.
-                self._transaction = None
+                self._transaction = NoTransaction()
+
+    @property
+    def _has_open_transaction(self) -> bool:
+        return isinstance(self._transaction, OpenTransaction)
+
+    def _must_not_relay(self, statement: Statement) -> bool:
+        """Whether a statement belongs to a transaction that no home holds."""
+        match self._transaction:
+            case NoTransaction():
+                return isinstance(statement, Commit)
+            case EndedTransaction():
+                return True
+            case OpenTransaction():
+                return False
 
     async def _relay(
         self,
@@ -211,10 +240,14 @@
     ) -> SessionAnswer:
         reply = await self._send(self._encode(statement), request_id, after)
         match reply.status:
+            case RelayStatus.answered if self._is_ended:
+                self._phase = Phase.failed
+                return self._refuse(RefusalCode.aborted, reply.text)
             case RelayStatus.answered:
                 self._was_answered_by_member = True
-                self._phase = reply.phase
-                return _answer(reply)
+                if reply.phase is not None:
+                    self._phase = reply.phase
+                return _answer(reply, self._phase)
             case RelayStatus.lost:
                 raise AnswerLostError(reply.text)
             case RelayStatus.expired:
@@ -228,6 +261,10 @@
                     retry_after_s=reply.retry_after_ms / _MS_PER_S,
                 )
 
+    @property
+    def _is_ended(self) -> bool:
+        return isinstance(self._transaction, EndedTransaction)
+
     def _refuse(
         self, code: RefusalCode, text: str, *, retry_after_s: float = 0
     ) -> SessionAnswer:
@@ -259,26 +296,17 @@
             )
 
         self._home = None
-        if self._transaction is None:
-            transaction = None
-            link, reply = await self._relays.run(
-                self._member, make_request, self._context.customer
-            )
-        else:
-            link, transaction = self._transaction
-            reply = await _run_in_transaction(link, make_request(link))
-        self._track_transaction(link, statement, reply)
+        transaction: int | None = None
+        match self._transaction:
+            case OpenTransaction(link=link, number=transaction):
+                reply = await _run_in_transaction(link, make_request)
+            case _:
+                link, reply = await self._relays.run(
+                    self._member, make_request, self._context.customer
+                )
+        self._transaction = next_transaction(self._transaction, link, reply)
         return reply
 
-    def _track_transaction(
-        self, link: RelayLink, statement: RelayedStatement, reply: RelayReply
-    ) -> None:
-        if reply.transaction is not None:
-            self._transaction = (link, reply.transaction)
-        elif isinstance(statement, (RelayedCommit, RelayedRollback)):
-            if reply.phase == Phase.idle:
-                self._transaction = None
-
     def _encode(self, statement: Statement) -> RelayedStatement:
         match statement:
             case Begin(read_only=read_only):
@@ -304,11 +332,20 @@
 
 
 async def _run_in_transaction(
-    link: RelayLink, request: RelayRequest
+    link: RelayLink, make_request: Callable[[RelayLink], RelayRequest]
 ) -> RelayReply:
     try:
-        return await link.run(request)
-    except (RelayLostError, RelayNotSentError) as error:
+        return await link.run(make_request(link))
+    except RelayNotSentError as error:
+        # The home ended with its connections, which rolls the transaction
+        # back, or rolls it back once it has been idle for too long.
+        return RelayReply(
+            status=RelayStatus.answered,
+            now_ms=0,
+            code=RefusalCode.aborted,
+            text=str(error),
+        )
+    except RelayLostError as error:
         # The home rolls the transaction back, unless this was its commit.
         raise HomeLostError(str(error)) from error
 
@@ -318,16 +355,16 @@
     return max(0, min(left_s, _LONGEST_WAIT_S) - _ANSWER_MARGIN_S)
 
 
-def _answer(reply: RelayReply) -> SessionAnswer:
+def _answer(reply: RelayReply, phase: Phase) -> SessionAnswer:
     if reply.code is None:
         return SessionAnswer(
             outcome=Completed(signature=reply.signature),
-            phase=reply.phase,
+            phase=phase,
             rows=reply.rows,
             position=reply.position,
         )
     return SessionAnswer(
         outcome=Refused(code=reply.code, text=reply.text),
-        phase=reply.phase,
+        phase=phase,
         position=reply.position,
     )
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -255,12 +255,7 @@
             transaction.is_abandoned = True
             transaction = None
         if transaction is None:
-            return RelayReply(
-                status=RelayStatus.answered,
-                now_ms=self.now_ms(),
-                code=RefusalCode.aborted,
-                text='the home has rolled the transaction back; begin it again',
-            )
+            return self._unknown_transaction()
         transaction.used_at = None
         try:
             return await self._run_statement(
@@ -303,9 +298,7 @@
                 after=request.after,
             )
         except (NoTimeError, NotPreparedError) as error:
-            return self._reply(
-                RelayStatus.not_run, str(error), phase=connection.phase
-            )
+            return self._reply(RelayStatus.not_run, str(error))
         except AnswerLostError as error:
             return self._lost(connection, error)
         return self._answered(answer)
@@ -372,6 +365,15 @@
                     position=answer.position,
                 )
 
+    def _unknown_transaction(self) -> RelayReply:
+        """Refuse a statement whose transaction this home does not hold."""
+        return RelayReply(
+            status=RelayStatus.answered,
+            now_ms=self.now_ms(),
+            code=RefusalCode.aborted,
+            text='the home has rolled the transaction back; begin it again',
+        )
+
     def _with_transaction(self, reply: RelayReply, number: int) -> RelayReply:
         return RelayReply(
             status=reply.status,
@@ -386,14 +388,12 @@
         status: RelayStatus,
         text: str,
         *,
-        phase: Phase = Phase.idle,
         retry_after_s: float = 0,
     ) -> RelayReply:
         return RelayReply(
             status=status,
             now_ms=self.now_ms(),
             text=text,
-            phase=phase,
             retry_after_ms=round(retry_after_s * _MS_PER_S),
         )
 
--- a/lavendergate/rpc/relay_service.py
+++ b/lavendergate/rpc/relay_service.py
@@ -156,6 +156,10 @@
         Refusal of the member; None if the statement completed.
     text
         Reason of a refusal, or why the statement was not run.
+    phase
+        Phase of the connection after the statement; None if the home does not
+        know it, because it ran nothing, got no answer, or holds no such
+        transaction.
     transaction
         Transaction that the statement began.
     report
@@ -171,7 +175,7 @@
     text: str = ''
     signature: str | None = None
     rows: tuple[str, ...] = ()
-    phase: Phase = Phase.idle
+    phase: Phase | None = None
     position: LogPosition | None = None
     transaction: Integer | None = None
     report: MemberReport | None = None
--- /dev/null
+++ b/lavendergate/tests/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of statements that proxies pass on."""
