Run COMMIT at a home only where its transaction is

Cause: a home took a COMMIT without the number of a transaction for any other statement and ran it on an idle connection.

Change: a home answers a COMMIT or ROLLBACK without a transaction that it holds with ABORTED and sends it to no member.

Evidence: test_home_runs_no_end_of_a_transaction_that_it_does_not_hold failed before: the COMMIT ran at the member. Measured result: with it, no COMMIT of the test reaches a member.

--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -68,6 +68,8 @@
 _ROLLBACK_TIMEOUT_S = 0.5
 _EXECUTE_NAME = 'relayed'
 _NUMBER_BITS = 62
+# Statements that run only where their transaction is.
+_ENDS_TRANSACTION = (RelayedCommit, RelayedRollback)
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -191,6 +193,10 @@
     async def _run(self, request: RelayRequest, deadline: float) -> RelayReply:
         if request.transaction is not None:
             return await self._run_in_transaction(request, deadline)
+        if isinstance(request.statement, _ENDS_TRANSACTION):
+            # On any other connection it would end nothing, or another
+            # transaction.
+            return self._unknown_transaction()
         member = self._view.directory.member(request.upstream_id)
         if (
             self._is_stopping
--- a/lavendergate/tests/relays/test_transactions.py
+++ b/lavendergate/tests/relays/test_transactions.py
@@ -22,6 +22,7 @@
 from lavendergate.rpc.relay_service import (
     RelayedBegin,
     RelayedCommit,
+    RelayedRollback,
     RelayedStatement,
     RelayedWrite,
     RelayReply,
@@ -118,6 +119,28 @@
 
         play(scenario)
 
+    def test_home_runs_no_end_of_a_transaction_that_it_does_not_hold(
+        self,
+    ) -> None:
+        """Guards against a proxy that sends COMMIT without a transaction."""
+
+        async def scenario(fleet: RelayFixture) -> None:
+            home = fleet.home_of('a').home
+            for statement in (RelayedCommit(), RelayedRollback()):
+                for number in (None, 7):
+                    reply = await home.handle(
+                        request_for(
+                            statement,
+                            expires_at_ms=home.now_ms() + 1000,
+                            transaction=number,
+                        )
+                    )
+                    self.assertEqual(reply.code, RefusalCode.aborted)
+                    self.assertIsNone(reply.phase)
+            self.assertEqual(commits_of(fleet), [])
+
+        play(scenario)
+
     def test_commit_that_no_home_received_is_aborted(self) -> None:
         """Guards against UNKNOWN for a COMMIT that was surely not sent."""
 
