Estimate the clock of a home from answers of known age

Cause: RelayLink took the time in each reply of a home for its present time. A reply that had waited in the socket of the frozen proxy made the home's clock seem to be behind by the length of the freeze, so the next statements expired before they arrived.

Change: a sample of another host's clock is dated by the question and the answer on the clock that also runs while the host is suspended. The offset lies within that interval. The most exact sample is kept, one of more than 0.5 s is not used, drift is allowed for, and an estimate ends after 30 s, when the home is suspected or when a connection to it was lost. The estimate is never too high, so that a statement still expires before its caller gives up. Statements of transactions learn the time first, too; before, they took the offset for 0 where it was not known.

The other estimates that take a time from a message were read again: leases, positions, proofs, keys and limits count from the time of the question on the real clock.

--- a/lavendergate/controllers/relays/link.py
+++ b/lavendergate/controllers/relays/link.py
@@ -6,6 +6,7 @@
 import anyio
 
 from lavendergate.controllers.waiters import TaskStarter
+from lavendergate.core.relays.clock_offset import ClockSample, RemoteClock
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.relay_service import RelayReply, RelayRequest
@@ -65,8 +66,7 @@
         self._events = events
         self._transport = transport
         self._tasks = tasks
-        # Time on the home's clock minus the time here, at most.
-        self._clock_offset_s: float | None = None
+        self._home_clock = RemoteClock()
         self._avoided_until = float('-inf')
         self._hello_lock = anyio.Lock()
         self._pending: set[_PendingCall] = set()
@@ -83,25 +83,34 @@
         return anyio.current_time() >= self._avoided_until
 
     async def connect(self) -> None:
-        """Connect to the home and learn its time.
+        """Connect to the home and learn its time, unless it is known.
 
         Raises
         ------
         RelayNotSentError
             If the home does not answer.
         """
-        if self._clock_offset_s is not None:
+        if self._knows_home_clock():
             return
         async with self._hello_lock:
-            if self._clock_offset_s is None and not await self._say_hello():
+            if self._knows_home_clock():
+                return
+            is_answered = await self._say_hello()
+            # An answer that waited while this host was suspended does not
+            # tell the time.
+            if not (is_answered and self._knows_home_clock()):
                 self._suspect('it does not answer')
                 raise RelayNotSentError(f'home {self._address} does not answer')
 
     def expires_at_ms(self, timeout_s: float) -> int:
-        """Return the time on the home's clock that is at most this far away."""
-        offset_s = self._clock_offset_s or 0
-        expires_at = self._real_clock() + timeout_s + offset_s
-        return int(expires_at * _MS_PER_S)
+        """Return the time on the home's clock that is at most this far away.
+
+        A statement expires at once where that clock is not known.
+        """
+        home_now = self._home_clock.earliest_time(self._real_clock())
+        return (
+            0 if home_now is None else int((home_now + timeout_s) * _MS_PER_S)
+        )
 
     async def run(self, request: RelayRequest) -> RelayReply:
         """Have the home run a statement.
@@ -114,6 +123,7 @@
             If the home stopped answering.
         """
         call = _PendingCall(sent_at=anyio.current_time())
+        sent_at = self._real_clock()
         self._pending.add(call)
         if not self._is_checking:
             self._is_checking = True
@@ -121,11 +131,15 @@
         try:
             with call.scope:
                 reply = await self._transport.run(self._address, request)
-                self._record_time(reply.now_ms)
+                self._record_time(sent_at, reply.now_ms)
                 return reply
         except RelayNotSentError:
             self._suspect('it refuses connections')
             raise
+        except RelayLostError:
+            # Another host may answer at the address from now on.
+            self._home_clock.forget()
+            raise
         finally:
             self._pending.discard(call)
         raise RelayLostError(f'home {self._address} stopped answering')
@@ -149,18 +163,26 @@
         return any(call.sent_at <= oldest for call in self._pending)
 
     async def _say_hello(self) -> bool:
+        sent_at = self._real_clock()
         try:
             with anyio.fail_after(_HELLO_TIMEOUT_S):
                 now_ms = await self._transport.read_time_ms(self._address)
         except (TimeoutError, RelayNotSentError, RelayLostError):
             return False
-        self._record_time(now_ms)
+        self._record_time(sent_at, now_ms)
         return True
 
-    def _record_time(self, home_now_ms: int) -> None:
-        # The home read its clock before now, so its clock is at least this far
-        # ahead of the one here.
-        self._clock_offset_s = home_now_ms / _MS_PER_S - self._real_clock()
+    def _knows_home_clock(self) -> bool:
+        return self._home_clock.is_known(self._real_clock())
+
+    def _record_time(self, sent_at: float, home_now_ms: int) -> None:
+        self._home_clock.record(
+            ClockSample(
+                sent_at=sent_at,
+                received_at=self._real_clock(),
+                remote_time=home_now_ms / _MS_PER_S,
+            )
+        )
 
     def _suspect(self, reason: str) -> None:
         if self.is_usable:
@@ -168,7 +190,7 @@
                 SessionEvent.home_suspected, home=self._address, reason=reason
             )
         self._avoided_until = anyio.current_time() + _SUSPECT_S
-        self._clock_offset_s = None
+        self._home_clock.forget()
         self._transport.disconnect(self._address)
         for call in self._pending:
             call.scope.cancel()
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -335,6 +335,7 @@
     link: RelayLink, make_request: Callable[[RelayLink], RelayRequest]
 ) -> RelayReply:
     try:
+        await link.connect()
         return await link.run(make_request(link))
     except RelayNotSentError as error:
         # The home ended with its connections, which rolls the transaction
