Let a home roll back however late the request is

Callers saw: BUSY after a freeze of a proxy, while transactions that it had given up kept a home's few connections for the idle limit and a second.

Cause: a home refused each statement that arrived after its expiry. The expiry guards against a statement that runs after its caller gave up; a rollback keeps nothing and is wanted all the more then.

Change: a rollback that arrives late still ends its transaction.

Evidence: test_late_rollback_frees_the_connection_of_the_home failed before.

--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -176,6 +176,9 @@
         """Run a statement of another proxy."""
         remaining_s = (request.expires_at_ms - self.now_ms()) / _MS_PER_S
         if remaining_s < _MIN_TIME_S:
+            if isinstance(request.statement, RelayedRollback):
+                # It keeps nothing, so it is never too late.
+                return await self._abandon(request.transaction)
             return self._reply(
                 RelayStatus.not_run, 'the statement arrived too late'
             )
@@ -257,11 +260,8 @@
     ) -> RelayReply:
         number = request.transaction
         transaction = self._transactions.get(number or 0)
-        if transaction is not None and transaction.used_at is None:
-            transaction.is_abandoned = True
-            transaction = None
-        if transaction is None:
-            return self._unknown_transaction()
+        if transaction is None or transaction.used_at is None:
+            return await self._abandon(number)
         transaction.used_at = None
         try:
             return await self._run_statement(
@@ -271,6 +271,15 @@
             transaction.used_at = self._clock()
             await self._settle(number or 0, transaction)
 
+    async def _abandon(self, number: int | None) -> RelayReply:
+        """Roll a transaction back that its proxy has given up."""
+        transaction = self._transactions.get(number or 0)
+        if transaction is not None and transaction.used_at is None:
+            transaction.is_abandoned = True
+        elif transaction is not None:
+            await self._end(number or 0)
+        return self._unknown_transaction()
+
     async def _settle(
         self, number: int, transaction: RelayedTransaction
     ) -> None:
--- a/lavendergate/tests/relays/test_transactions.py
+++ b/lavendergate/tests/relays/test_transactions.py
@@ -52,13 +52,17 @@
     fleet: RelayFixture,
     kind: type[RelayedStatement],
     change: Callable[[RelayRequest], RelayRequest],
+    *,
+    count: int = 1,
 ) -> None:
-    """Change the next request with a statement of a kind."""
+    """Change the next requests with statements of a kind."""
     run = fleet.transport.run
+    left = count
 
     async def run_changed(address: str, request: RelayRequest) -> RelayReply:
-        if isinstance(request.statement, kind):
-            fleet.transport.run = run  # type: ignore[method-assign]
+        nonlocal left
+        if left and isinstance(request.statement, kind):
+            left -= 1
             request = change(request)
         return await run(address, request)
 
@@ -193,6 +197,23 @@
 
         play(scenario)
 
+    def test_late_rollback_frees_the_connection_of_the_home(self) -> None:
+        """Guards against connections that a home holds after a freeze.
+
+        A rollback that arrived too late left its transaction open until it had
+        been idle for some seconds, and other callers got BUSY.
+        """
+
+        async def scenario(fleet: RelayFixture) -> None:
+            proxy = fleet.others('a')[0]
+            session = await begin(proxy)
+            change_next(fleet, RelayedRollback, expired, count=2)
+            await proxy.send(session, Rollback())
+            self.assertTrue(fleet.home_of('a').home.is_idle)
+            self.assertEqual(fleet.group.primary.content('x'), '')
+
+        play(scenario)
+
 
 class ReplyPhaseTest(unittest.TestCase):
     """Phases in the replies of a home."""
