--- a/lavendergate/tests/relay_fixture.py
+++ b/lavendergate/tests/relay_fixture.py
@@ -109,14 +109,16 @@
         address: str,
         group: SessionGroup,
         transport: RelayTransport,
+        real_clock: Callable[[], float] = anyio.current_time,
     ) -> None:
         self.address = address
+        self._real_clock = real_clock
         self.relays = RelayClient(
             own_address=address,
             transport=transport,
             tasks=tasks,
             is_scarce=lambda member: True,
-            real_clock=anyio.current_time,
+            real_clock=real_clock,
             events=MemoryEventLog(),
         )
         super().__init__(
@@ -133,7 +135,7 @@
             pools=self.pools,
             is_home=self.relays.is_home,
             clock=anyio.current_time,
-            real_clock=anyio.current_time,
+            real_clock=self._real_clock,
             events=MemoryEventLog(),
         )
 
@@ -154,9 +156,24 @@
 
 
 class RelayFixture:
-    """Proxies in front of one group of three members."""
+    """Proxies in front of one group of three members.
 
-    def __init__(self, *, tasks: TaskGroup, proxies: int) -> None:
+    Parameters
+    ----------
+    wrap
+        Returns the transport of one proxy, given the one of all.
+    real_clock
+        Clock of expiries, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        tasks: TaskGroup,
+        proxies: int,
+        wrap: Callable[[RelayTransport], RelayTransport] | None = None,
+        real_clock: Callable[[], float] = anyio.current_time,
+    ) -> None:
         self.group = SessionGroup(names=('a', 'b', 'c'))
         self.group.max_connections = CONNECTIONS
         self.transport = MemoryRelayTransport(tasks=tasks)
@@ -165,7 +182,10 @@
                 tasks=tasks,
                 address=f'10.0.1.{number}:7440',
                 group=self.group,
-                transport=self.transport,
+                transport=(
+                    self.transport if wrap is None else wrap(self.transport)
+                ),
+                real_clock=real_clock,
             )
             for number in range(1, proxies + 1)
         ]
@@ -211,13 +231,20 @@
 
 
 def play(
-    scenario: Callable[[RelayFixture], Awaitable[None]], *, proxies: int = 12
+    scenario: Callable[[RelayFixture], Awaitable[None]],
+    *,
+    proxies: int = 12,
+    wrap: Callable[[RelayTransport], RelayTransport] | None = None,
+    real_clock: Callable[[], float] = anyio.current_time,
 ) -> None:
     """Run a scenario with a mock clock that skips waits."""
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            await scenario(RelayFixture(tasks=tasks, proxies=proxies))
+            fleet = RelayFixture(
+                tasks=tasks, proxies=proxies, wrap=wrap, real_clock=real_clock
+            )
+            await scenario(fleet)
             tasks.cancel_scope.cancel()
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
