Acknowledge a write only if each member that may be promoted has it

A proxy that had been frozen went on writing at the primary, and a replica that returned after the order to promote another one confirmed the writes.

Cause: a write was acknowledged because a replica had confirmed it, unless the control leader had announced within 1.5 s that the primary is being replaced. Silence was taken for permission. The proof of an order cannot hold for a replica that returns before the order takes effect, and nothing keeps it from confirming then.

Change: a completed write is acknowledged if a lease on the primary covers the arrival of its answer, since an order is sent only after all leases have ended and a service with an order on its way is not leased. Without a lease, all other members are asked, and each must have received the write: whichever of them is promoted has it. The commit must be of the primary and the term that the proof is about. Otherwise the answer is UNKNOWN. A write or COMMIT that could not be acknowledged now is not sent: BUSY, or ABORTED for a transaction.

Answers of control hosts that prove a primary for reads no longer count as leases. `lavendergate_write_proofs` counts what proved the writes.

--- a/lavendergate/controllers/positions.py
+++ b/lavendergate/controllers/positions.py
@@ -1,6 +1,8 @@
 """Log positions of primaries; one query serves all reads that wait for it."""
 
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 
 import anyio
 
@@ -11,7 +13,9 @@
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.leases.evidence import (
+    CommitProof,
     PrimaryClaim,
+    PrimaryCommit,
     PrimaryEvidence,
     confirms_primary,
 )
@@ -75,6 +79,8 @@
         self._monotonic = monotonic
         self._evidence: dict[GroupId, PrimaryEvidence] = {}
         self._queries: dict[GroupId, anyio.Event] = {}
+        # Number of writes of each service that wait for a proof.
+        self._waiting_writes: Counter[GroupId] = Counter()
         self._next_query_at: dict[GroupId, float] = {}
         self._replacing: frozenset[GroupId] = frozenset()
         self._replacing_at = float('-inf')
@@ -96,19 +102,26 @@
     def extend_leases(
         self, notices: Iterable[PrimaryNotice], until: float
     ) -> None:
-        """Record until when control hosts vouch for primaries.
+        """Record until when the control leader leases primaries.
 
         Parameters
         ----------
-        notices
-            Primaries that the leader leased, or that the other members
-            confirmed.
         until
-            End of the leases or time of the confirmation, on the clock of
-            samples, in seconds.
+            End of the leases, on the clock of samples, in seconds.
         """
         for notice in notices:
-            self._confirm(notice.service, _claim_of(notice), until)
+            evidence = self.evidence(notice.service)
+            evidence.lease(_claim_of(notice), until)
+
+    def record_proof(self, notice: PrimaryNotice, proved_at: float) -> None:
+        """Record that all other members knew no newer primary at a time.
+
+        Parameters
+        ----------
+        proved_at
+            When they were asked, on the clock of samples, in seconds.
+        """
+        self._confirm(notice.service, _claim_of(notice), proved_at)
 
     def record_replacing(self, services: Iterable[GroupId]) -> None:
         """Record the services whose primary the control leader replaces."""
@@ -145,10 +158,9 @@
     def add_acknowledged(
         self, service: GroupId, position: LogPosition, asked_at: float
     ) -> None:
-        """Record the position of a write that a replica confirmed.
+        """Record the position of a write that was acknowledged.
 
-        Replicas confirm no writes of a primary that is being replaced or was
-        replaced, so the confirmation proves that it was the newest one.
+        Its proof shows that the primary was the newest one, too.
         """
         sample = PositionSample(position=position, asked_at=asked_at)
         self.history(service).add(sample)
@@ -180,12 +192,8 @@
             sample = self.history(service).since(asked_at)
             if sample is not None:
                 return sample
-            remaining = deadline - self._monotonic()
-            if remaining <= 0:
+            if not await self._wait_for_query(service, deadline):
                 return None
-            self.refresh(service)
-            with anyio.move_on_after(remaining):
-                await self._queries[service].wait()
 
     async def wait_for_proof(
         self, service: GroupId, moment: float, deadline: float
@@ -204,6 +212,58 @@
         sample = await self.wait_for_sample(service, moment, deadline)
         return sample is not None
 
+    async def wait_until_provable(
+        self, service: GroupId, deadline: float
+    ) -> bool:
+        """Return whether a commit that ends now could be acknowledged.
+
+        Parameters
+        ----------
+        deadline
+            Time at which waiting ends, on the monotonic clock.
+        """
+        with self._waiting_write(service):
+            while not self.evidence(service).may_prove_commits(self._clock()):
+                if not await self._wait_for_query(service, deadline):
+                    return False
+        return True
+
+    async def prove_commit(
+        self, service: GroupId, commit: PrimaryCommit, deadline: float
+    ) -> CommitProof:
+        """Return what proves that a commit survives each promotion.
+
+        Parameters
+        ----------
+        deadline
+            Time at which waiting ends, on the monotonic clock.
+        """
+        with self._waiting_write(service):
+            while True:
+                proof = self.evidence(service).proof_of(commit)
+                if proof != CommitProof.none or self.is_being_replaced(service):
+                    return proof
+                if not await self._wait_for_query(service, deadline):
+                    return proof
+
+    @contextmanager
+    def _waiting_write(self, service: GroupId) -> Iterator[None]:
+        self._waiting_writes[service] += 1
+        try:
+            yield
+        finally:
+            self._waiting_writes[service] -= 1
+
+    async def _wait_for_query(self, service: GroupId, deadline: float) -> bool:
+        """Wait for the next query; return False if the time is over."""
+        remaining = deadline - self._monotonic()
+        if remaining <= 0:
+            return False
+        self.refresh(service)
+        with anyio.move_on_after(remaining):
+            await self._queries[service].wait()
+        return True
+
     def forget_beyond(
         self, service: GroupId, position: LogPosition | None
     ) -> None:
@@ -219,7 +279,7 @@
     async def _query(self, service: GroupId) -> None:
         next_at = self._next_query_at.get(service, 0)
         try:
-            if not self.evidence(service).is_confirmed_at(self._clock()):
+            if not self.evidence(service).is_leased_at(self._clock()):
                 await anyio.sleep(max(0, next_at - self._monotonic()))
             pause_s = await self._query_primary(service)
             if pause_s:
@@ -245,12 +305,28 @@
         )
         self._view.record_primaries((notice,))
         self.add(service, primary.upstream_id, report.received, asked_at)
-        if self.evidence(service).is_confirmed_at(asked_at):
+        if not self._needs_members(service, asked_at):
             return 0
-        return await self._ask_other_members(notice)
+        return await self._ask_other_members(notice, report.received)
 
-    async def _ask_other_members(self, notice: PrimaryNotice) -> float:
-        """Ask all other members whether they know a newer primary."""
+    def _needs_members(self, service: GroupId, asked_at: float) -> bool:
+        """Return whether the other members have to be asked, too."""
+        evidence = self.evidence(service)
+        if evidence.is_leased_at(asked_at):
+            return False
+        is_confirmed = evidence.is_confirmed_at(asked_at)
+        return not is_confirmed or self._waiting_writes[service] > 0
+
+    async def _ask_other_members(
+        self, notice: PrimaryNotice, reported: LogPosition
+    ) -> float:
+        """Ask all other members whether they know a newer primary.
+
+        Parameters
+        ----------
+        reported
+            Position that the primary has just reported.
+        """
         asked_at = self._clock()
         reports: list[MemberReport | None] = []
 
@@ -278,6 +354,10 @@
             is_outdated = self._view.claim_of(notice.service) != claim
             return _RETRY_DELAY_S if is_outdated else _REJECTED_DELAY_S
         self._confirm(notice.service, claim, asked_at)
+        received = [report.received for report in reports if report is not None]
+        self.evidence(notice.service).record_received(
+            claim, reported, received, asked_at
+        )
         return _CONFIRMED_DELAY_S
 
     async def _ask(
--- a/lavendergate/core/leases/evidence.py
+++ b/lavendergate/core/leases/evidence.py
@@ -3,8 +3,15 @@
 The position that a primary reports includes all acknowledged commits only if
 no other member was promoted before. Reported positions are therefore used once
 a lease, or the reports of all other members, cover the time of the question.
+
+A commit may be acknowledged only if no order to promote a member that lacks it
+may be on its way. A lease proves this: an order is sent after all leases have
+ended. Without one, each other member must have received the commit, so that any
+member that is promoted has it. That one replica confirmed it is not enough: the
+replica may have been absent when the order was proved, and have returned since.
 """
 
+import enum
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -19,6 +26,9 @@
 # Positions that may wait for evidence. Without a lease, a proxy asks for a few
 # positions a second.
 _PENDING_LIMIT = 64
+# Time for which a report of all other members shows that they receive the
+# primary's commits, in seconds.
+_RECEIVING_VALIDITY_S = 0.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -29,6 +39,37 @@
     term: Term
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PrimaryCommit:
+    """A commit that the primary of a service has completed.
+
+    Parameters
+    ----------
+    completed_at
+        When its answer arrived, in seconds.
+    """
+
+    upstream_id: UpstreamId
+    position: LogPosition
+    completed_at: float
+
+
+@enum.unique
+class CommitProof(enum.Enum):
+    """What proves that a commit survives each promotion.
+
+    `lease`: a lease covers the time of its answer.
+    `members`: all other members have received it.
+    `none`: nothing yet.
+    `impossible`: its member is no longer the newest primary.
+    """
+
+    lease = 'lease'
+    members = 'members'
+    none = 'none'
+    impossible = 'impossible'
+
+
 @dataclass(kw_only=True, slots=True)
 class PrimaryEvidence:
     """What one proxy can prove about the primary of a service.
@@ -48,6 +89,9 @@
     claim: PrimaryClaim | None = None
     history: PositionHistory = field(default_factory=PositionHistory)
     _confirmed_until: float = _NEVER
+    _leased_until: float = _NEVER
+    _received_by_all: LogPosition | None = None
+    _all_receive_at: float = _NEVER
     _pending: list[PositionSample] = field(default_factory=list)
     _newest: LogPosition | None = None
 
@@ -61,6 +105,9 @@
         if claim != self.claim:
             self.claim = claim
             self._confirmed_until = _NEVER
+            self._leased_until = _NEVER
+            self._received_by_all = None
+            self._all_receive_at = _NEVER
             self._pending = []
             self._newest = None
 
@@ -73,6 +120,67 @@
         for sample in waiting:
             self._add(sample)
 
+    def lease(self, claim: PrimaryClaim, until: float) -> None:
+        """Record that no order is sent, and none is on its way, until a time.
+
+        An order on its way may still name the primary itself.
+        """
+        if claim == self.claim:
+            self._leased_until = max(self._leased_until, until)
+        self.confirm(claim, until)
+
+    def record_received(
+        self,
+        claim: PrimaryClaim,
+        reported: LogPosition,
+        received: Iterable[LogPosition],
+        asked_at: float,
+    ) -> None:
+        """Record what all other members had received.
+
+        Parameters
+        ----------
+        reported
+            Position that the primary reported before they were asked.
+        received
+            Position of each other member.
+        """
+        least = min(received, default=None)
+        if claim != self.claim or least is None:
+            return
+        if self._received_by_all is None or least > self._received_by_all:
+            self._received_by_all = least
+        if least >= reported:
+            self._all_receive_at = max(self._all_receive_at, asked_at)
+
+    def is_leased_at(self, moment: float) -> bool:
+        """Return whether a lease covers a time."""
+        return moment <= self._leased_until
+
+    def may_prove_commits(self, now: float) -> bool:
+        """Return whether a commit that ends now could probably be proved."""
+        if self.is_leased_at(now):
+            return True
+        return now - self._all_receive_at <= _RECEIVING_VALIDITY_S
+
+    def proof_of(self, commit: PrimaryCommit) -> CommitProof:
+        """Return what proves that a commit survives each promotion."""
+        claim = self.claim
+        if claim is None:
+            return CommitProof.none
+        is_of_claim = (
+            commit.upstream_id == claim.upstream_id
+            and commit.position.term == claim.term
+        )
+        if not is_of_claim:
+            return CommitProof.impossible
+        if self.is_leased_at(commit.completed_at):
+            return CommitProof.lease
+        received = self._received_by_all
+        if received is not None and received >= commit.position:
+            return CommitProof.members
+        return CommitProof.none
+
     def add(self, claim: PrimaryClaim, sample: PositionSample) -> None:
         """Add a position that a member reported as primary."""
         if claim != self.claim:
@@ -92,6 +200,7 @@
             sample for sample in self._pending if sample.position <= position
         ]
         self._newest = None
+        self._received_by_all = None
 
     def _add(self, sample: PositionSample) -> None:
         if self.is_confirmed_at(sample.asked_at):
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -224,9 +224,7 @@
     ) -> None:
         age_ms = notice.proved_age_ms
         if age_ms is not None:
-            self._positions.extend_leases(
-                (primary,), sent_at - age_ms / _MS_PER_S
-            )
+            self._positions.record_proof(primary, sent_at - age_ms / _MS_PER_S)
 
     def _apply_leases(
         self,
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -294,6 +294,7 @@
             pools=self._pools,
             positions=positions,
             monotonic=anyio.current_time,
+            metrics=self._metrics,
         )
         transactions = TransactionFilter(
             selector=selector,
--- a/lavendergate/filters/sessions/member_selection.py
+++ b/lavendergate/filters/sessions/member_selection.py
@@ -7,6 +7,7 @@
 from lavendergate.controllers.positions import PrimaryPositions
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.leases.evidence import CommitProof, PrimaryCommit
 from lavendergate.core.routes import Consistency, Route
 from lavendergate.core.sessions.context import StatementContext
 from lavendergate.core.sessions.freshness import (
@@ -26,6 +27,7 @@
     refusal_answer,
 )
 from lavendergate.filters.sessions.read_placement import ReadPlacement
+from lavendergate.observability.exposition import HttpMetrics
 
 # A position older than this fraction of `max_staleness_ms` is refreshed in the
 # background, so that no read has to wait for it. While the control hosts reach
@@ -34,6 +36,8 @@
 _REFRESH_SHARE = 0.75
 _MS_PER_S = 1000
 _RECHECK_S = 0.1
+# Time before the deadline at which the answer is given, in seconds.
+_ANSWER_MARGIN_S = 0.05
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,6 +101,8 @@
         Known log positions of primaries.
     monotonic
         Monotonic time, in seconds.
+    metrics
+        Counts what proved the acknowledged writes.
     """
 
     def __init__(
@@ -106,7 +112,9 @@
         pools: SessionPools,
         positions: PrimaryPositions,
         monotonic: Callable[[], float],
+        metrics: HttpMetrics,
     ) -> None:
+        self._metrics = metrics
         self._view = view
         self._pools = pools
         self._positions = positions
@@ -283,31 +291,73 @@
                 )
                 self._positions.refresh(member.service)
 
-    def acknowledge_write(
-        self, request: SessionRequest, answer: SessionAnswer, sent_at: float
+    async def can_acknowledge(self, request: SessionRequest) -> bool:
+        """Return whether a write that is sent now could be acknowledged.
+
+        Waits for a proof no longer than for a member.
+        """
+        route = request.known_route
+        if not self._has_replica_confirmation(route):
+            return True
+        give_up_at = member_wait_deadline(
+            route, self._monotonic(), request.deadline
+        )
+        return await self._positions.wait_until_provable(
+            route.service, give_up_at
+        )
+
+    async def acknowledge_write(
+        self,
+        request: SessionRequest,
+        member: MemberEntry,
+        answer: SessionAnswer,
+        sent_at: float,
     ) -> SessionAnswer:
         """Return the answer for the caller to a write that a member ran.
 
-        While the primary is being replaced, a replica that was absent may
-        return after the others were paused and confirm a write that the
-        promoted member lacks.
+        The write is acknowledged once it is proved that each member that may
+        be promoted has it; see `lavendergate.core.leases.evidence`.
 
         Parameters
         ----------
+        member
+            Member that ran the write.
         sent_at
             When the write was sent, on the clock of `PrimaryPositions`, in
             seconds.
         """
+        proof = await self._prove(request, member, answer)
+        self._metrics.write_proofs.labels(proof.value).inc()
+        if proof in {CommitProof.lease, CommitProof.members}:
+            self._record_write(request, answer, sent_at)
+            return answer
+        return refusal_answer(
+            request,
+            RefusalCode.unknown,
+            'the primary may be replaced by a member without the write, so it '
+            'may be kept or lost: read it back before you repeat it',
+        )
+
+    async def _prove(
+        self,
+        request: SessionRequest,
+        member: MemberEntry,
+        answer: SessionAnswer,
+    ) -> CommitProof:
         route = request.known_route
-        if self._positions.is_being_replaced(route.service):
-            return refusal_answer(
-                request,
-                RefusalCode.unknown,
-                'the primary is being replaced; the write may be kept or lost: '
-                'read it back before you repeat it',
-            )
-        self._record_write(request, answer, sent_at)
-        return answer
+        service = route.service
+        position = answer.position
+        if position is None or not self._has_replica_confirmation(route):
+            is_replaced = self._positions.is_being_replaced(service)
+            return CommitProof.none if is_replaced else CommitProof.lease
+        commit = PrimaryCommit(
+            upstream_id=member.upstream_id,
+            position=position,
+            completed_at=self._positions.now(),
+        )
+        return await self._positions.prove_commit(
+            service, commit, request.deadline - _ANSWER_MARGIN_S
+        )
 
     def _record_write(
         self, request: SessionRequest, answer: SessionAnswer, sent_at: float
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -221,6 +221,8 @@
             )
             if primary is None:
                 return last_answer
+            if not await self._selector.can_acknowledge(request):
+                return last_answer
             answer = await self._try_write(request, statement, primary)
             if not _did_not_run(answer):
                 return answer
@@ -266,7 +268,9 @@
             await self._pools.release(connection)
         self._selector.record_if_read_only(primary, answer)
         if isinstance(answer.outcome, Completed):
-            answer = self._selector.acknowledge_write(request, answer, sent_at)
+            answer = await self._selector.acknowledge_write(
+                request, primary, answer, sent_at
+            )
         return _answer_for_caller(request, answer)
 
     async def _connect(
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -188,12 +188,26 @@
                 RefusalCode.aborted,
                 'the transaction could not begin at a member; begin it again',
             )
+        if transaction.has_written and not await self._selector.can_acknowledge(
+            request
+        ):
+            await self.end_transaction(session)
+            session.phase = Phase.idle
+            return refusal_answer(
+                request,
+                RefusalCode.aborted,
+                'the primary may be replaced at any moment; begin the '
+                'transaction again in 500 ms',
+            )
+        member = transaction.connection.link.entry
         sent_at = self._positions.now()
         answer = await self._send_commit(request, transaction)
         await self.end_transaction(session)
         session.phase = Phase.idle
         if isinstance(answer.outcome, Completed) and transaction.has_written:
-            answer = self._selector.acknowledge_write(request, answer, sent_at)
+            answer = await self._selector.acknowledge_write(
+                request, member, answer, sent_at
+            )
         if isinstance(answer.outcome, Completed):
             return SessionAnswer(outcome=answer.outcome, rows=answer.rows)
         code = answer.outcome.code
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -116,6 +116,13 @@
             ('service', 'outcome'),
             registry=registry,
         )
+        self.write_proofs = Counter(
+            'lavendergate_write_proofs',
+            'Completed writes by what proved that they survive a promotion; '
+            '"none" and "impossible" were answered UNKNOWN',
+            ('proof',),
+            registry=registry,
+        )
         self.customer_operations = Counter(
             'lavendergate_customer_operations',
             'Operations of the largest customers by outcome; shows who is '
--- /dev/null
+++ b/lavendergate/tests/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of leases on primaries and of what they prove."""
--- a/lavendergate/tests/session_fixture.py
+++ b/lavendergate/tests/session_fixture.py
@@ -118,6 +118,7 @@
             pools=self.pools,
             positions=self.positions,
             monotonic=anyio.current_time,
+            metrics=HttpMetrics(),
         )
         self.transactions = TransactionFilter(
             selector=selector,
--- a/lavendergate/tests/takeover_fixture.py
+++ b/lavendergate/tests/takeover_fixture.py
@@ -11,6 +11,7 @@
 from result import Err, Ok
 from trio.testing import MockClock
 
+from lavendergate.backends.sessions import MemberDialer
 from lavendergate.controllers.control_node import ControlNode
 from lavendergate.controllers.fleet_state import FleetState
 from lavendergate.controllers.leases.grants import LeaseGrants
@@ -79,9 +80,21 @@
 
 
 class TakeoverFixture:
-    """Takeover controller of one group of three members."""
+    """Takeover controller of one group of three members.
 
-    def __init__(self, *, tasks: TaskGroup, group: SessionGroup) -> None:
+    Parameters
+    ----------
+    dialer
+        Opens the connections of control; None for the one of the group.
+    """
+
+    def __init__(
+        self,
+        *,
+        tasks: TaskGroup,
+        group: SessionGroup,
+        dialer: MemberDialer | None = None,
+    ) -> None:
         self.group = group
         self.orders = MemoryPromotionOrders(group=self.group, tasks=tasks)
         self.node = _Node()
@@ -100,7 +113,7 @@
         )
         self.poller = MemberPoller(
             fleet=self.fleet,
-            dialer=GroupDialer(groups=(self.group,)),
+            dialer=dialer or GroupDialer(groups=(self.group,)),
             clock=anyio.current_time,
             real_clock=anyio.current_time,
             events=self.events,
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -174,6 +174,8 @@
         the primary of its term until it is demoted.
     synchronous_replicas
         Replicas that receive a transaction before it is acknowledged.
+    waits_for_replicas
+        Whether a commit that too few replicas have received is not answered.
     """
 
     def __init__(
@@ -183,7 +185,9 @@
         service: str = 'rounds',
         former_primary_continues: bool = False,
         synchronous_replicas: int = 1,
+        waits_for_replicas: bool = False,
     ) -> None:
+        self.waits_for_replicas = waits_for_replicas
         self.service = GroupId(service)
         self.former_primary_continues = former_primary_continues
         self.synchronous_replicas = synchronous_replicas
@@ -341,6 +345,7 @@
         self._phase = Phase.idle
         self._writes: dict[str, str] = {}
         self._is_write_transaction = False
+        self._is_unconfirmed = False
         self._is_closed = False
 
     async def run(
@@ -365,6 +370,8 @@
         if after is not None and member.position < after:
             return self._refuse(RefusalCode.lagging)
         answer = self._execute(statement, request_id)
+        if self._is_unconfirmed and self._group.waits_for_replicas:
+            await anyio.sleep_forever()
         if is_data and member.lost_answers:
             member.lost_answers -= 1
             raise AnswerLostError('the answer was lost')
@@ -489,16 +496,19 @@
         if self._phase == Phase.in_transaction:
             self._writes[item] = content
             return self._done(signed=True)
-        self._group.commit(self._member, {item: content})
+        self._append({item: content})
         return self._done(signed=True)
 
     def _commit(self) -> SessionAnswer:
         writes, self._writes = self._writes, {}
         self._phase = Phase.idle
         if writes:
-            self._group.commit(self._member, writes)
+            self._append(writes)
         return self._done(signed=True)
 
+    def _append(self, writes: dict[str, str]) -> None:
+        self._is_unconfirmed = not self._group.commit(self._member, writes)
+
     def _done(
         self, rows: tuple[str, ...] = (), *, signed: bool = False
     ) -> SessionAnswer:
