Play random promotions while replicas are away and return

The primary is cut off from control and most proxies, replicas crash and return with their log, often while an order takes effect, proxies hear no control, and control has no leader for a while. Each promoted member has every acknowledged write.

The in-memory members can leave a commit unanswered that too few replicas have received, as the platform's members do.

--- /dev/null
+++ b/properties/test_promotions.py
@@ -0,0 +1,57 @@
+"""Random schedules of promotions while replicas are away and return."""
+
+import unittest
+from unittest import mock
+
+from lavendergate.core.leases.evidence import (
+    CommitProof,
+    PrimaryCommit,
+    PrimaryEvidence,
+)
+from properties.promotion_schedule import run_schedule
+
+_SCHEDULES = 20
+# Schedules among which one shows the deliberate fault.
+_FAULT_SEEDS = range(78, 98)
+
+
+def confirmed_by_one_replica(
+    evidence: PrimaryEvidence, commit: PrimaryCommit
+) -> CommitProof:
+    """Deliberate fault: the confirmation of a replica is proof enough."""
+    return CommitProof.lease
+
+
+class PromotionScheduleTest(unittest.TestCase):
+    """Acknowledged writes survive each promotion."""
+
+    def test_no_acknowledged_write_is_lost(self) -> None:
+        """Guards against a replica that returns between order and effect."""
+        promotions = acknowledged = 0
+        for seed in range(_SCHEDULES):
+            schedule = run_schedule(seed)
+            group = schedule.group
+            self.assertFalse(group.problems, f'seed {seed}: {schedule.steps}')
+            promotions += group.promotions
+            acknowledged += len(group.acknowledged)
+        self.assertGreater(promotions, _SCHEDULES / 2)
+        self.assertGreater(acknowledged, 300 * _SCHEDULES)
+
+    def test_write_that_only_a_returned_replica_has_is_found(self) -> None:
+        """Guards against schedules in which no replica returns in time."""
+        with (
+            mock.patch.object(
+                PrimaryEvidence, 'proof_of', confirmed_by_one_replica
+            ),
+            mock.patch.object(
+                PrimaryEvidence, 'may_prove_commits', lambda *_: True
+            ),
+        ):
+            found = any(
+                run_schedule(seed).group.problems for seed in _FAULT_SEEDS
+            )
+        self.assertTrue(found)
+
+
+if __name__ == '__main__':
+    unittest.main()
