Run each statement of a session with its acknowledged values

Cause: whoever sent a statement to a member had to apply the session's values before; the code for COMMIT and ROLLBACK did not.

Change: PooledSession.run is the one way of a session's statement to a member. It takes the state of the session as a required argument, applies what the connection lacks, one confirmed step after the other, and runs the statement under its shared name, within one time limit. What has to be applied next is a pure decision in core/sessions/state.py, which takes the place of filters/sessions/preparation.py. If a value cannot be applied, NotPreparedError says that the statement was not sent: a COMMIT is answered ABORTED.

A home closes the connection of a transaction that its proxy gave up, or that expired, instead of running a ROLLBACK, since it may not know the last values.

test_preparation_ends_in_time now runs the real PooledSession over a slow connection in place of a stand-in for both; its limit is the same. The tests of connection waits pass the state that run requires.

--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -1,6 +1,6 @@
 """Connections to one member, and the health derived from their answers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -22,6 +22,7 @@
     SYSTEM_CONTEXT,
     StatementContext,
 )
+from lavendergate.core.sessions.state import ConnectionState, SessionState
 from lavendergate.core.sessions.statements import (
     Execute,
     MemberReport,
@@ -51,15 +52,18 @@
 _MS_PER_S = 1000
 
 
+class NotPreparedError(Exception):
+    """The session state could not be applied; the statement did not run."""
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class PooledSession:
     """A connection and the session state on it.
 
     Parameters
     ----------
-    values, prepared
-        Session variables, and names of prepared statements, that are set on
-        the connection.
+    applied
+        What sessions have set and prepared on the connection.
     is_broken
         Whether an answer is outstanding or was lost; a connection that is
         released in this state is not used again.
@@ -77,8 +81,7 @@
 
     session: MemberSession
     link: 'MemberLink'
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: set[str] = field(default_factory=set)
+    applied: ConnectionState = field(default_factory=ConnectionState)
     phase: Phase = Phase.idle
     is_broken: bool = False
     used_at: float = 0
@@ -96,23 +99,78 @@
         """Whether a home runs the statements."""
         return self.session.is_relayed
 
+    @property
+    def values(self) -> Mapping[str, str]:
+        """Session values that are set on the connection."""
+        return self.applied.values
+
     async def run(
         self,
         statement: Statement,
         *,
+        state: SessionState,
         timeout_s: float,
         request_id: str | None = None,
         after: LogPosition | None = None,
     ) -> SessionAnswer:
-        """Run a statement and record its outcome for the member.
+        """Run a statement of a session and record its outcome.
+
+        All statements of sessions pass here, so that each runs with the
+        session's values, also the one that ends a transaction.
+
+        Parameters
+        ----------
+        state
+            State of the session, which is applied first.
+        timeout_s
+            Time limit of the statement and of what is applied before it,
+            together, in seconds.
 
         Raises
         ------
+        NotPreparedError
+            If the state could not be applied; the statement was not sent.
         AnswerLostError
             If no complete answer arrived in time.
         NoTimeError
-            If the timeout is too short for any statement; none was sent.
+            If too little time was left; the statement was not sent.
         """
+        deadline = self.link.now() + timeout_s
+        await self._apply(state, statement, deadline)
+        return await self._take_turn_and_run(
+            state.with_shared_name(statement),
+            timeout_s=deadline - self.link.now(),
+            request_id=request_id,
+            after=after,
+        )
+
+    async def _apply(
+        self, state: SessionState, statement: Statement, deadline: float
+    ) -> None:
+        step = self.applied.next_step(state, statement)
+        while step is not None:
+            timeout_s = deadline - self.link.now()
+            try:
+                answer = await self._take_turn_and_run(
+                    step, timeout_s=timeout_s
+                )
+            except AnswerLostError as error:
+                raise NotPreparedError(str(error)) from error
+            if isinstance(answer.outcome, Refused):
+                # What is set on the connection is uncertain now.
+                self.is_broken = True
+                raise NotPreparedError(answer.outcome.text)
+            self.applied.record(step)
+            step = self.applied.next_step(state, statement)
+
+    async def _take_turn_and_run(
+        self,
+        statement: Statement,
+        *,
+        timeout_s: float,
+        request_id: str | None = None,
+        after: LogPosition | None = None,
+    ) -> SessionAnswer:
         if timeout_s < _MIN_STATEMENT_TIME_S:
             raise NoTimeError
         link = self.link
@@ -181,7 +239,7 @@
         outcome = answer.outcome
         if isinstance(outcome, Refused):
             if outcome.code == RefusalCode.no_statement:
-                self.prepared.clear()
+                self.applied.prepared.clear()
         if not self.session.was_answered_by_member:
             # It says nothing about the member, which may be down.
             return answer
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -208,12 +208,16 @@
         return Refused(code=reply.code or RefusalCode.busy, text=reply.text)
 
     async def close(self) -> None:
-        """Roll back an open transaction at the home."""
+        """Have the home give up an open transaction.
+
+        The request has expired, so that the home runs no ROLLBACK: this
+        session may lack values that its caller has set since.
+        """
         if not self._has_open_transaction:
             return
         with anyio.move_on_after(_ROLLBACK_TIMEOUT_S):
             try:
-                await self._send(RelayedRollback(), None, None)
+                await self._send(RelayedRollback(), None, None, is_expired=True)
             except AnswerLostError:
                 # The home rolls the transaction back when it has been idle.
                 self._transaction = NoTransaction()
@@ -278,6 +282,8 @@
         statement: RelayedStatement,
         request_id: str | None,
         after: LogPosition | None,
+        *,
+        is_expired: bool = False,
     ) -> RelayReply:
         def make_request(link: RelayLink) -> RelayRequest:  # noqa: WPS430
             self._home = link.address
@@ -289,7 +295,9 @@
                 request_id=request_id,
                 after=after,
                 transaction=transaction,
-                expires_at_ms=link.expires_at_ms(_remaining_s()),
+                expires_at_ms=(
+                    0 if is_expired else link.expires_at_ms(_remaining_s())
+                ),
                 customer=self._context.customer,
                 customer_priority=self._context.customer_priority,
                 route_priority=self._context.route_priority,
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -9,13 +9,14 @@
 
 from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.fleet_view import FleetView
-from lavendergate.controllers.member_link import PooledSession
+from lavendergate.controllers.member_link import NotPreparedError, PooledSession
 from lavendergate.controllers.members.turns import (
     NoConnectionError,
     NoTimeError,
 )
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.state import SessionState
 from lavendergate.core.sessions.statements import (
     AccessKind,
     Begin,
@@ -33,12 +34,6 @@
     Statement,
     Write,
 )
-from lavendergate.filters.sessions.base import CallerSession
-from lavendergate.filters.sessions.preparation import (
-    NotPreparedError,
-    prepare_connection,
-    with_shared_name,
-)
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.session_events import SessionEvent
 from lavendergate.rpc.relay_service import (
@@ -65,7 +60,6 @@
 # back, in seconds. The proxy of the caller does it first, unless it is gone.
 _IDLE_MARGIN_S = 1.0
 _IDLE_CHECK_S = 0.5
-_ROLLBACK_TIMEOUT_S = 0.5
 _EXECUTE_NAME = 'relayed'
 _NUMBER_BITS = 62
 # Statements that run only where their transaction is.
@@ -296,18 +290,11 @@
     ) -> RelayReply:
         if isinstance(request.statement, RelayedStatus):
             return await self._report(connection, deadline)
-        session, statement = _decode(request)
+        state, statement = _decode(request)
         try:
-            await prepare_connection(
-                connection,
-                session,
-                statement if isinstance(statement, Execute) else None,
-                timeout_s=deadline - self._clock(),
-            )
             answer = await connection.run(
-                with_shared_name(session, statement)
-                if isinstance(statement, Execute)
-                else statement,
+                statement,
+                state=state,
                 timeout_s=deadline - self._clock(),
                 request_id=request.request_id,
                 after=request.after,
@@ -342,14 +329,10 @@
         transaction = self._transactions.pop(number, None)
         if transaction is None:
             return
-        connection = transaction.connection
+        # The connection is closed, which makes the member roll back. A ROLLBACK
+        # would need the session's values, of which only its proxy knows all.
         with anyio.CancelScope(shield=True):
-            try:
-                await connection.run(Rollback(), timeout_s=_ROLLBACK_TIMEOUT_S)
-            except (AnswerLostError, NoTimeError):
-                # The connection is closed, which makes the member roll back.
-                connection.is_broken = True
-            await self._pools.release(connection)
+            await self._pools.drop(transaction.connection)
 
     def _lost(
         self, connection: PooledSession, error: AnswerLostError
@@ -413,26 +396,29 @@
         )
 
 
-def _decode(request: RelayRequest) -> tuple[CallerSession, Statement]:
-    """Return a session with the state of the statement, and the statement."""
-    session = CallerSession(database='', values=request.values)
+def _decode(request: RelayRequest) -> tuple[SessionState, Statement]:
+    """Return the state of the session, and its statement."""
+    state = SessionState(values=request.values)
     match request.statement:
         case RelayedBegin(read_only=read_only):
-            return session, Begin(read_only=read_only)
+            return state, Begin(read_only=read_only)
         case RelayedCommit():
-            return session, Commit()
+            return state, Commit()
         case RelayedRollback():
-            return session, Rollback()
+            return state, Rollback()
         case RelayedRead(item=item):
-            return session, Read(item=item)
+            return state, Read(item=item)
         case RelayedWrite(item=item, content=content):
-            return session, Write(item=item, content=content)
+            return state, Write(item=item, content=content)
         case RelayedExecute(
             item=item, content=content, writes=writes, text=text
         ):
             access = AccessKind.write if writes else AccessKind.read
-            session.prepared[_EXECUTE_NAME] = Shape(access=access, text=text)
-            return session, Execute(
+            shape = Shape(access=access, text=text)
+            state = SessionState(
+                values=request.values, prepared={_EXECUTE_NAME: shape}
+            )
+            return state, Execute(
                 name=_EXECUTE_NAME, item=item, content=content
             )
         case unknown:
--- a/lavendergate/filters/sessions/base.py
+++ b/lavendergate/filters/sessions/base.py
@@ -7,6 +7,7 @@
 from lavendergate.core.customers.table import Customer, KeyDigest
 from lavendergate.core.routes import Route
 from lavendergate.core.sessions.context import StatementContext
+from lavendergate.core.sessions.state import SessionState
 from lavendergate.core.sessions.statements import (
     AccessKind,
     CallerStatement,
@@ -93,6 +94,11 @@
     customer: Customer | None = None
     key_digest: KeyDigest | None = field(default=None, repr=False)
 
+    @property
+    def state(self) -> SessionState:
+        """Values and prepared statements of the session."""
+        return SessionState(values=self.values, prepared=self.prepared)
+
     def record_write(self, position: LogPosition, sent_at: float) -> None:
         """Record the position of an acknowledged write."""
         if self.own_position is None or position > self.own_position:
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -3,7 +3,7 @@
 import anyio
 
 from lavendergate.backends.sessions import AnswerLostError
-from lavendergate.controllers.member_link import PooledSession
+from lavendergate.controllers.member_link import NotPreparedError, PooledSession
 from lavendergate.controllers.members.turns import (
     NoConnectionError,
     NoTimeError,
@@ -38,11 +38,6 @@
     ReadPlan,
     ReadRequirements,
 )
-from lavendergate.filters.sessions.preparation import (
-    NotPreparedError,
-    prepare_connection,
-    with_shared_name,
-)
 
 # Pauses before a statement that did not run is retried, in seconds.
 _FIRST_PAUSE_S = 0.02
@@ -172,15 +167,14 @@
         # member that can serve the read.
         attempt_s = remaining_s * (1 if is_only else _READ_ATTEMPT_SHARE)
         try:
-            connection = await self._connect(request, statement, member)
+            connection = await self._connect(request, member)
         except NoConnectionError as error:
             return _not_sent_answer(request, error)
-        except NotPreparedError as error:
-            return refusal_answer(request, RefusalCode.busy, str(error))
         sent_at = self._positions.now()
         try:
             answer = await connection.run(
-                with_shared_name(request.session, statement),
+                statement,
+                state=request.session.state,
                 timeout_s=attempt_s,
                 request_id=request.request_id,
                 after=position,
@@ -191,6 +185,8 @@
             )
         except NoTimeError as error:
             return _not_sent_answer(request, error)
+        except NotPreparedError as error:
+            return refusal_answer(request, RefusalCode.busy, str(error))
         finally:
             request.home = connection.session.home
             await self._pools.release(connection)
@@ -242,16 +238,15 @@
         primary: MemberEntry,
     ) -> SessionAnswer:
         try:
-            connection = await self._connect(request, statement, primary)
+            connection = await self._connect(request, primary)
         except NoConnectionError as error:
             return _not_sent_answer(request, error)
-        except NotPreparedError as error:
-            return refusal_answer(request, RefusalCode.busy, str(error))
         sent_at = self._positions.now()
         remaining_s = request.deadline - self._monotonic()
         try:
             answer = await connection.run(
-                with_shared_name(request.session, statement),
+                statement,
+                state=request.session.state,
                 timeout_s=remaining_s,
                 request_id=request.request_id,
             )
@@ -263,6 +258,8 @@
             )
         except NoTimeError as error:
             return _not_sent_answer(request, error)
+        except NotPreparedError as error:
+            return refusal_answer(request, RefusalCode.busy, str(error))
         finally:
             request.home = connection.session.home
             await self._pools.release(connection)
@@ -276,17 +273,15 @@
     async def _connect(
         self,
         request: SessionRequest,
-        statement: DataStatement,
         member: MemberEntry,
     ) -> PooledSession:
         request.served_by = member.upstream_id
         give_up_at = member_wait_deadline(
             request.known_route, self._monotonic(), request.deadline
         )
-        session = request.session
         connection = await self._pools.acquire(
             member,
-            session.values,
+            request.session.values,
             give_up_at,
             context=request.context,
         )
@@ -295,16 +290,6 @@
         except KeyWithdrawnError:
             await self._pools.release(connection)
             raise
-        try:
-            await prepare_connection(
-                connection,
-                session,
-                statement,
-                timeout_s=request.deadline - self._monotonic(),
-            )
-        except BaseException:
-            await self._pools.drop(connection)
-            raise
         return connection
 
     def _forget_rolled_back_position(
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -3,7 +3,7 @@
 import anyio
 
 from lavendergate.backends.sessions import AnswerLostError
-from lavendergate.controllers.member_link import PooledSession
+from lavendergate.controllers.member_link import NotPreparedError, PooledSession
 from lavendergate.controllers.members.turns import (
     NoConnectionError,
     NoTimeError,
@@ -46,11 +46,6 @@
     ReadPlan,
     ReadRequirements,
 )
-from lavendergate.filters.sessions.preparation import (
-    NotPreparedError,
-    prepare_connection,
-    with_shared_name,
-)
 
 _RETRY_PAUSE_S = 0.03
 _ROLLBACK_TIMEOUT_S = 0.5
@@ -87,13 +82,19 @@
         connection = transaction.connection
         transaction.connection = None
         with anyio.CancelScope(shield=True):
-            await self._roll_back(connection)
+            await self._roll_back(connection, session)
 
-    async def _roll_back(self, connection: PooledSession) -> None:
+    async def _roll_back(
+        self, connection: PooledSession, session: CallerSession
+    ) -> None:
         if not connection.is_broken and connection.phase != Phase.idle:
             try:
-                await connection.run(Rollback(), timeout_s=_ROLLBACK_TIMEOUT_S)
-            except (AnswerLostError, NoTimeError):
+                await connection.run(
+                    Rollback(),
+                    state=session.state,
+                    timeout_s=_ROLLBACK_TIMEOUT_S,
+                )
+            except (AnswerLostError, NoTimeError, NotPreparedError):
                 # The connection is closed, which makes the member roll back.
                 connection.is_broken = True
         await self._pools.release(connection)
@@ -159,14 +160,9 @@
         if request.access == AccessKind.write:
             transaction.has_written = True
         try:
-            await prepare_connection(
-                connection,
-                request.session,
-                statement,
-                timeout_s=request.deadline - self._monotonic(),
-            )
             return await connection.run(
-                with_shared_name(request.session, statement),
+                statement,
+                state=request.session.state,
                 timeout_s=request.deadline - self._monotonic(),
                 request_id=request.request_id,
             )
@@ -223,10 +219,11 @@
             try:
                 answer = await connection.run(
                     Commit(),
+                    state=request.session.state,
                     timeout_s=request.deadline - self._monotonic(),
                     request_id=request.request_id,
                 )
-            except NoTimeError as error:
+            except (NoTimeError, NotPreparedError) as error:
                 return refusal_answer(request, RefusalCode.aborted, str(error))
             except AnswerLostError:
                 break
@@ -382,16 +379,11 @@
             await self._pools.release(connection)
             raise
         try:
-            await prepare_connection(
-                connection,
-                session,
-                None,
-                timeout_s=request.deadline - self._monotonic(),
-            )
             # All members but the primary refuse a read-write transaction, so
             # acceptance proves that the member is still the primary.
             answer = await connection.run(
                 Begin(read_only=position is not None),
+                state=session.state,
                 timeout_s=request.deadline - self._monotonic(),
                 after=position,
             )
@@ -404,7 +396,7 @@
         if isinstance(answer.outcome, Refused):
             if position is None:
                 self._selector.record_if_read_only(member, answer)
-            await self._roll_back(connection)
+            await self._roll_back(connection, session)
             return answer.outcome
         transaction.connection = connection
         return None
--- a/lavendergate/tests/service_order/test_connection_waits.py
+++ b/lavendergate/tests/service_order/test_connection_waits.py
@@ -15,12 +15,14 @@
     StatementContext,
 )
 from lavendergate.core.sessions.shares import ConnectionShare
+from lavendergate.core.sessions.state import SessionState
 from lavendergate.core.sessions.statements import (
     Begin,
     Read,
     RefusalCode,
     Refused,
 )
+from lavendergate.filters.sessions.base import CallerSession
 from lavendergate.tests.session_fixture import SessionFixture, play
 
 _URGENT = StatementContext(route_priority=0, customer=CustomerName('u'))
@@ -45,7 +47,7 @@
     except NoConnectionError:
         return None
     waited_s = anyio.current_time() - started_at
-    await pooled.run(Read(item='1'), timeout_s=1)
+    await pooled.run(Read(item='1'), state=SessionState(), timeout_s=1)
     await anyio.sleep(0.05)
     await proxy.pools.release(pooled)
     return waited_s
@@ -100,7 +102,7 @@
             pooled = await proxy.pools.acquire(
                 entry, {}, anyio.current_time() + 1, context=context
             )
-            await pooled.run(Read(item='1'), timeout_s=1)
+            await pooled.run(Read(item='1'), state=SessionState(), timeout_s=1)
             close = pooled.session.close
 
             async def close_slowly() -> None:
@@ -134,10 +136,12 @@
             entry = proxy.group.member('a').entry
             soon = anyio.current_time() + 1
             left = await proxy.pools.acquire(entry, {}, soon)
-            await left.run(Begin(read_only=False), timeout_s=1)
+            begin = Begin(read_only=False)
+            await left.run(begin, state=SessionState(), timeout_s=1)
             # It keeps the only turn, as a statement without an answer does.
             silent = await proxy.pools.acquire(entry, {}, soon)
-            await proxy.transactions._roll_back(left)
+            session = CallerSession(database='')
+            await proxy.transactions._roll_back(left, session)
             self.assertEqual(1, left.link.opened)
             await proxy.pools.release(silent)
             self.assertEqual(1, len(left.link.idle))
--- a/lavendergate/tests/sessions/test_time_limits.py
+++ b/lavendergate/tests/sessions/test_time_limits.py
@@ -2,21 +2,23 @@
 
 import unittest
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from functools import partial
-from typing import cast
 from unittest import mock
 
 import anyio
 
-from lavendergate.backends.sessions import AnswerLostError
-from lavendergate.controllers.member_link import PooledSession
+from lavendergate.backends.sessions import MemberSession, ReportRequest
+from lavendergate.controllers.member_link import (
+    NotPreparedError,
+    PooledSession,
+)
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.sessions.context import StatementContext
 from lavendergate.core.sessions.statements import (
     Begin,
     CallerStatement,
     Completed,
+    MemberReport,
     Phase,
     Read,
     RefusalCode,
@@ -25,11 +27,8 @@
     Statement,
     Write,
 )
+from lavendergate.core.types import LogPosition
 from lavendergate.filters.sessions.base import CallerSession
-from lavendergate.filters.sessions.preparation import (
-    NotPreparedError,
-    prepare_connection,
-)
 from lavendergate.tests.session_fixture import (
     OWN,
     PRIMARY,
@@ -42,29 +41,29 @@
 _TOLERANCE_S = 0.01
 
 
-@dataclass(kw_only=True)
-class _SlowConnection:
+class _SlowSession(MemberSession):
     """A connection on which each statement takes a time."""
 
-    statement_s: float
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: set[str] = field(default_factory=set)
-    is_broken: bool = False
-
-    @property
-    def link(self) -> '_SlowConnection':
-        return self
-
-    def now(self) -> float:
-        return anyio.current_time()
+    def __init__(self, *, statement_s: float) -> None:
+        self._statement_s = statement_s
 
     async def run(
-        self, statement: Statement, *, timeout_s: float
+        self,
+        statement: Statement,
+        *,
+        request_id: str | None = None,
+        after: LogPosition | None = None,
     ) -> SessionAnswer:
-        with anyio.move_on_after(timeout_s):
-            await anyio.sleep(self.statement_s)
-            return SessionAnswer(outcome=Completed(), phase=Phase.idle)
-        raise AnswerLostError('no answer in time')
+        await anyio.sleep(self._statement_s)
+        return SessionAnswer(outcome=Completed(), phase=Phase.idle)
+
+    async def request_report(
+        self, request: ReportRequest
+    ) -> MemberReport | Refused:
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        """Do nothing; there is no connection."""
 
 
 class TimeLimitTest(unittest.TestCase):
@@ -136,14 +135,14 @@
             session = CallerSession(
                 database=OWN, values={'a': '1', 'b': '2', 'c': '3'}
             )
-            connection = _SlowConnection(statement_s=0.6)
+            connection = PooledSession(
+                session=_SlowSession(statement_s=0.6),
+                link=proxy.pools.link(proxy.group.primary.entry),
+            )
             began_at = anyio.current_time()
             with self.assertRaises(NotPreparedError):
-                await prepare_connection(
-                    cast(PooledSession, connection),
-                    session,
-                    None,
-                    timeout_s=_LIMIT_S,
+                await connection.run(
+                    Begin(), state=session.state, timeout_s=_LIMIT_S
                 )
             waited_s = anyio.current_time() - began_at
             self.assertLessEqual(waited_s, _LIMIT_S + _TOLERANCE_S)
