Check session values in the random transactions of proxies

Each statement of the schedules has the values that were acknowledged to its session when it was sent.

--- a/properties/relay_schedule.py
+++ b/properties/relay_schedule.py
@@ -230,6 +230,11 @@
         for run in self._member.executions:
             if isinstance(run.statement, Commit) and not run.in_transaction:
                 self.problems.append(f'{run.request_id} outside a transaction')
+            known = self._values.get(run.request_id or '', {})
+            if run.values != known:
+                self.problems.append(
+                    f'{run.request_id} ran with {run.values}, not {known}'
+                )
         log = {item for entry in self._member.log for item, _ in entry.writes}
         lost, broken = self._kept - log, self._promised & log
         if lost:
--- a/properties/test_relays.py
+++ b/properties/test_relays.py
@@ -12,6 +12,12 @@
     next_transaction,
 )
 from lavendergate.core.relays.clock_offset import ClockSample, RemoteClock
+from lavendergate.core.sessions.state import (
+    ConnectionState,
+    SessionState,
+    StateStep,
+)
+from lavendergate.core.sessions.statements import Commit, Statement
 from lavendergate.filters.relays import home
 from lavendergate.rpc.relay_service import RelayReply
 from properties.relay_schedule import RelaySchedule, run_schedule
@@ -46,10 +52,10 @@
 
 
 class RelayScheduleTest(unittest.TestCase):
-    """Statements of a transaction run where it is, or not at all."""
+    """Statements run where their transaction is, with the session's values."""
 
     def test_outcome_of_each_transaction_is_truthful(self) -> None:
-        """Guards against a COMMIT elsewhere, whatever freezes or restarts."""
+        """Guards against a COMMIT elsewhere or with values of another time."""
         played = [run_schedule(seed) for seed in range(_SCHEDULES)]
         for schedule in played:
             self.assertFalse(schedule.problems, f'seed {schedule.seed}')
@@ -79,6 +85,22 @@
                 ]
                 self.assertFalse(outside, f'seed {seed}')
 
+    def test_commit_with_former_values_is_found(self) -> None:
+        """Guards against schedules in which no value precedes a COMMIT."""
+        next_step = ConnectionState.next_step
+
+        def skip_at_commit(
+            connection: ConnectionState,
+            state: SessionState,
+            statement: Statement,
+        ) -> StateStep | None:
+            if isinstance(statement, Commit):
+                return None
+            return next_step(connection, state, statement)
+
+        with mock.patch.object(ConnectionState, 'next_step', skip_at_commit):
+            self.assertIsNotNone(self._first_problem())
+
     def _first_problem(self) -> RelaySchedule | None:
         for seed in range(_SCHEDULES):
             schedule = run_schedule(seed)
