Bound the wait for the proof of a write by its arrival

A write waits for a member and then for a proof that it could be acknowledged; both waits now end a quarter of the target latency after its arrival, so that a refusal comes as early as for any other statement. Found by reading; the tests of proofs and time limits pass. Renames `_lacks_transaction` of relayed sessions.

--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -185,7 +185,7 @@
             case Rollback() if not self._has_open_transaction:
                 self._transaction = NoTransaction()
                 self._phase = Phase.idle
-            case _ if self._must_not_relay(statement):
+            case _ if self._lacks_transaction(statement):
                 return self._refuse(RefusalCode.aborted, _ENDED_TEXT)
             case _:
                 return await self._relay(statement, request_id, after)
@@ -226,7 +226,7 @@
     def _has_open_transaction(self) -> bool:
         return isinstance(self._transaction, OpenTransaction)
 
-    def _must_not_relay(self, statement: Statement) -> bool:
+    def _lacks_transaction(self, statement: Statement) -> bool:
         """Whether a statement belongs to a transaction that no home holds."""
         match self._transaction:
             case NoTransaction():
--- a/lavendergate/filters/sessions/member_selection.py
+++ b/lavendergate/filters/sessions/member_selection.py
@@ -300,7 +300,7 @@
         if not self._has_replica_confirmation(route):
             return True
         give_up_at = member_wait_deadline(
-            route, self._monotonic(), request.deadline
+            route, request.arrived_at_monotonic, request.deadline
         )
         return await self._positions.wait_until_provable(
             route.service, give_up_at
--- a/properties/test_relays.py
+++ b/properties/test_relays.py
@@ -44,7 +44,11 @@
     faults = ExitStack()
     for target, name, fault in (
         (relayed_session, 'next_transaction', forget_without_phase),
-        (relayed_session.RelayedSession, '_must_not_relay', lambda *_: False),
+        (
+            relayed_session.RelayedSession,
+            '_lacks_transaction',
+            lambda *_: False,
+        ),
         (RemoteClock, 'record', take_any_sample),
     ):
         faults.enter_context(mock.patch.object(target, name, fault))
