Lease a suspected primary only if most proxies still reach it

Callers saw: a primary that control and most proxies had lost was replaced a second later than it could be.

Cause: may_grant_lease took the first reports that came 0.6 s after the failure for all of them. A proxy that still reaches the primary, and now asks it for proofs, may be the first to report, so that the service was leased for 0.1 s, and the takeover waited for the end of that lease.

Evidence: test_first_report_after_the_failure_does_not_decide_alone failed before.

--- a/lavendergate/core/leases/granting.py
+++ b/lavendergate/core/leases/granting.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from lavendergate.core.primary_replacement import (
+    REPORT_AGE_LIMIT_S,
     MemberObservation,
     ServiceObservation,
 )
@@ -63,7 +64,9 @@
     suspected_since = _suspected_since(primary, now)
     if suspected_since is None:
         return True
-    return _proxies_reach_primary(observed, suspected_since + _REPORT_DELAY_S)
+    return _most_proxies_reach_primary(
+        observed, suspected_since + _REPORT_DELAY_S, now
+    )
 
 
 def has_unresolved_order(
@@ -109,15 +112,25 @@
     return waiting_since
 
 
-def _proxies_reach_primary(
-    observed: ServiceObservation, reported_after: float
+def _most_proxies_reach_primary(
+    observed: ServiceObservation, reported_after: float, now: float
 ) -> bool:
+    """Return whether most proxies have reached the primary since a time.
+
+    A proxy whose last report is from before counts as one that does not reach
+    it, so that the first reports after a failure do not decide alone.
+    """
     reports = [
         report
         for report in observed.reports
-        if report.reported_at >= reported_after
+        if now - report.reported_at <= REPORT_AGE_LIMIT_S
     ]
-    return sum(report.reachable for report in reports) * 2 > len(reports)
+    reached = sum(
+        report.reachable
+        for report in reports
+        if report.reported_at >= reported_after
+    )
+    return reached * 2 > len(reports)
 
 
 @dataclass(kw_only=True, slots=True)
