Report a lost primary without a gap

Cause: a proxy reports a primary as reachable for 1 s after its last answer, and as lost 0.5 s after the first failure, which comes about 1 s after the last answer. In between it reported nothing, and the one proxy that still reached the primary spoke for all: the service was leased again for 0.1 s.

Change: without an answer for 1 s, one failure is enough to report the primary as lost. 0.5 s of failures were enough before when the last answer was younger, so that no shorter silence than before leads to a report.

Evidence: test_proxy_that_lost_the_primary_reports_it_without_a_gap failed before.

--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -132,9 +132,12 @@
             if primary is None or link is None:
                 continue
             is_recent = now - link.answered_at <= _REACHABILITY_WINDOW_S
-            has_failed = (
-                link.failing_since is not None
-                and now - link.failing_since >= _REACHABILITY_WINDOW_S / 2
+            # Without an answer in the whole window, one failure is enough:
+            # else this proxy would say nothing until the failure is old, and
+            # those that still reach the primary would speak for all.
+            has_failed = link.failing_since is not None and (
+                not is_recent
+                or now - link.failing_since >= _REACHABILITY_WINDOW_S / 2
             )
             if is_recent or has_failed:
                 reports.append(
--- a/lavendergate/tests/test_fleet_view_receiver.py
+++ b/lavendergate/tests/test_fleet_view_receiver.py
@@ -199,3 +199,31 @@
             self.assertEqual(proxy.view.routes.version, held + 2)
 
         play(scenario)
+
+
+class ReachabilityTest(unittest.TestCase):
+    """Reports on reaching the primary."""
+
+    def test_proxy_that_lost_the_primary_reports_it_without_a_gap(self) -> None:
+        """Guards against a lease by the few that still reach the primary.
+
+        A proxy reported nothing between 1 s after the last answer and 0.5 s
+        after the first failure. In `review/7`, the service was leased then.
+        """
+
+        async def scenario(
+            proxy: SessionFixture, receiver: FleetViewReceiver
+        ) -> None:
+            link = proxy.pools.link(proxy.group.member('a').entry)
+            link.record_answer(None, anyio.current_time())
+            reports: list[bool] = []
+            for step in range(20):
+                await anyio.sleep(0.1)
+                if step == 9:
+                    link.record_failure('no answer within 1.00 s')
+                reports.extend(
+                    report.reachable for report in receiver.primary_reach()
+                )
+            self.assertEqual(reports, [True] * 10 + [False] * 10)
+
+        play(scenario)
