Share the order of tasks between the schedules of the property tests

The schedules of members, relays and promotions had the same lines to repeat the order of trio's tasks by a seed.

--- a/properties/member_schedule.py
+++ b/properties/member_schedule.py
@@ -7,11 +7,8 @@
 """
 
 import random
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from importlib import import_module
-from unittest import mock
 
 import anyio
 import msgspec
@@ -28,6 +25,7 @@
 )
 from lavendergate.core.types import Term, UpstreamId
 from lavendergate.tests.takeover_fixture import TakeoverFixture, run_scenario
+from properties.task_order import in_order
 from standin.session_group import Member, SessionGroup
 
 _SETTLED_S = 2.0
@@ -366,15 +364,6 @@
                 return
 
 
-@contextmanager
-def _in_order(seed: int) -> Iterator[None]:
-    """Let trio choose the order of tasks that are ready by a seed."""
-    scheduler = import_module('trio._core._run')
-    scheduler._r.seed(seed)
-    with mock.patch.object(scheduler, '_ALLOW_DETERMINISTIC_SCHEDULING', True):
-        yield
-
-
 def run_schedule(
     seed: int, last_call: LastCall, *, synchronous_replicas: int = 1
 ) -> WatchedGroup:
@@ -407,6 +396,6 @@
                 groups[0].problems.extend(schedule.steps)
             tasks.cancel_scope.cancel()
 
-    with _in_order(seed):
+    with in_order(seed):
         run_scenario(play, make_group=make_group)
     return groups[0]
--- a/properties/promotion_schedule.py
+++ b/properties/promotion_schedule.py
@@ -8,11 +8,7 @@
 """
 
 import random
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, field
-from importlib import import_module
-from unittest import mock
 
 import anyio
 import trio
@@ -48,6 +44,7 @@
 from lavendergate.supervision.boundary import Boundary
 from lavendergate.tests.session_fixture import PRIMARY, SessionFixture
 from lavendergate.tests.takeover_fixture import TakeoverFixture
+from properties.task_order import in_order
 from standin.session_group import GroupDialer, Member, SessionGroup
 
 _SETTLED_S = 4.0
@@ -339,15 +336,6 @@
         member.is_replication_cut = False
 
 
-@contextmanager
-def _in_order(seed: int) -> Iterator[None]:
-    """Let trio choose the order of tasks that are ready by a seed."""
-    scheduler = import_module('trio._core._run')
-    scheduler._r.seed(seed)
-    with mock.patch.object(scheduler, '_ALLOW_DETERMINISTIC_SCHEDULING', True):
-        yield
-
-
 def run_schedule(seed: int) -> PromotionSchedule:
     """Play one schedule and return it."""
     played: list[PromotionSchedule] = []
@@ -358,6 +346,6 @@
             await played[0].run()
             tasks.cancel_scope.cancel()
 
-    with _in_order(seed):
+    with in_order(seed):
         trio.run(play, clock=MockClock(autojump_threshold=0))
     return played[0]
--- a/properties/relay_schedule.py
+++ b/properties/relay_schedule.py
@@ -6,11 +6,7 @@
 """
 
 import random
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, field
-from importlib import import_module
-from unittest import mock
 
 import anyio
 
@@ -33,6 +29,7 @@
 from lavendergate.rpc.relay_transport import RelayTransport
 from lavendergate.tests.relay_fixture import RelayFixture, RelayingProxy, play
 from lavendergate.tests.session_fixture import PRIMARY
+from properties.task_order import in_order
 
 _TRANSACTIONS = 14
 _READS = 120
@@ -243,15 +240,6 @@
             self.problems.append(f'kept in spite of a promise: {broken}')
 
 
-@contextmanager
-def _in_order(seed: int) -> Iterator[None]:
-    """Let trio choose the order of tasks that are ready by a seed."""
-    scheduler = import_module('trio._core._run')
-    scheduler._r.seed(seed)
-    with mock.patch.object(scheduler, '_ALLOW_DETERMINISTIC_SCHEDULING', True):
-        yield
-
-
 def run_schedule(seed: int) -> RelaySchedule:
     """Play one schedule and return it."""
     clock = RealClock()
@@ -264,6 +252,6 @@
         played.append(RelaySchedule(seed=seed, fleet=fleet, clock=clock))
         await played[0].run()
 
-    with _in_order(seed):
+    with in_order(seed):
         play(scenario, wrap=wrap, real_clock=clock.now)
     return played[0]
