--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -132,9 +132,9 @@
             if primary is None or link is None:
                 continue
             is_recent = now - link.answered_at <= _REACHABILITY_WINDOW_S
-            # Without an answer in the whole window, one failure is enough:
-            # else this proxy would say nothing until the failure is old, and
-            # those that still reach the primary would speak for all.
+            # Without an answer in the whole window, one failure is enough.
+            # With no report until the failure is old, the reports of the few
+            # proxies that still reach the primary would decide alone.
             has_failed = link.failing_since is not None and (
                 not is_recent
                 or now - link.failing_since >= _REACHABILITY_WINDOW_S / 2
