Trace acknowledged writes through a promotion

Callers: none yet. Users of review/7 get status 1, and neither the script nor its record says which member ran the writes that it lists.

Change: faults.promotion_trace reads a record.txt and prints, for each acknowledged write around the promotion, when it was sent, ran and answered, by which member, and whether the promoted member's log has it; faults. review_trace plays the case unchanged and marks exactly the writes that it lists. Standard library only, so that it runs on a record from anywhere.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo measure soak start-faults review environment
+.PHONY: test demo measure soak start-faults review review-trace environment
 
 environment:
 	tools/make_environment
@@ -29,3 +29,11 @@
 	  result=$$(review/$$case/run.sh 2>/dev/null); \
 	  printf 'case %s  status %s  %s\n' $$case $$? "$$result"; \
 	done
+
+# For each write that review/7 lists: which member ran it, and whether the
+# promoted member's log has it. Traces an own record with
+# `python3 -m faults.promotion_trace RECORD`.
+review-trace:
+	sh deploy/build
+	sh review/build-2.sh
+	python3 -m faults.review_trace --runs 5
