End the connections of a stand-in member that crashes

A member of the in-memory stand-in that went down and came back went on to answer on the connections of before. No process does, so tests could not show what depends on a connection being lost. Each connection now belongs to one start. The new test failed before: no error was raised.

--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -95,9 +95,9 @@
         Highest term that it knows.
     paused_term
         Term for which replication is paused, 0 if it isn't paused.
-    is_down, is_silent, is_malformed
-        Whether it refuses connections, never answers, or answers status
-        requests with something that raises an unexpected error.
+    is_silent, is_malformed
+        Whether it never answers, or answers status requests with something
+        that raises an unexpected error.
     is_replication_cut
         Whether it receives no entries from the primary.
     is_apply_stopped
@@ -117,6 +117,8 @@
         Time that it takes to execute a data statement, in seconds.
     running
         Number of data statements that it is executing.
+    crashes
+        Number of times that it went down, which ended its connections.
     """
 
     entry: MemberEntry
@@ -125,7 +127,6 @@
     is_primary: bool = False
     term: Term = Term(1)
     paused_term: Term = Term(0)
-    is_down: bool = False
     is_silent: bool = False
     is_malformed: bool = False
     is_replication_cut: bool = False
@@ -137,6 +138,18 @@
     question_count: int = 0
     statement_s: float = 0
     running: int = 0
+    crashes: int = field(default=0, init=False)
+    _is_down: bool = field(default=False, init=False)
+
+    @property
+    def is_down(self) -> bool:
+        """Whether it refuses connections; its earlier ones have ended."""
+        return self._is_down
+
+    @is_down.setter
+    def is_down(self, is_down: bool) -> None:
+        self.crashes += is_down and not self._is_down
+        self._is_down = is_down
 
     @property
     def received(self) -> LogPosition:
@@ -340,6 +353,7 @@
     def __init__(self, *, group: SessionGroup, member: Member) -> None:
         self._group = group
         self._member = member
+        self._crashes = member.crashes
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Shape] = {}
         self._phase = Phase.idle
@@ -418,7 +432,8 @@
         await anyio.lowlevel.checkpoint()
         if self._member.is_silent:
             await anyio.sleep_forever()
-        if self._member.is_down or self._is_closed:
+        has_crashed = self._member.crashes != self._crashes
+        if has_crashed or self._is_closed:
             raise AnswerLostError(
                 'the member is down or the connection was closed'
             )
