Prove writes by members that have run since the last lease

Callers: an acknowledged write could be lost (LOST).

Cause: without a lease, a write was acknowledged once all members that the proxy knows had it. That list has an age. A member that joins while the proxy hears nothing from control can be ordered to lead while all others are away; they return before the order takes effect and confirm what it lacks.

Change: as many members as syncReplicas must have run without a break since the last lease ended. An order proved later found these members running, so it has paused them, and its candidate has what they have. Answers on connections from before the end of the lease show it; a proxy opens one to each replica when it gets a lease, and homes tell it to proxies without connections. A proxy that began without a lease, or whose replicas were all restarted since, refuses writes (BUSY) until control answers.

--- a/lavendergate/backends/sessions.py
+++ b/lavendergate/backends/sessions.py
@@ -78,6 +78,14 @@
         """Whether the last answer came from the member itself."""
         return True
 
+    @property
+    def member_running_s(self) -> float | None:
+        """Time for which the member had run at its last answer, in seconds.
+
+        None if its home has not said so, or if this session is a connection
+        to the member, which ends with the member's process.
+        """
+
     def use_for(self, context: StatementContext) -> None:
         """Run the next statements for a caller.
 
--- a/lavendergate/controllers/member_link.py
+++ b/lavendergate/controllers/member_link.py
@@ -16,6 +16,7 @@
 from lavendergate.controllers.waiters import OrderedWait
 from lavendergate.core.customers.table import CustomerName
 from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.leases.running_span import RunningSpan
 from lavendergate.core.pace.member_pace import PaceReason
 from lavendergate.core.service_order.queue import ServiceQueue
 from lavendergate.core.sessions.context import (
@@ -67,8 +68,12 @@
     is_broken
         Whether an answer is outstanding or was lost; a connection that is
         released in this state is not used again.
-    used_at
-        Time of the last release, on the clock of the pools, in seconds.
+    opened_at, used_at
+        When it was open, and time of the last release, on the clock of the
+        pools, in seconds.
+    member_running_since
+        Time since when the member had run without a break at its last report,
+        on the clock of the pools, in seconds; infinity if unknown.
     holds_turn
         Whether its next statement may be sent without waiting. A transaction
         gives its turn back between its statements.
@@ -84,7 +89,9 @@
     applied: ConnectionState = field(default_factory=ConnectionState)
     phase: Phase = Phase.idle
     is_broken: bool = False
+    opened_at: float = float('inf')
     used_at: float = 0
+    member_running_since: float = float('inf')
     holds_turn: bool = False
     customer: CustomerName | None = None
     context: StatementContext = SYSTEM_CONTEXT
@@ -276,8 +283,18 @@
         self.is_broken = False
         if self.session.was_answered_by_member:
             link.record_answer(None, started_at)
+            self._record_running(started_at)
         return report
 
+    def _record_running(self, asked_at: float) -> None:
+        """Record since when the member that answered has run."""
+        since = self.opened_at
+        if self.session.is_relayed:
+            since = self.link.now() - (self.session.member_running_s or 0)
+        running = self.link.running
+        running.extend(since, asked_at)
+        self.member_running_since = running.since_at(asked_at)
+
 
 class MemberLink:
     """Connections of this host to one member, with their load and health.
@@ -314,6 +331,7 @@
         self.next_connect_at = float('-inf')
         self.is_closed = False
         self.connection_wait = OrderedWait()
+        self.running = RunningSpan()
         self.pace = LinkPace(
             entry=entry, clock=clock, events=events, metrics=metrics
         )
--- a/lavendergate/controllers/positions.py
+++ b/lavendergate/controllers/positions.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 
 import anyio
 
@@ -17,6 +18,7 @@
     PrimaryClaim,
     PrimaryCommit,
     PrimaryEvidence,
+    ReplicaReport,
     confirms_primary,
 )
 from lavendergate.core.sessions.freshness import (
@@ -39,11 +41,31 @@
 # Least pause after any query without a lease, for each proxy that may ask the
 # same members, in seconds: without it, hundreds of proxies would flood them.
 _DELAY_PER_PROXY_S = 0.009
+# Least pause between attempts to connect to members that have no connection of
+# this host, in seconds.
+_CONNECT_PAUSE_S = 1.0
 # Time for which an answer of the control leader counts as its present state, in
 # seconds. It exceeds the interval of its answers.
 _REPLACING_VALIDITY_S = 1.5
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _MemberAnswer:
+    """Report of a member.
+
+    Parameters
+    ----------
+    asked_at
+        When it was asked, on the clock of samples, in seconds.
+    running_since
+        Time since when it had run without a break, on the same clock.
+    """
+
+    report: MemberReport
+    asked_at: float
+    running_since: float
+
+
 class PrimaryPositions:
     """Recent log positions of the primary of each service.
 
@@ -82,6 +104,7 @@
         # Number of writes of each service that wait for a proof.
         self._waiting_writes: Counter[GroupId] = Counter()
         self._next_query_at: dict[GroupId, float] = {}
+        self._next_connect_at: dict[GroupId, float] = {}
         self._replacing: frozenset[GroupId] = frozenset()
         self._replacing_at = float('-inf')
 
@@ -112,6 +135,33 @@
         for notice in notices:
             evidence = self.evidence(notice.service)
             evidence.lease(_claim_of(notice), until)
+            self._keep_connections(notice.service)
+
+    def _keep_connections(self, service: GroupId) -> None:
+        """Connect to the replicas of a service, which confirm its commits.
+
+        Only connections that are older than the end of the last lease prove
+        a commit after it.
+        """
+        now = self._monotonic()
+        if now < self._next_connect_at.get(service, 0):
+            return
+        if not self._synchronous_replicas(service):
+            return
+        claim = self._view.claim_of(service)
+        for member in self._view.members_of(service):
+            is_primary = claim is not None and (
+                claim.upstream_id == member.upstream_id
+            )
+            if not is_primary and self._pools.lacks_connection(member):
+                self._next_connect_at[service] = now + _CONNECT_PAUSE_S
+                self._tasks.start_soon(
+                    self._pools.connect, member, now + _QUERY_TIMEOUT_S
+                )
+
+    def _synchronous_replicas(self, service: GroupId) -> int:
+        limits = self._view.routes.services.get(service)
+        return 0 if limits is None else limits.synchronous_replicas
 
     def record_proof(self, notice: PrimaryNotice, proved_at: float) -> None:
         """Record that all other members knew no newer primary at a time.
@@ -217,8 +267,8 @@
     ) -> bool:
         """Return whether a commit that ends now could be acknowledged.
 
-        False at once while a member is away, so that the caller can go to a
-        proxy that holds a lease.
+        False at once while the members can prove nothing, so that the caller
+        can go to a proxy that holds a lease.
 
         Parameters
         ----------
@@ -227,7 +277,7 @@
         """
         with self._waiting_write(service):
             while not self.evidence(service).may_prove_commits(self._clock()):
-                if self.evidence(service).is_member_away(self._clock()):
+                if self.evidence(service).is_unprovable(self._clock()):
                     self.refresh(service)
                     return False
                 if not await self._wait_for_query(service, deadline):
@@ -301,7 +351,7 @@
         asked = None if primary is None else await self._ask(primary)
         if primary is None or asked is None:
             return _RETRY_DELAY_S
-        report, asked_at = asked
+        report, asked_at = asked.report, asked.asked_at
         if not report.is_primary or report.term < self._view.term_of(service):
             return _RETRY_DELAY_S
         notice = PrimaryNotice(
@@ -334,19 +384,18 @@
             Position that the primary has just reported.
         """
         asked_at = self._clock()
-        reports: list[MemberReport | None] = []
+        answers: list[_MemberAnswer | None] = []
 
         async def ask(member: MemberEntry) -> None:  # noqa: WPS430
-            asked = await self._ask(member)
-            report = None if asked is None else asked[0]
-            reports.append(report)
-            if report is not None and report.is_primary:
+            answer = await self._ask(member)
+            answers.append(answer)
+            if answer is not None and answer.report.is_primary:
                 self._view.record_primaries(
                     (
                         PrimaryNotice(
                             service=notice.service,
                             upstream_id=member.upstream_id,
-                            term=report.term,
+                            term=answer.report.term,
                         ),
                     )
                 )
@@ -356,24 +405,36 @@
                 if member.upstream_id != notice.upstream_id:
                     tasks.start_soon(ask, member)
         claim = _claim_of(notice)
+        reports = [
+            None if answer is None else answer.report for answer in answers
+        ]
         if None in reports:
-            self.evidence(notice.service).record_unanswered(
+            self.evidence(notice.service).record_unprovable(
                 claim, self._clock()
             )
         if not confirms_primary(claim, reports):
             is_outdated = self._view.claim_of(notice.service) != claim
             return _RETRY_DELAY_S if is_outdated else _REJECTED_DELAY_S
         self._confirm(notice.service, claim, asked_at)
-        received = [report.received for report in reports if report is not None]
+        replicas = [
+            ReplicaReport(
+                received=answer.report.received,
+                running_since=answer.running_since,
+            )
+            for answer in answers
+            if answer is not None
+        ]
         self.evidence(notice.service).record_received(
-            claim, reported, received, asked_at
+            claim,
+            reported,
+            replicas,
+            asked_at,
+            synchronous_replicas=self._synchronous_replicas(notice.service),
         )
         return _CONFIRMED_DELAY_S
 
-    async def _ask(
-        self, member: MemberEntry
-    ) -> tuple[MemberReport, float] | None:
-        """Return a member's report and the time of the question."""
+    async def _ask(self, member: MemberEntry) -> _MemberAnswer | None:
+        """Return a member's report; None if there is none in time."""
         deadline = self._monotonic() + _QUERY_TIMEOUT_S
         try:
             pooled = await self._pools.acquire(member, {}, deadline)
@@ -388,7 +449,14 @@
             await self._pools.release(pooled)
         if not isinstance(report, MemberReport):
             return None
-        return report, asked_at
+        # The other clock may run on while this one stands still, so the time
+        # that has passed is at least this long.
+        running_s = self._monotonic() - pooled.member_running_since
+        return _MemberAnswer(
+            report=report,
+            asked_at=asked_at,
+            running_since=self._clock() - running_s,
+        )
 
 
 def _claim_of(notice: PrimaryNotice) -> PrimaryClaim:
--- a/lavendergate/controllers/relays/session.py
+++ b/lavendergate/controllers/relays/session.py
@@ -137,6 +137,7 @@
         self._home: str | None = None
         self._context = SYSTEM_CONTEXT
         self._was_answered_by_member = False
+        self._member_running_s: float | None = None
 
     @property
     def home(self) -> str | None:
@@ -157,6 +158,11 @@
         """
         return self._was_answered_by_member
 
+    @property
+    def member_running_s(self) -> float | None:
+        """Time for which the member had run; see the base class."""
+        return self._member_running_s
+
     def use_for(self, context: StatementContext) -> None:
         """Run the next statements for a caller; see the base class."""
         self._context = context
@@ -203,6 +209,7 @@
         self._was_answered_by_member = False
         reply = await self._send(RelayedStatus(), None, None)
         self._was_answered_by_member = reply.status == RelayStatus.answered
+        self._member_running_s = reply.running_ms / _MS_PER_S
         if reply.report is not None:
             return reply.report
         return Refused(code=reply.code or RefusalCode.busy, text=reply.text)
--- a/lavendergate/controllers/session_pools.py
+++ b/lavendergate/controllers/session_pools.py
@@ -120,6 +120,39 @@
             for link in self._links.values()
         )
 
+    def lacks_connection(self, entry: MemberEntry) -> bool:
+        """Return whether this host could keep a connection and has none.
+
+        It keeps none of its own to a member that has homes, or where there
+        are fewer connections than proxies. A member that failed is probed
+        until it answers.
+        """
+        if self._dialer.is_relayed(entry) or not self._share(entry).min_open:
+            return False
+        link = self._links.get(entry.upstream_id)
+        return link is None or not (link.opened or link.is_suspect)
+
+    async def connect(self, entry: MemberEntry, deadline: float) -> None:
+        """Open an idle connection to a member, unless there is one.
+
+        Parameters
+        ----------
+        deadline
+            Time at which the attempt ends, on the clock of the pools.
+        """
+        link = self.link(entry)
+        if link.opened or not self._may_open(link, self._share(entry)):
+            return
+        try:
+            pooled = await self._open(
+                link, deadline, SYSTEM_CONTEXT, directly=False
+            )
+        except NoConnectionError:
+            # The link has recorded the failure.
+            return
+        if pooled is not None:
+            await self.release(pooled)
+
     async def acquire(
         self,
         entry: MemberEntry,
@@ -358,6 +391,7 @@
         return PooledSession(
             session=session,
             link=link,
+            opened_at=self._clock(),
             used_at=self._clock(),
             customer=context.customer,
         )
--- a/lavendergate/core/leases/evidence.py
+++ b/lavendergate/core/leases/evidence.py
@@ -9,10 +9,16 @@
 ended. Without one, each other member must have received the commit, so that any
 member that is promoted has it. That one replica confirmed it is not enough: the
 replica may have been absent when the order was proved, and have returned since.
+
+Nor is it enough that all members have it that the proxy knows: another one may
+have joined since the proxy last heard from control, and be ordered to lead
+while all the others are away. As many members as confirm a commit must
+therefore have run without a break since the last lease. An order that was
+proved later has paused them, so that its candidate has all that they have.
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from lavendergate.core.sessions.freshness import (
@@ -29,8 +35,9 @@
 # Time for which a report of all other members shows that they receive the
 # primary's commits, in seconds.
 _RECEIVING_VALIDITY_S = 0.5
-# Time for which a member that did not answer is taken to be away, in seconds.
-_ABSENCE_VALIDITY_S = 0.5
+# Time for which members that could prove no commit are taken to prove none, in
+# seconds.
+_FAILURE_VALIDITY_S = 0.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,6 +63,22 @@
     completed_at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReplicaReport:
+    """What a member other than the primary has reported.
+
+    Parameters
+    ----------
+    received
+        Position that it had received.
+    running_since
+        Time since when it is known to have run without a break, in seconds.
+    """
+
+    received: LogPosition
+    running_since: float
+
+
 @enum.unique
 class CommitProof(enum.Enum):
     """What proves that a commit survives each promotion.
@@ -94,7 +117,9 @@
     _leased_until: float = _NEVER
     _received_by_all: LogPosition | None = None
     _all_receive_at: float = _NEVER
-    _unanswered_at: float = _NEVER
+    _unprovable_at: float = _NEVER
+    # All orders that may be on their way were proved after this time.
+    _ordered_after: float = _NEVER
     _pending: list[PositionSample] = field(default_factory=list)
     _newest: LogPosition | None = None
 
@@ -104,14 +129,18 @@
         return self._newest
 
     def follow(self, claim: PrimaryClaim | None) -> None:
-        """Adopt a primary; unproved positions of another one are dropped."""
+        """Adopt a primary; unproved positions of another one are dropped.
+
+        Leases on the service were promises about every order, so the end of
+        the last one holds for the next primary, too.
+        """
         if claim != self.claim:
             self.claim = claim
             self._confirmed_until = _NEVER
             self._leased_until = _NEVER
             self._received_by_all = None
             self._all_receive_at = _NEVER
-            self._unanswered_at = _NEVER
+            self._unprovable_at = _NEVER
             self._pending = []
             self._newest = None
 
@@ -129,6 +158,7 @@
 
         An order on its way may still name the primary itself.
         """
+        self._ordered_after = max(self._ordered_after, until)
         if claim == self.claim:
             self._leased_until = max(self._leased_until, until)
         self.confirm(claim, until)
@@ -137,8 +167,10 @@
         self,
         claim: PrimaryClaim,
         reported: LogPosition,
-        received: Iterable[LogPosition],
+        replicas: Collection[ReplicaReport],
         asked_at: float,
+        *,
+        synchronous_replicas: int = 1,
     ) -> None:
         """Record what all other members had received.
 
@@ -146,26 +178,37 @@
         ----------
         reported
             Position that the primary reported before they were asked.
-        received
-            Position of each other member.
+        replicas
+            Report of each other member.
+        synchronous_replicas
+            Number of replicas that confirm each commit.
         """
-        least = min(received, default=None)
-        if claim != self.claim or least is None:
+        if claim != self.claim or not replicas:
             return
-        self._unanswered_at = _NEVER
+        unbroken = sum(
+            replica.running_since <= self._ordered_after for replica in replicas
+        )
+        if unbroken < max(1, synchronous_replicas):
+            self.record_unprovable(claim, asked_at)
+            return
+        self._unprovable_at = _NEVER
+        least = min(replica.received for replica in replicas)
         if self._received_by_all is None or least > self._received_by_all:
             self._received_by_all = least
         if least >= reported:
             self._all_receive_at = max(self._all_receive_at, asked_at)
 
-    def record_unanswered(self, claim: PrimaryClaim, now: float) -> None:
-        """Record that one of the other members did not answer."""
+    def record_unprovable(self, claim: PrimaryClaim, now: float) -> None:
+        """Record that the other members could prove no commit.
+
+        One did not answer, or too few have run since the last lease.
+        """
         if claim == self.claim:
-            self._unanswered_at = now
+            self._unprovable_at = now
 
-    def is_member_away(self, now: float) -> bool:
-        """Return whether another member did not answer recently."""
-        return now - self._unanswered_at <= _ABSENCE_VALIDITY_S
+    def is_unprovable(self, now: float) -> bool:
+        """Return whether the other members could recently prove no commit."""
+        return now - self._unprovable_at <= _FAILURE_VALIDITY_S
 
     def is_leased_at(self, moment: float) -> bool:
         """Return whether a lease covers a time."""
--- a/lavendergate/filters/relays/home.py
+++ b/lavendergate/filters/relays/home.py
@@ -317,6 +317,7 @@
                 status=RelayStatus.answered,
                 now_ms=self.now_ms(),
                 report=report,
+                running_ms=self._running_ms(connection),
             )
         return RelayReply(
             status=RelayStatus.answered,
@@ -325,6 +326,11 @@
             text=report.text,
         )
 
+    def _running_ms(self, connection: PooledSession) -> int:
+        """Return how long the member of a report has run, in milliseconds."""
+        running_s = self._clock() - connection.member_running_since
+        return int(max(0, running_s) * _MS_PER_S)
+
     async def _end(self, number: int) -> None:
         transaction = self._transactions.pop(number, None)
         if transaction is None:
--- a/lavendergate/rpc/relay_service.py
+++ b/lavendergate/rpc/relay_service.py
@@ -167,6 +167,9 @@
     retry_after_ms
         Predicted wait for a turn at the member, in milliseconds, if the
         statement was not run for want of time; 0 if unknown.
+    running_ms
+        Time for which the member that answered is known to have run without
+        a break, in milliseconds; 0 if unknown.
     """
 
     status: RelayStatus
@@ -180,3 +183,4 @@
     transaction: Integer | None = None
     report: MemberReport | None = None
     retry_after_ms: Integer = 0
+    running_ms: Count = 0
--- a/lavendergate/tests/leases/test_commit_proof.py
+++ b/lavendergate/tests/leases/test_commit_proof.py
@@ -12,6 +12,7 @@
     PrimaryClaim,
     PrimaryCommit,
     PrimaryEvidence,
+    ReplicaReport,
 )
 from lavendergate.core.sessions.statements import (
     Begin,
@@ -53,6 +54,14 @@
     )
 
 
+def reports(*positions: int, since: float = 0) -> tuple[ReplicaReport, ...]:
+    """Return reports of replicas that have run since a time."""
+    return tuple(
+        ReplicaReport(received=at(position), running_since=since)
+        for position in positions
+    )
+
+
 class ProofTest(unittest.TestCase):
     """Decisions on what is known of the primary and the other members."""
 
@@ -81,14 +90,62 @@
     def test_each_other_member_must_have_the_commit(self) -> None:
         """Guards against a proof by the one replica that confirmed it."""
         evidence = self.evidence
-        evidence.record_received(_CLAIM, at(9), (at(9), at(6)), 5)
+        evidence.record_received(_CLAIM, at(9), reports(9, 6), 5)
         self.assertEqual(evidence.proof_of(commit(7)), CommitProof.none)
         self.assertEqual(evidence.proof_of(commit(6)), CommitProof.members)
         self.assertFalse(evidence.may_prove_commits(5))
-        evidence.record_received(_CLAIM, at(9), (at(9), at(9)), 5)
+        evidence.record_received(_CLAIM, at(9), reports(9, 9), 5)
         self.assertEqual(evidence.proof_of(commit(7)), CommitProof.members)
         self.assertTrue(evidence.may_prove_commits(5.1))
 
+    def test_members_that_were_restarted_prove_nothing(self) -> None:
+        """Guards against an order for a member that the proxy does not know.
+
+        It was proved while all known replicas were away, and they return.
+        """
+        evidence = self.evidence
+        evidence.record_received(_CLAIM, at(9), reports(9, 9, since=4.1), 5)
+        self.assertEqual(evidence.proof_of(commit(7)), CommitProof.none)
+        self.assertTrue(evidence.is_unprovable(5))
+        self.assertFalse(evidence.may_prove_commits(5))
+        one_unbroken = reports(9, since=4) + reports(9, since=4.1)
+        evidence.record_received(_CLAIM, at(9), one_unbroken, 6)
+        self.assertEqual(evidence.proof_of(commit(7)), CommitProof.members)
+        self.assertFalse(evidence.is_unprovable(6))
+
+    def test_as_many_members_as_confirm_a_commit_must_have_run(self) -> None:
+        """Guards against an order that left one replica unpaused."""
+        evidence = self.evidence
+        one_unbroken = reports(9, since=4) + reports(9, since=4.1)
+        evidence.record_received(
+            _CLAIM, at(9), one_unbroken, 5, synchronous_replicas=2
+        )
+        self.assertEqual(evidence.proof_of(commit(7)), CommitProof.none)
+        evidence.record_received(
+            _CLAIM, at(9), reports(9, 9), 5, synchronous_replicas=2
+        )
+        self.assertEqual(evidence.proof_of(commit(7)), CommitProof.members)
+
+    def test_last_lease_counts_for_the_next_primary(self) -> None:
+        """Guards against refused writes after a promotion without control."""
+        following = PrimaryClaim(upstream_id=UpstreamId('b'), term=Term(3))
+        self.evidence.follow(following)
+        replicas = (ReplicaReport(received=at(2, 3), running_since=4),)
+        self.evidence.record_received(following, at(2, 3), replicas, 5)
+        self.assertEqual(
+            self.evidence.proof_of(commit(1, name='b', term=3)),
+            CommitProof.members,
+        )
+
+    def test_proxy_that_never_had_a_lease_proves_nothing_by_members(
+        self,
+    ) -> None:
+        """Guards against a proxy that began while an order was on its way."""
+        evidence = PrimaryEvidence()
+        evidence.follow(_CLAIM)
+        evidence.record_received(_CLAIM, at(9), reports(9, 9), 5)
+        self.assertEqual(evidence.proof_of(commit(7)), CommitProof.none)
+
     def test_commit_of_another_primary_or_term_is_not_proved(self) -> None:
         """Guards against the lease of the next primary, or the next lead."""
         for other in (commit(7, name='b'), commit(7, term=1)):
@@ -98,7 +155,7 @@
 
     def test_next_primary_begins_without_proof(self) -> None:
         """Guards against what was known of the former primary."""
-        self.evidence.record_received(_CLAIM, at(9), (at(9),), 5)
+        self.evidence.record_received(_CLAIM, at(9), reports(9), 5)
         following = PrimaryClaim(upstream_id=UpstreamId('b'), term=Term(3))
         self.evidence.follow(following)
         self.assertEqual(
--- a/properties/promotion_schedule.py
+++ b/properties/promotion_schedule.py
@@ -196,12 +196,7 @@
 
     async def run(self) -> None:
         """Play the schedule, and some time without further trouble."""
-        for number, proxy in enumerate(self._proxies):
-            self.tasks.start_soon(self._follow, number, proxy)
-            for caller in range(_CALLERS):
-                name = f'{number}/{caller}'
-                self.tasks.start_soon(self._write, proxy, name)
-        await anyio.sleep(_SETTLED_S)
+        await self.start_callers()
         actions = (
             self._crash_replica,
             self._crash_replica,
@@ -216,6 +211,19 @@
             self.steps.append(f'{anyio.current_time():.2f} {action.__name__}')
             self.tasks.start_soon(action)
             await anyio.sleep(self._random.choice((0.02, 0.3, 1.0, 2.5)))
+        await self.settle()
+
+    async def start_callers(self) -> None:
+        """Let the proxies follow control, and callers write at each."""
+        for number, proxy in enumerate(self._proxies):
+            self.tasks.start_soon(self._follow, number, proxy)
+            for caller in range(_CALLERS):
+                name = f'{number}/{caller}'
+                self.tasks.start_soon(self._write, proxy, name)
+        await anyio.sleep(_SETTLED_S)
+
+    async def settle(self) -> None:
+        """Wait some time, then check what the last primary has."""
         await anyio.sleep(_ENDED_S)
         lost = self.group.missing_at(self.group.primary)
         if lost:
--- a/standin/session_group.py
+++ b/standin/session_group.py
@@ -208,26 +208,40 @@
         self.silent_addresses: set[str] = set()
         self.term = Term(1)
         self.max_connections = DEFAULT_CONNECTIONS
-        self.members = {
-            UpstreamId(name): Member(
-                entry=MemberEntry(
-                    upstream_id=UpstreamId(name),
-                    service=self.service,
-                    address=f'10.0.0.{number}:80',
-                    failure_domain=FailureDomain(f'domain-{number}'),
-                    slots=2,
-                    availability=MemberAvailability.ready,
-                    is_primary=number == 1,
-                    born=1,
-                    sequence=1,
-                ),
-                is_primary=number == 1,
-            )
-            for number, name in enumerate(names, 1)
-        }
+        self.members: dict[UpstreamId, Member] = {}
+        for name in names:
+            self._add(name)
         self._positions = itertools.count(1)
         self._signatures = itertools.count(1)
 
+    def join(self, name: str) -> Member:
+        """Add a replica that has received what the primary has."""
+        log = list(self.primary.log)
+        member = self._add(name)
+        member.log = log
+        member.applied = len(log)
+        member.term = self.term
+        return member
+
+    def _add(self, name: str) -> Member:
+        number = len(self.members) + 1
+        member = Member(
+            entry=MemberEntry(
+                upstream_id=UpstreamId(name),
+                service=self.service,
+                address=f'10.0.0.{number}:80',
+                failure_domain=FailureDomain(f'domain-{number}'),
+                slots=2,
+                availability=MemberAvailability.ready,
+                is_primary=number == 1,
+                born=1,
+                sequence=1,
+            ),
+            is_primary=number == 1,
+        )
+        self.members[UpstreamId(name)] = member
+        return member
+
     @property
     def primary(self) -> Member:
         """Member that is the primary of the newest term."""
@@ -263,6 +277,19 @@
                     replica.applied = len(replica.log)
         return received >= self.synchronous_replicas
 
+    def restart(self, replica: Member) -> None:
+        """Start a replica that crashed; it receives what it has missed."""
+        replica.paused_term = Term(0)
+        replica.is_down = False
+        source = next(
+            member
+            for member in self.members.values()
+            if member.is_primary and self._follows(replica, member)
+        )
+        if self.receives(replica):
+            replica.log = list(source.log)
+            replica.applied = len(replica.log)
+
     def receives(self, replica: Member) -> bool:
         """Return whether a replica receives new entries."""
         is_cut = replica.is_down or replica.is_replication_cut
