--- a/faults/processes.py
+++ b/faults/processes.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import subprocess
+import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -135,13 +136,7 @@
 
         with (self._folder / 'log').open('ab') as log:
             self._process = subprocess.Popen(
-                [
-                    'python3',
-                    '-S',
-                    '-m',
-                    'lavendergate.daemon.hosted',
-                    self._program.role,
-                ],
+                _command(self._program.role),
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
@@ -181,6 +176,11 @@
             self._process.wait()
 
 
+def _command(role: str) -> list[str]:
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    return str(deploy['roles'][role]['run']).split()
+
+
 def outcome(status: int | None) -> str:
     """Return what an end by itself shows; empty while the process runs."""
     return '' if status is None else f'ended by itself with status {status}'
--- a/lavendergate/daemon/hosted/__main__.py
+++ b/lavendergate/daemon/hosted/__main__.py
@@ -1,13 +1,24 @@
-"""Entry point of the daemon on the hosting platform."""
+"""Entry point of the daemon on the hosting platform.
+
+The deploy file runs this file and not the module: `python3 -m` imports several
+modules first, and until the first lines here have run, each signal has its
+default action.
+"""
 
 import os
 import sys
 
-from lavendergate.daemon.hosted.early_signals import handle_early_signals
+if sys.path[0] != os.getcwd():
+    # As `-m` does it; the folder of this file must not be searched.
+    sys.path[0] = os.getcwd()
+
+from lavendergate.daemon.hosted.early_signals import (  # noqa: E402
+    handle_early_signals,
+)
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from threading import Thread
+    from lavendergate.daemon.hosted.early_founding import FoundingWriter
 
 _SETTINGS_VARIABLE = 'LAVENDERGATE_BOOT'
 # Where deploy/build puts the libraries, below the folder of the process.
@@ -38,7 +49,7 @@
         sys.path.append(libraries)
 
 
-def _start_founding() -> 'Thread | None':
+def _start_founding() -> 'FoundingWriter | None':
     from lavendergate.daemon.hosted.early_founding import (  # noqa: WPS433
         start_founding_record,
     )
--- a/lavendergate/daemon/hosted/early_founding.py
+++ b/lavendergate/daemon/hosted/early_founding.py
@@ -3,22 +3,60 @@
 All hosts may be killed at any moment of the first start. Those that come back
 found the group only with this record, so it has to be durable early. A thread
 writes it, because the disk may be slow, while the modules are imported.
+
+The modules `threading` and `tomllib` take longer to import than all that runs
+before them, so a settings file in the usual form is read without `tomllib`.
 """
 
+import _thread  # noqa: WPS436
 import os
-import threading
-import tomllib
-from contextlib import suppress
-from typing import Any
 
 from lavendergate.storage.founding_record import write_founding_record
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Any
+
 _LOG_DIRECTORY = 'log'
+_ADDRESS_CHARACTERS = frozenset('0123456789.:')
 # Errors of a settings file that does not hold yet, or of an odd one.
 _UNUSABLE = (OSError, ValueError, LookupError, TypeError, AttributeError)
 
 
-def start_founding_record(path: str | None) -> threading.Thread | None:
+class FoundingWriter:
+    """Thread that writes a founding record.
+
+    Parameters
+    ----------
+    directory
+        Directory of the log.
+    seeds
+        Addresses of the hosts that found the group, ``ip:port``.
+    """
+
+    def __init__(self, *, directory: str, seeds: list[str]) -> None:
+        self._directory = directory
+        self._seeds = seeds
+        self._running = _thread.allocate_lock()
+        self._running.acquire()
+        _thread.start_new_thread(self._run, ())
+
+    def join(self) -> None:
+        """Wait until the record is durable or could not be written."""
+        with self._running:
+            return
+
+    def _run(self) -> None:
+        try:
+            write_founding_record(self._directory, self._seeds)
+        except OSError:
+            # The storage, which needs the same disk, reports its errors.
+            return
+        finally:
+            self._running.release()
+
+
+def start_founding_record(path: str | None) -> FoundingWriter | None:
     """Begin to write the record if the settings say that it is due.
 
     Parameters
@@ -34,18 +72,20 @@
     if path is None:
         return None
     try:
-        with open(path, 'rb') as stream:
-            fields = tomllib.load(stream)
-        directory, seeds = _founding_of(fields)
+        with open(path, encoding='utf-8') as stream:
+            directory, seeds = _founding_of(stream.read())
     except _UNUSABLE:
         return None
-    writer = threading.Thread(target=_write, args=(directory, seeds))
-    writer.daemon = True
-    writer.start()
-    return writer
+    return FoundingWriter(directory=directory, seeds=seeds)
 
 
-def _founding_of(fields: dict[str, Any]) -> tuple[str, list[str]]:
+def _founding_of(content: str) -> tuple[str, list[str]]:
+    try:
+        fields = read_plain_fields(content)
+    except _UNUSABLE:
+        import tomllib  # noqa: WPS433
+
+        fields = tomllib.loads(content)
     if fields['bootstrap'] is not True:
         raise ValueError('not the first start')
     port = fields['internalPorts'][0]
@@ -55,7 +95,49 @@
     return os.path.join(fields['dataDir'], _LOG_DIRECTORY), seeds
 
 
-def _write(directory: str, seeds: list[str]) -> None:
-    # The storage, which needs the same disk, reports its errors.
-    with suppress(OSError):
-        write_founding_record(directory, seeds)
+def read_plain_fields(content: str) -> 'dict[str, Any]':
+    """Return what founding needs of a settings file in the usual form.
+
+    That form has one top-level field a line, before the first section.
+
+    Raises
+    ------
+    ValueError or LookupError
+        If the file has another form, which does not make it invalid.
+    """
+    lines: dict[str, str] = {}
+    for line in content.split('\n'):
+        if line.startswith('['):
+            break
+        name, _, text = line.partition('=')
+        lines[name.strip()] = text.strip()
+    flags = {'true': True, 'false': False}
+    ports = _unwrapped(lines['internalPorts'], '[', ']').split(',')
+    seeds = _unwrapped(lines['seeds'], '[', ']').split(',')
+    return {
+        'bootstrap': flags[lines['bootstrap']],
+        'internalPorts': [int(port) for port in ports],
+        'seeds': [_address(seed.strip()) for seed in seeds],
+        'ip': _address(lines['ip']),
+        'dataDir': _quoted(lines['dataDir']),
+    }
+
+
+def _unwrapped(text: str, begin: str, end: str) -> str:
+    if len(text) < 2 or not (text.startswith(begin) and text.endswith(end)):
+        raise ValueError(f'{text!r}: expected {begin}...{end}')
+    return text[1:-1]
+
+
+def _quoted(text: str) -> str:
+    content = _unwrapped(text, '"', '"')
+    if not content or '"' in content or '\\' in content:
+        raise ValueError(f'{text!r}: expected a string without escapes')
+    return content
+
+
+def _address(text: str) -> str:
+    content = _quoted(text)
+    if not _ADDRESS_CHARACTERS.issuperset(content):
+        raise ValueError(f'{text!r}: expected an address')
+    return content
--- a/lavendergate/daemon/hosted/start.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -5,11 +5,11 @@
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
-from threading import Thread
 
 import anyio
 
 from lavendergate.core.types import HostId
+from lavendergate.daemon.hosted.early_founding import FoundingWriter
 from lavendergate.daemon.hosted.settings_wait import (
     WaitedSettings,
     wait_for_settings,
@@ -38,7 +38,9 @@
 
 
 def main(
-    arguments: list[str] | None = None, *, founding: Thread | None = None
+    arguments: list[str] | None = None,
+    *,
+    founding: FoundingWriter | None = None,
 ) -> int:
     """Run the role given as the only argument, ``proxy`` or ``control``.
 
