Play orders that are carried out late in the promotion schedules

The in-memory platform can leave an order unanswered and carry it out 0.2 to 6 s later, checking its token then; members join, and replicas restart, which ends their pause.

--- a/properties/promotion_schedule.py
+++ b/properties/promotion_schedule.py
@@ -8,7 +8,9 @@
 """
 
 import random
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import trio
@@ -51,6 +53,7 @@
 _STEPS = 10
 _ENDED_S = 12.0
 _PROXIES = 3
+_MOST_MEMBERS = 5
 _CALLERS = 1
 _ORDER_S = 1.0
 _SYNC_S = 0.25
@@ -205,6 +208,7 @@
             self._cut_proxy,
             self._lose_leader,
             self._be_deaf,
+            *self.more_actions(),
         )
         for _ in range(_STEPS):
             action = self._random.choice(actions)
@@ -213,6 +217,12 @@
             await anyio.sleep(self._random.choice((0.02, 0.3, 1.0, 2.5)))
         await self.settle()
 
+    def more_actions(
+        self,
+    ) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
+        """Return further troubles of a kind of schedules."""
+        return ()
+
     async def start_callers(self) -> None:
         """Let the proxies follow control, and callers write at each."""
         for number, proxy in enumerate(self._proxies):
@@ -344,13 +354,60 @@
         member.is_replication_cut = False
 
 
-def run_schedule(seed: int) -> PromotionSchedule:
+class LateOrderSchedule(PromotionSchedule):
+    """One schedule in which orders are carried out late, without an answer.
+
+    Members join meanwhile, and returned replicas receive what they missed.
+    """
+
+    def more_actions(
+        self,
+    ) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
+        """Delay orders, and let members join and restart."""
+        return (
+            self._delay_orders,
+            self._delay_orders,
+            self._join,
+            self._restart_replica,
+        )
+
+    async def _delay_orders(self) -> None:
+        self.control.orders.late_s = lambda: self._random.uniform(0.2, 6)
+        await anyio.sleep(self._random.choice((1.0, 3.0)))
+        self.control.orders.late_s = None
+
+    async def _join(self) -> None:
+        if len(self.group.members) < _MOST_MEMBERS:
+            self.group.join(f'joined-{len(self.group.members)}')
+            self.control.announce()
+        await anyio.lowlevel.checkpoint()
+
+    async def _restart_replica(self) -> None:
+        """Restart a replica, which ends its pause."""
+        replica = self._random.choice(
+            [
+                member
+                for member in self.group.members.values()
+                if not (member.is_primary or member.is_down)
+            ]
+            or [None]
+        )
+        if replica is None:
+            return
+        replica.is_down = True
+        await anyio.sleep(self._random.choice((0.05, 0.5)))
+        self.group.restart(replica)
+
+
+def run_schedule(
+    seed: int, make: type[PromotionSchedule] = PromotionSchedule
+) -> PromotionSchedule:
     """Play one schedule and return it."""
     played: list[PromotionSchedule] = []
 
     async def play() -> None:
         async with anyio.create_task_group() as tasks:
-            played.append(PromotionSchedule(seed=seed, tasks=tasks))
+            played.append(make(seed=seed, tasks=tasks))
             await played[0].run()
             tasks.cancel_scope.cancel()
 
--- a/properties/test_promotions.py
+++ b/properties/test_promotions.py
@@ -8,9 +8,10 @@
     PrimaryCommit,
     PrimaryEvidence,
 )
-from properties.promotion_schedule import run_schedule
+from properties.promotion_schedule import LateOrderSchedule, run_schedule
 
 _SCHEDULES = 20
+_LATE_SCHEDULES = 10
 # Schedules among which one shows the deliberate fault.
 _FAULT_SEEDS = range(78, 98)
 
@@ -37,6 +38,18 @@
         self.assertGreater(promotions, _SCHEDULES / 2)
         self.assertGreater(acknowledged, 300 * _SCHEDULES)
 
+    def test_no_write_is_lost_to_an_order_that_is_carried_out_late(
+        self,
+    ) -> None:
+        """Guards against a proof that has ended before the order runs."""
+        promotions = 0
+        for seed in range(_LATE_SCHEDULES):
+            schedule = run_schedule(seed, LateOrderSchedule)
+            group = schedule.group
+            self.assertFalse(group.problems, f'seed {seed}: {schedule.steps}')
+            promotions += group.promotions
+        self.assertGreater(promotions, _LATE_SCHEDULES / 2)
+
     def test_write_that_only_a_returned_replica_has_is_found(self) -> None:
         """Guards against schedules in which no replica returns in time."""
         with (
--- a/standin/promotion_orders.py
+++ b/standin/promotion_orders.py
@@ -31,6 +31,10 @@
         Time to connect before an order is sent, in seconds.
     checks_tokens
         Whether orders with an outdated token are refused.
+    late_s
+        Returns the time after which an order without an answer is carried
+        out, in seconds; None while orders are answered. Its token is checked
+        at that time.
     """
 
     def __init__(
@@ -44,6 +48,7 @@
         self.newest_token = 0
         self.orders: list[tuple[UpstreamId, int]] = []
         self.unclear = 0
+        self.late_s: Callable[[], float] | None = None
 
     async def promote(
         self,
@@ -62,6 +67,20 @@
         if self.unclear:
             self.unclear -= 1
             return OrderOutcome.unclear
+        if self.late_s is not None:
+            self._tasks.start_soon(
+                self._accept_late, upstream_id, token, self.late_s()
+            )
+            return OrderOutcome.unclear
+        return self._accept(upstream_id, token)
+
+    async def _accept_late(
+        self, upstream_id: UpstreamId, token: int, late_s: float
+    ) -> None:
+        await anyio.sleep(late_s)
+        self._accept(upstream_id, token)
+
+    def _accept(self, upstream_id: UpstreamId, token: int) -> OrderOutcome:
         if token < self.newest_token and self.checks_tokens:
             return OrderOutcome.refused
         self.newest_token = max(token, self.newest_token)
@@ -70,7 +89,6 @@
             return OrderOutcome.refused
         if not member.is_primary:
             self._tasks.start_soon(self._promote_later, upstream_id)
-            await anyio.lowlevel.checkpoint()
         return OrderOutcome.done
 
     async def _promote_later(self, upstream_id: UpstreamId) -> None:
