Keep connections to replicas only once the proxies are counted

Callers: none seen; found in the read-through of the change. Hundreds of proxies that start together would each have connected to every replica of every service with their first lease, before they know that a member has fewer connections than there are proxies and that its homes hold them.

The new test failed before (connections to b and c).

--- a/lavendergate/controllers/positions.py
+++ b/lavendergate/controllers/positions.py
@@ -141,12 +141,15 @@
         """Connect to the replicas of a service, which confirm its commits.
 
         Only connections that are older than the end of the last lease prove
-        a commit after it.
+        a commit after it. Until the proxies are counted, a member may have
+        fewer connections than there are proxies.
         """
         now = self._monotonic()
         if now < self._next_connect_at.get(service, 0):
             return
-        if not self._synchronous_replicas(service):
+        if self._view.proxies is None or not self._synchronous_replicas(
+            service
+        ):
             return
         claim = self._view.claim_of(service)
         for member in self._view.members_of(service):
--- a/lavendergate/tests/leases/test_running_span.py
+++ b/lavendergate/tests/leases/test_running_span.py
@@ -3,7 +3,10 @@
 import unittest
 
 import anyio
+import trio
+from trio.testing import MockClock
 
+from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.core.leases.running_span import RunningSpan
 from lavendergate.core.sessions.statements import Completed, Write
 from lavendergate.core.types import UpstreamId
@@ -70,6 +73,28 @@
 
         play(scenario)
 
+    def test_uncounted_proxies_connect_to_no_replica(self) -> None:
+        """Guards against hundreds of proxies that connect at their start."""
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                proxy = SessionFixture(tasks=tasks, lease_s=0)
+                proxy.view = proxy.positions._view = FleetView(
+                    clock=anyio.current_time
+                )
+                proxy.publish(2)
+                proxy.announce()
+                proxy.notice('a', 1)
+                await anyio.sleep(0.1)
+                self.assertFalse(proxy.pools.links)
+                proxy.view.proxies = 3
+                proxy.notice('a', 1)
+                await anyio.sleep(0.1)
+                self.assertEqual(set(proxy.pools.links), {'b', 'c'})
+                tasks.cancel_scope.cancel()
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+
     def test_service_without_confirming_replicas_needs_no_connections(
         self,
     ) -> None:
--- a/lavendergate/tests/session_fixture.py
+++ b/lavendergate/tests/session_fixture.py
@@ -89,6 +89,7 @@
         self.dialer = GroupDialer(groups=(self.group,))
         self.share = ConnectionShare(limit=4)
         self.view = FleetView(clock=anyio.current_time)
+        self.view.proxies = 1
         self.pools = SessionPools(
             dialer=(
                 self.dialer if make_dialer is None else make_dialer(self.dialer)
