Move the questions to members and the kept connections out of positions

No change of behaviour. controllers/positions.py had grown to 466 lines; asking one member is now controllers/members/questions.py, and the connections that a lease opens are controllers/leases/kept_connections.py, whose test no longer replaces a private field.

--- a/lavendergate/controllers/positions.py
+++ b/lavendergate/controllers/positions.py
@@ -3,13 +3,15 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 import anyio
 
-from lavendergate.backends.sessions import AnswerLostError
 from lavendergate.controllers.fleet_view import FleetView
-from lavendergate.controllers.members.turns import NoConnectionError
+from lavendergate.controllers.leases.kept_connections import KeptConnections
+from lavendergate.controllers.members.questions import (
+    MemberAnswer,
+    MemberQuestions,
+)
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.fleet_directory import MemberEntry
@@ -25,11 +27,9 @@
     PositionHistory,
     PositionSample,
 )
-from lavendergate.core.sessions.statements import MemberReport
 from lavendergate.core.types import GroupId, LogPosition, UpstreamId
 from lavendergate.rpc.fleet_service import PrimaryNotice
 
-_QUERY_TIMEOUT_S = 0.6
 # Pause after a query that returned no position, in seconds.
 _RETRY_DELAY_S = 0.03
 # Pause after the members did not confirm a primary, in seconds. They are asked
@@ -41,31 +41,11 @@
 # Least pause after any query without a lease, for each proxy that may ask the
 # same members, in seconds: without it, hundreds of proxies would flood them.
 _DELAY_PER_PROXY_S = 0.009
-# Least pause between attempts to connect to members that have no connection of
-# this host, in seconds.
-_CONNECT_PAUSE_S = 1.0
 # Time for which an answer of the control leader counts as its present state, in
 # seconds. It exceeds the interval of its answers.
 _REPLACING_VALIDITY_S = 1.5
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _MemberAnswer:
-    """Report of a member.
-
-    Parameters
-    ----------
-    asked_at
-        When it was asked, on the clock of samples, in seconds.
-    running_since
-        Time since when it had run without a break, on the same clock.
-    """
-
-    report: MemberReport
-    asked_at: float
-    running_since: float
-
-
 class PrimaryPositions:
     """Recent log positions of the primary of each service.
 
@@ -95,7 +75,12 @@
         monotonic: Callable[[], float],
     ) -> None:
         self._view = view
-        self._pools = pools
+        self._questions = MemberQuestions(
+            pools=pools, clock=clock, monotonic=monotonic
+        )
+        self._kept_connections = KeptConnections(
+            view=view, pools=pools, tasks=tasks, monotonic=monotonic
+        )
         self._tasks = tasks
         self._clock = clock
         self._monotonic = monotonic
@@ -104,7 +89,6 @@
         # Number of writes of each service that wait for a proof.
         self._waiting_writes: Counter[GroupId] = Counter()
         self._next_query_at: dict[GroupId, float] = {}
-        self._next_connect_at: dict[GroupId, float] = {}
         self._replacing: frozenset[GroupId] = frozenset()
         self._replacing_at = float('-inf')
 
@@ -135,32 +119,7 @@
         for notice in notices:
             evidence = self.evidence(notice.service)
             evidence.lease(_claim_of(notice), until)
-            self._keep_connections(notice.service)
-
-    def _keep_connections(self, service: GroupId) -> None:
-        """Connect to the replicas of a service, which confirm its commits.
-
-        Only connections that are older than the end of the last lease prove
-        a commit after it. Until the proxies are counted, a member may have
-        fewer connections than there are proxies.
-        """
-        now = self._monotonic()
-        if now < self._next_connect_at.get(service, 0):
-            return
-        if self._view.proxies is None or not self._synchronous_replicas(
-            service
-        ):
-            return
-        claim = self._view.claim_of(service)
-        for member in self._view.members_of(service):
-            is_primary = claim is not None and (
-                claim.upstream_id == member.upstream_id
-            )
-            if not is_primary and self._pools.lacks_connection(member):
-                self._next_connect_at[service] = now + _CONNECT_PAUSE_S
-                self._tasks.start_soon(
-                    self._pools.connect, member, now + _QUERY_TIMEOUT_S
-                )
+            self._kept_connections.open_missing(notice.service)
 
     def _synchronous_replicas(self, service: GroupId) -> int:
         limits = self._view.routes.services.get(service)
@@ -351,7 +310,7 @@
     async def _query_primary(self, service: GroupId) -> float:
         """Query the primary; return the pause before the next query."""
         primary = self._view.primary_of(service)
-        asked = None if primary is None else await self._ask(primary)
+        asked = None if primary is None else await self._questions.ask(primary)
         if primary is None or asked is None:
             return _RETRY_DELAY_S
         report, asked_at = asked.report, asked.asked_at
@@ -387,10 +346,10 @@
             Position that the primary has just reported.
         """
         asked_at = self._clock()
-        answers: list[_MemberAnswer | None] = []
+        answers: list[MemberAnswer | None] = []
 
         async def ask(member: MemberEntry) -> None:  # noqa: WPS430
-            answer = await self._ask(member)
+            answer = await self._questions.ask(member)
             answers.append(answer)
             if answer is not None and answer.report.is_primary:
                 self._view.record_primaries(
@@ -436,31 +395,6 @@
         )
         return _CONFIRMED_DELAY_S
 
-    async def _ask(self, member: MemberEntry) -> _MemberAnswer | None:
-        """Return a member's report; None if there is none in time."""
-        deadline = self._monotonic() + _QUERY_TIMEOUT_S
-        try:
-            pooled = await self._pools.acquire(member, {}, deadline)
-        except NoConnectionError:
-            return None
-        asked_at = self._clock()
-        try:
-            report = await pooled.report(timeout_s=_QUERY_TIMEOUT_S)
-        except AnswerLostError:
-            return None
-        finally:
-            await self._pools.release(pooled)
-        if not isinstance(report, MemberReport):
-            return None
-        # The other clock may run on while this one stands still, so the time
-        # that has passed is at least this long.
-        running_s = self._monotonic() - pooled.member_running_since
-        return _MemberAnswer(
-            report=report,
-            asked_at=asked_at,
-            running_since=self._clock() - running_s,
-        )
-
 
 def _claim_of(notice: PrimaryNotice) -> PrimaryClaim:
     return PrimaryClaim(upstream_id=notice.upstream_id, term=notice.term)
--- a/lavendergate/tests/leases/test_running_span.py
+++ b/lavendergate/tests/leases/test_running_span.py
@@ -3,14 +3,14 @@
 import unittest
 
 import anyio
-import trio
-from trio.testing import MockClock
 
 from lavendergate.controllers.fleet_view import FleetView
+from lavendergate.controllers.leases.kept_connections import KeptConnections
 from lavendergate.core.leases.running_span import RunningSpan
 from lavendergate.core.sessions.statements import Completed, Write
-from lavendergate.core.types import UpstreamId
+from lavendergate.core.types import Term, UpstreamId
 from lavendergate.filters.sessions.base import CallerSession
+from lavendergate.rpc.fleet_service import PrimaryNotice
 from lavendergate.tests.session_fixture import PRIMARY, SessionFixture, play
 
 _UNKNOWN = float('inf')
@@ -76,24 +76,39 @@
     def test_uncounted_proxies_connect_to_no_replica(self) -> None:
         """Guards against hundreds of proxies that connect at their start."""
 
-        async def run() -> None:
-            async with anyio.create_task_group() as tasks:
-                proxy = SessionFixture(tasks=tasks, lease_s=0)
-                proxy.view = proxy.positions._view = FleetView(
-                    clock=anyio.current_time
+        async def scenario(proxy: SessionFixture) -> None:
+            view = FleetView(clock=anyio.current_time)
+            view.adopt_routes(proxy.view.routes)
+            view.merge(
+                tuple(member.entry for member in proxy.group.members.values())
+            )
+            view.record_primaries(
+                (
+                    PrimaryNotice(
+                        service=proxy.group.service,
+                        upstream_id=UpstreamId('a'),
+                        term=Term(1),
+                    ),
                 )
-                proxy.publish(2)
-                proxy.announce()
-                proxy.notice('a', 1)
-                await anyio.sleep(0.1)
-                self.assertFalse(proxy.pools.links)
-                proxy.view.proxies = 3
-                proxy.notice('a', 1)
-                await anyio.sleep(0.1)
-                self.assertEqual(set(proxy.pools.links), {'b', 'c'})
-                tasks.cancel_scope.cancel()
-
-        trio.run(run, clock=MockClock(autojump_threshold=0))
+            )
+            await anyio.sleep(2)
+            for name in ('b', 'c'):
+                proxy.pools.remove_member(UpstreamId(name))
+            kept = KeptConnections(
+                view=view,
+                pools=proxy.pools,
+                tasks=proxy.tasks,
+                monotonic=anyio.current_time,
+            )
+            kept.open_missing(proxy.group.service)
+            await anyio.sleep(0.1)
+            self.assertFalse(proxy.pools.links)
+            view.proxies = 3
+            kept.open_missing(proxy.group.service)
+            await anyio.sleep(0.1)
+            self.assertEqual(set(proxy.pools.links), {'b', 'c'})
+
+        play(scenario)
 
     def test_service_without_confirming_replicas_needs_no_connections(
         self,
