Write the founding record without a second thread

Cause: code 132, SIGILL, before the first line of the log, on control hosts only. Only they ran a second thread during the imports, which wrote the founding record.

Change: the only thread writes the record. The new test failed before with AssertionError: a thread.

--- a/lavendergate/daemon/hosted/__main__.py
+++ b/lavendergate/daemon/hosted/__main__.py
@@ -16,10 +16,6 @@
     handle_early_signals,
 )
 
-TYPE_CHECKING = False
-if TYPE_CHECKING:
-    from lavendergate.daemon.hosted.early_founding import FoundingWriter
-
 _SETTINGS_VARIABLE = 'LAVENDERGATE_BOOT'
 # Where deploy/build puts the libraries, below the folder of the process.
 _LIBRARIES = os.path.join('target', 'deps')
@@ -36,10 +32,11 @@
     # Before the first file is opened, which could get the number of one.
     reserve_standard_descriptors()
     _add_libraries()
-    founding = _start_founding() if sys.argv[1:] == ['control'] else None
+    if sys.argv[1:] == ['control']:
+        _write_founding_record()
     from lavendergate.daemon.hosted.start import main  # noqa: WPS433
 
-    return main(founding=founding)
+    return main()
 
 
 def _add_libraries() -> None:
@@ -49,12 +46,12 @@
         sys.path.append(libraries)
 
 
-def _start_founding() -> 'FoundingWriter | None':
+def _write_founding_record() -> None:
     from lavendergate.daemon.hosted.early_founding import (  # noqa: WPS433
-        start_founding_record,
+        write_early_record,
     )
 
-    return start_founding_record(os.environ.get(_SETTINGS_VARIABLE))
+    write_early_record(os.environ.get(_SETTINGS_VARIABLE))
 
 
 if __name__ == '__main__':
--- a/lavendergate/daemon/hosted/early_founding.py
+++ b/lavendergate/daemon/hosted/early_founding.py
@@ -1,14 +1,13 @@
 """Writes the founding record of a control host before the other imports.
 
 All hosts may be killed at any moment of the first start. Those that come back
-found the group only with this record, so it has to be durable early. A thread
-writes it, because the disk may be slow, while the modules are imported.
+found the group only with this record, so it has to be durable early. The role
+needs the record before it runs, so the process waits for the disk here.
 
-The modules `threading` and `tomllib` take longer to import than all that runs
-before them, so a settings file in the usual form is read without `tomllib`.
+The module `tomllib` takes longer to import than all that runs before it, so a
+settings file in the usual form is read without it.
 """
 
-import _thread  # noqa: WPS436
 import os
 
 from lavendergate.storage.founding_record import write_founding_record
@@ -23,60 +22,24 @@
 _UNUSABLE = (OSError, ValueError, LookupError, TypeError, AttributeError)
 
 
-class FoundingWriter:
-    """Thread that writes a founding record.
-
-    Parameters
-    ----------
-    directory
-        Directory of the log.
-    seeds
-        Addresses of the hosts that found the group, ``ip:port``.
-    """
-
-    def __init__(self, *, directory: str, seeds: list[str]) -> None:
-        self._directory = directory
-        self._seeds = seeds
-        self._running = _thread.allocate_lock()
-        self._running.acquire()
-        _thread.start_new_thread(self._run, ())
-
-    def join(self) -> None:
-        """Wait until the record is durable or could not be written."""
-        with self._running:
-            return
-
-    def _run(self) -> None:
-        try:
-            write_founding_record(self._directory, self._seeds)
-        except OSError:
-            # The storage, which needs the same disk, reports its errors.
-            return
-        finally:
-            self._running.release()
-
-
-def start_founding_record(path: str | None) -> FoundingWriter | None:
-    """Begin to write the record if the settings say that it is due.
+def write_early_record(path: str | None) -> None:
+    """Write the record if the settings say that it is due.
 
     Parameters
     ----------
     path
         Path of the settings file. A file that does not hold yet is read again
         by the start, which then writes the record itself.
-
-    Returns
-    -------
-    The thread that writes; None if there is nothing to write.
     """
     if path is None:
-        return None
+        return
     try:
         with open(path, encoding='utf-8') as stream:
             directory, seeds = _founding_of(stream.read())
+        write_founding_record(directory, seeds)
     except _UNUSABLE:
-        return None
-    return FoundingWriter(directory=directory, seeds=seeds)
+        # The storage, which needs the same disk, reports its errors.
+        return
 
 
 def _founding_of(content: str) -> tuple[str, list[str]]:
--- a/lavendergate/daemon/hosted/start.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -9,7 +9,6 @@
 import anyio
 
 from lavendergate.core.types import HostId
-from lavendergate.daemon.hosted.early_founding import FoundingWriter
 from lavendergate.daemon.hosted.settings_wait import (
     WaitedSettings,
     wait_for_settings,
@@ -37,18 +36,8 @@
 RunRole = Callable[[HostedProcess], Awaitable[None]]
 
 
-def main(
-    arguments: list[str] | None = None,
-    *,
-    founding: FoundingWriter | None = None,
-) -> int:
-    """Run the role given as the only argument, ``proxy`` or ``control``.
-
-    Parameters
-    ----------
-    founding
-        Thread that writes the founding record; awaited before the role runs.
-    """
+def main(arguments: list[str] | None = None) -> int:
+    """Run the role given as the only argument, ``proxy`` or ``control``."""
     words = sys.argv[1:] if arguments is None else arguments
     role = words[0] if len(words) == 1 else ''
     if role not in {'proxy', 'control'}:
@@ -62,8 +51,6 @@
         )
         return ExitCode.settings
     run_role = partial(_run_or_refuse, _load_role(role), waited)
-    if founding is not None:
-        founding.join()
     anyio.run(_run, run_role, waited.settings, role)
     return ExitCode.stopped
 
--- a/lavendergate/tests/start/test_early_founding.py
+++ b/lavendergate/tests/start/test_early_founding.py
@@ -9,7 +9,7 @@
 
 from lavendergate.daemon.hosted.early_founding import (
     read_plain_fields,
-    start_founding_record,
+    write_early_record,
 )
 from lavendergate.storage.founding_record import read_founding_record
 
@@ -41,9 +41,7 @@
     def record_of(self, content: str) -> tuple[str, ...]:
         """Return the record that a settings file leads to."""
         self.path.write_text(content)
-        writer = start_founding_record(str(self.path))
-        if writer is not None:
-            writer.join()
+        write_early_record(str(self.path))
         return read_founding_record(self.folder / 'log')
 
     def settings(self, bootstrap: str = 'true') -> str:
@@ -83,7 +81,7 @@
         script = (
             'import sys; before = set(sys.modules);'
             'from lavendergate.daemon.hosted import early_founding as early;'
-            f'early.start_founding_record({str(self.path)!r}).join();'
+            f'early.write_early_record({str(self.path)!r});'
             'print(*(set(sys.modules) - before))'
         )
         self.path.write_text(self.settings())
@@ -98,6 +96,24 @@
         self.assertFalse(_SLOW_MODULES & set(ended.stdout.split()))
         self.assertEqual(read_founding_record(self.folder / 'log'), _SEEDS)
 
+    def test_record_is_written_by_the_only_thread(self) -> None:
+        """Guards against a second thread beside the imports.
+
+        On the users' bench, control hosts ended with SIGILL where a thread
+        wrote the record while the first one imported modules.
+        """
+        self.path.write_text(self.settings())
+        script = (
+            'import threading, _thread;'
+            'from unittest import mock;'
+            'start = mock.Mock(side_effect=AssertionError("a thread"));'
+            '_thread.start_new_thread = threading.Thread.start = start;'
+            'from lavendergate.daemon.hosted import early_founding as early;'
+            f'early.write_early_record({str(self.path)!r})'
+        )
+        subprocess.run([sys.executable, '-c', script], cwd=_ROOT, check=True)
+        self.assertEqual(read_founding_record(self.folder / 'log'), _SEEDS)
+
     def test_entry_runs_as_a_file_and_searches_only_the_repository(
         self,
     ) -> None:
