Split the trace of a promotion and the schedules of late orders

No change of behaviour: faults/promotion_record.py judges a record, and faults/promotion_trace.py prints it; late orders have their own module.

--- a/faults/review_trace.py
+++ b/faults/review_trace.py
@@ -13,7 +13,8 @@
 from types import ModuleType
 from typing import Any
 
-from faults.promotion_trace import describe, read_events, trace
+from faults.promotion_record import read_events, trace
+from faults.promotion_trace import describe
 
 _CASE = Path(__file__).resolve().parent.parent / 'review' / '7'
 
--- a/lavendergate/tests/faults/test_promotion_trace.py
+++ b/lavendergate/tests/faults/test_promotion_trace.py
@@ -8,15 +8,14 @@
 from pathlib import Path
 from unittest import mock
 
-from faults.promotion_trace import (
+from faults.promotion_record import (
     RecordError,
     Trace,
     Verdict,
-    describe,
-    main,
     read_events,
     trace,
 )
+from faults.promotion_trace import describe, main
 
 # A replica crashes, the primary is cut off, the other replica is promoted.
 _TROUBLE = (
--- a/properties/test_promotions.py
+++ b/properties/test_promotions.py
@@ -8,7 +8,8 @@
     PrimaryCommit,
     PrimaryEvidence,
 )
-from properties.promotion_schedule import LateOrderSchedule, run_schedule
+from properties.late_order_schedule import LateOrderSchedule
+from properties.promotion_schedule import run_schedule
 
 _SCHEDULES = 20
 _LATE_SCHEDULES = 10
