Keep connections only in the tests that count proxies

Cause: since the fixture said that control had counted its proxy, so that its lease opened connections to the replicas beside those that the test counts, in an order that varies.

--- a/lavendergate/tests/leases/test_running_span.py
+++ b/lavendergate/tests/leases/test_running_span.py
@@ -1,9 +1,12 @@
 """Tests of the time for which a member is known to have run."""
 
 import unittest
+from collections.abc import Awaitable, Callable
 from unittest import mock
 
 import anyio
+import trio
+from trio.testing import MockClock
 
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.leases.kept_connections import KeptConnections
@@ -12,7 +15,7 @@
 from lavendergate.core.types import GroupId, Term, UpstreamId
 from lavendergate.filters.sessions.base import CallerSession
 from lavendergate.rpc.fleet_service import PrimaryNotice
-from lavendergate.tests.session_fixture import PRIMARY, SessionFixture, play
+from lavendergate.tests.session_fixture import PRIMARY, SessionFixture
 
 _UNKNOWN = float('inf')
 
@@ -53,6 +56,17 @@
         self.assertEqual(span.since_at(4.5), _UNKNOWN)
 
 
+def play(scenario: Callable[[SessionFixture], Awaitable[None]]) -> None:
+    """Run a scenario with a proxy that control has counted."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            await scenario(SessionFixture(tasks=tasks, proxies=1))
+            tasks.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
 class KeptConnectionTest(unittest.TestCase):
     """Connections that a proxy keeps so that it can prove commits later."""
 
--- a/lavendergate/tests/session_fixture.py
+++ b/lavendergate/tests/session_fixture.py
@@ -68,6 +68,9 @@
     key_lease_s
         Time for which keys are admitted without a renewal, in seconds; None
         for no limit.
+    proxies
+        Number of proxies that control has counted; None if it has not. Only
+        with it the proxy connects to replicas that nobody reads from.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         group: SessionGroup | None = None,
         make_dialer: Callable[[MemberDialer], MemberDialer] | None = None,
         key_lease_s: float | None = None,
+        proxies: int | None = None,
     ) -> None:
         self.customers: CustomerTable | None = None
         self.public = frozenset[str]()
@@ -89,7 +93,7 @@
         self.dialer = GroupDialer(groups=(self.group,))
         self.share = ConnectionShare(limit=4)
         self.view = FleetView(clock=anyio.current_time)
-        self.view.proxies = 1
+        self.view.proxies = proxies
         self.pools = SessionPools(
             dialer=(
                 self.dialer if make_dialer is None else make_dialer(self.dialer)
