Count the proxy in the tests of leased primaries

Two tests of test_primary_leases failed on: writes without a lease need the kept connections that a counted proxy has.

--- a/lavendergate/tests/test_primary_leases.py
+++ b/lavendergate/tests/test_primary_leases.py
@@ -39,7 +39,7 @@
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            proxy = SessionFixture(tasks=tasks, lease_s=_LEASE_S)
+            proxy = SessionFixture(tasks=tasks, lease_s=_LEASE_S, proxies=1)
             proxy.group.former_primary_continues = True
             await scenario(proxy)
             tasks.cancel_scope.cancel()
