Bound a restarted replica by what the primary reported in its absence

Callers saw: after a promotion, the promoted member was lost within 0.1 s, before a replica received its first commits. The service then had no primary until that member returned, and none at all if it was lost for good.

Cause: a replica that had crashed and was back counts as a start that has ended. Its bound, the position that a primary reports afterwards, was taken from the next report after its return, which came from the promoted member and included commits that no replica had received. No candidate could reach that bound. The report of the former primary while the replica was absent, on which the promotion itself rested, was dropped with the record of the absent member.

Change: the poller keeps the bound of an absence after the member is back, and passes it to the ledger of ended starts when it is polled no longer. The lowest bound stays: each report after the end of a start bounds it.

--- a/lavendergate/controllers/fleet_state.py
+++ b/lavendergate/controllers/fleet_state.py
@@ -208,6 +208,14 @@
         """Record that a start has ended, although its id answers."""
         self._record_departure(entry)
 
+    def lower_departure_bound(
+        self, entry: MemberEntry, position: LogPosition
+    ) -> None:
+        """Bound a start by what the primary reported while it was absent."""
+        self._departures.lower_bound(
+            entry.service, entry.upstream_id, entry.born, position
+        )
+
     def settle_departures(
         self, service: GroupId, received: LogPosition
     ) -> None:
--- a/lavendergate/controllers/member_poller.py
+++ b/lavendergate/controllers/member_poller.py
@@ -98,6 +98,9 @@
         seconds; None while one does or it is not known.
     bound
         See `MemberObservation`.
+    ended_bound
+        The last bound of an absence that is over. The start that was polled
+        before it has confirmed no commit above this position.
     is_contested
         Whether another member announced the same address.
     """
@@ -115,6 +118,7 @@
     asked_at: float = _NEVER
     absent_since: float | None = None
     bound: LogPosition | None = None
+    ended_bound: LogPosition | None = None
     is_contested: bool = False
 
     def record_report(self, report: MemberReport, now: float) -> None:
@@ -158,6 +162,8 @@
 
     def record_presence(self) -> None:
         """Record that a process may listen at the address."""
+        if self.absent_since is not None:
+            self.ended_bound = self.bound
         self.absent_since = None
         self.bound = None
 
@@ -490,11 +496,15 @@
             entry.address for entry in entries.values() if entry.may_run
         )
         for upstream_id, entry in entries.items():
+            member = self._members.get(upstream_id)
+            is_polled = member is not None and member.entry.is_same_instance(
+                entry
+            )
+            if member is not None and not (is_polled and entry.may_run):
+                self._stop_polling(member)
             if not entry.may_run:
-                self._members.pop(upstream_id, None)
                 continue
-            member = self._members.get(upstream_id)
-            if member is not None and member.entry.is_same_instance(entry):
+            if member is not None and is_polled:
                 member.entry = entry
                 member.is_contested = users[entry.address] > 1
                 continue
@@ -502,6 +512,14 @@
             self._members[upstream_id] = member
             tasks.start_soon(self._poll, member)
 
+    def _stop_polling(self, member: PolledMember) -> None:
+        """Stop polling a start that has ended, and keep its bound."""
+        del self._members[member.entry.upstream_id]
+        is_absent = member.absent_since is not None
+        bound = member.bound if is_absent else member.ended_bound
+        if bound is not None:
+            self._fleet.lower_departure_bound(member.entry, bound)
+
     async def _poll(self, member: PolledMember) -> None:
         upstream_id = member.entry.upstream_id
         try:
--- a/lavendergate/core/departures/ledger.py
+++ b/lavendergate/core/departures/ledger.py
@@ -67,6 +67,30 @@
             if departure.bound is None and departure.ended_at <= asked_at:
                 departures[key] = replace(departure, bound=position)
 
+    def lower_bound(
+        self,
+        service: GroupId,
+        upstream_id: UpstreamId,
+        born: int,
+        position: LogPosition,
+    ) -> None:
+        """Bound a start that had ended before it was recorded here.
+
+        Parameters
+        ----------
+        position
+            Position that the primary reported after the start had ended. A
+            later report is higher, or of a primary whose newest commits were
+            lost with it, so the lowest one stays.
+        """
+        departures = self._departures.get(service, {})
+        departure = departures.get((upstream_id, born))
+        if departure is None:
+            return
+        bound = departure.bound
+        if bound is None or position < bound:
+            departures[upstream_id, born] = replace(departure, bound=position)
+
     def settle(
         self, service: GroupId, received: LogPosition
     ) -> tuple[Departure, ...]:
--- a/lavendergate/tests/test_takeover.py
+++ b/lavendergate/tests/test_takeover.py
@@ -336,6 +336,38 @@
 
         run_scenario(scenario)
 
+    def test_restarted_replica_is_bound_by_the_time_of_its_absence(
+        self,
+    ) -> None:
+        """Guards against a service that waits for the lost primary for ever.
+
+        Its last commits are on no replica, and the start that ended before
+        them can have confirmed none of them.
+        """
+
+        async def scenario(control: TakeoverFixture) -> None:
+            group = control.group
+            await anyio.sleep(2)
+            group.commit(group.member('a'), {'x': 'acknowledged'})
+            group.member('c').is_down = True
+            await anyio.sleep(3)
+            for name in ('b', 'c'):
+                group.member(name).is_replication_cut = True
+            restarted = group.member('c')
+            restarted.is_down = False
+            restarted.entry = msgspec.structs.replace(restarted.entry, born=2)
+            control.announce()
+            self.assertFalse(
+                group.commit(group.member('a'), {'y': 'not acknowledged'})
+            )
+            await anyio.sleep(0.8)
+            group.member('a').is_down = True
+            await anyio.sleep(6)
+            self.assertFalse(group.member('a').is_primary)
+            self.assertEqual(group.primary.content('x'), 'acknowledged')
+
+        run_scenario(scenario)
+
     def test_absent_replica_is_waited_for_while_the_primary_serves(
         self,
     ) -> None:
