Weigh held writes after a promotion and a founding by empty hosts

Founding: the model of three seeds finds two groups once two disks are lost, also with rounds of bounded length, so an empty disk still founds nothing.

review_trace also prints where the listed writes are in the log of the promoted member when the case has ended.

--- a/faults/review_trace.py
+++ b/faults/review_trace.py
@@ -2,17 +2,20 @@
 
 Run as ``python3 -m faults.review_trace``, after the build of the deploy file
 and ``sh review/build-2.sh``. The case prints four of the writes that it
-counts; here they are read from its object, and its record is traced.
+counts; here they are read from its object, and its record is traced. The log of
+the promoted member is read from that object, too, once the case has ended.
 """
 
 import argparse
 import asyncio
 import importlib.util
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from types import ModuleType
 from typing import Any
 
+from faults.promotion_group import Entry
 from faults.promotion_record import read_events, trace
 from faults.promotion_trace import describe
 
@@ -28,6 +31,27 @@
     return case
 
 
+def _describe_places(
+    name: str, log: Sequence[Entry], listed: Sequence[str]
+) -> str:
+    """Return where the listed writes are in a log."""
+    places = {
+        item: (number, term)
+        for number, (term, writes) in enumerate(log, 1)
+        for _, item, _ in writes
+    }
+    found = [places[item] for item in listed if item in places]
+    if not found:
+        return f'log of {name} at the end: none of {len(listed)} listed writes'
+    first, last = min(found), max(found)
+    return (
+        f'log of {name} at the end: {len(found)} of {len(listed)} listed '
+        f'writes, entries {first[0]} to {last[0]} of {len(log)}, terms '
+        f'{first[1]} to {last[1]}; {listed[0]} is entry '
+        f'{places.get(listed[0], ("missing",))[0]}'
+    )
+
+
 def play() -> tuple[int, int, str]:
     """Return the status of the case, the writes not kept, and the table."""
     case = _load_case()
@@ -50,6 +74,9 @@
         traced = trace(read_events(record))
     # Only the writes that the case lists have rows of their own.
     table = describe(traced, listed=listed, span_s=0)
+    promoted = played[0].group.promoted
+    places = _describe_places(promoted.name, promoted.log, listed)
+    table = f'{table}\n{places}'
     return status, len(traced.missing), table
 
 
--- a/lavendergate/tests/start/founding_model.py
+++ b/lavendergate/tests/start/founding_model.py
@@ -84,6 +84,9 @@
     has_long_rounds
         Whether a round of a first start may last longer than a restart, a
         deliberate fault.
+    empty_may_found
+        Whether each host may found, also one without a record, a rule that
+        was weighed. Its rounds are as short as those of a first start.
     """
 
     decide: Decide = Founder.decide
@@ -91,6 +94,7 @@
     has_first_starts: bool = True
     keeps_record: bool = False
     has_long_rounds: bool = False
+    empty_may_found: bool = False
 
     def groups_with_majority(self) -> tuple[int, int]:
         """Return the most groups that had a majority, and the states seen."""
@@ -144,7 +148,8 @@
             # the loss gets no answer from the new disk.
             processes = tuple(
                 replace(process, round=_NO_ANSWERS)
-                if process.is_first_start and process.round[host] is None
+                if (process.is_first_start or self.empty_may_found)
+                and process.round[host] is None
                 else process
                 for process in processes
             )
@@ -163,7 +168,9 @@
             for other, found in enumerate(disks)
             if found is not None
         }
-        is_founder = process.is_first_start or disk.has_record
+        is_founder = (
+            process.is_first_start or disk.has_record or self.empty_may_found
+        )
         founder = Founder(
             seeds=SEEDS if is_founder else (),
             is_first_start=process.is_first_start,
--- a/lavendergate/tests/start/test_group_founding.py
+++ b/lavendergate/tests/start/test_group_founding.py
@@ -63,6 +63,17 @@
             )
             self.assertEqual(model.groups_with_majority()[0], 2)
 
+    def test_founding_by_empty_hosts_bears_one_lost_disk_only(self) -> None:
+        """Guards against a founding that rests on unanimous empty disks."""
+        for losses, expected in ((1, 1), (2, 2)):
+            model = Model(
+                decide=_without_records,
+                max_losses=losses,
+                empty_may_found=True,
+            )
+            groups, _ = model.groups_with_majority()
+            self.assertEqual(groups, expected, f'{losses} lost disks')
+
     def test_record_that_outlives_its_log_is_found(self) -> None:
         """Guards against a reset that keeps the founding record."""
         model = Model(max_losses=3, has_first_starts=False, keeps_record=True)
