Do not send reads to a member without a granted connection

Callers of the MySQL protocol saw error 9001 after the whole deadline of a read, "no free connection to ... this proxy may hold 0 connections", while the primary and another replica were idle.

Cause: control grants connections to a member 4.1 s after it first heard of it, since a former leader may have granted leases there. Routing did not know the shares: it chose the nearest replica, and the read waited there until its deadline. The same held for a share that is withdrawn during the wait.

Change: routing leaves out replicas without share while another member has one; if none has, a read chooses anew every 0.1 s. A share of 0 ends the waits at its member, and the refusal names the missing share.

--- a/lavendergate/controllers/connections.py
+++ b/lavendergate/controllers/connections.py
@@ -6,7 +6,7 @@
 connection limit.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -140,10 +140,14 @@
     def set_limit(self, limit: int) -> None:
         """Change the largest number of connections.
 
-        Surplus connections that are in use are closed when released.
+        Surplus connections that are in use are closed when released. A limit
+        of 0 ends all waits for a connection, because other members may have
+        one.
         """
         if limit != self._core.share:
             self._perform(self._core.change_share(limit))
+            if not limit:
+                self._fail_waiters()
 
     def tick(self, now: float) -> None:
         """Close connections that are idle too long and open missing ones."""
@@ -256,6 +260,11 @@
             self.release(self._connections[waiter.connection_id])
 
     def _no_connection_error(self) -> NoConnectionError:
+        if not self.limit:
+            return NoConnectionError(
+                f'no connection to {self._upstream_id}: control has granted '
+                'none to this proxy yet, or has withdrawn its share'
+            )
         return NoConnectionError(
             f'no free connection to {self._upstream_id} before the deadline; '
             f'this proxy may hold {self.limit} connections; none became free'
@@ -331,6 +340,12 @@
                 waiter.event.set()
                 return
 
+    def _fail_waiters(self) -> None:
+        for owner_id, waiter in self._waiters.items():
+            if self._core.cancel(owner_id):
+                waiter.error = self._no_connection_error()
+                waiter.event.set()
+
     def _close(self, connection_id: pool_core.ConnectionId) -> None:
         connection = self._connections.pop(connection_id, None)
         if connection is not None:
@@ -357,6 +372,16 @@
         """Return the pool of a member, or None if it is unknown."""
         return self._pools.get(upstream_id)
 
+    def without_share(
+        self, members: Iterable[UpstreamId]
+    ) -> frozenset[UpstreamId]:
+        """Return those of some members that allow this proxy no connection."""
+        return frozenset(
+            member
+            for member in members
+            if (pool := self._pools.get(member)) is None or not pool.limit
+        )
+
     def add(
         self,
         *,
--- a/lavendergate/core/routing.py
+++ b/lavendergate/core/routing.py
@@ -1,7 +1,7 @@
 """Selection of the member that runs a read or write."""
 
 import functools
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 from lavendergate.core.decisions import (
     BoundedRead,
@@ -54,6 +54,7 @@
     *,
     policy: RoutingPolicy,
     known: KnownPositions,
+    without_share: Set[UpstreamId] = frozenset(),
     tie_breaker: float = 0,
 ) -> Decision:
     """Decide where a statement runs.
@@ -73,6 +74,9 @@
     known
         Last log entry by member as learned outside of announcements, for
         instance from a wait. The later of this and the announced one counts.
+    without_share
+        Members at which this proxy may hold no connection. No read waits for
+        such a replica while it could run elsewhere.
     tie_breaker
         Random number from 0 to 1 that selects among equal members.
     """
@@ -82,10 +86,14 @@
         case SessionRead(position=position):
             if position is None:
                 return _read_index_or_wait(view)
-            context = _RoutingContext(view, loads, policy, tie_breaker)
+            context = _RoutingContext(
+                view, loads, policy, without_share, tie_breaker
+            )
             return _route_session_read(request, position, context, known)
         case BoundedRead(max_age_ms=max_age_ms):
-            context = _RoutingContext(view, loads, policy, tie_breaker)
+            context = _RoutingContext(
+                view, loads, policy, without_share, tie_breaker
+            )
             return _route_bounded_read(max_age_ms, context, now)
 
 
@@ -105,31 +113,45 @@
 class _RoutingContext:
     """Inputs of one routing decision and helpers that use them."""
 
-    __slots__ = ('_loads', '_policy', '_tie_breaker', 'view')
+    __slots__ = ('_loads', '_policy', '_tie_breaker', '_without_share', 'view')
 
     def __init__(
         self,
         view: GroupView,
         loads: Loads,
         policy: RoutingPolicy,
+        without_share: Set[UpstreamId],
         tie_breaker: float,
     ) -> None:
         self.view = view
         self._loads = loads
         self._policy = policy
+        self._without_share = without_share
         self._tie_breaker = tie_breaker
 
     def replicas(self) -> list[MemberView]:
-        """Return the replicas that accept new work."""
+        """Return the replicas that accept new work.
+
+        Replicas without share are among them only if this proxy may hold no
+        connection to any other member either.
+        """
         primary = self.view.primary
         loads = self._loads
-        return [
+        accepting = [
             member
             for member in self.view.members
             if member.upstream_id != primary
             and not member.leaving
             and not loads.get(member.upstream_id, NO_LOAD).is_ejected
         ]
+        if not self._without_share:
+            return accepting
+        connectable = [
+            member
+            for member in accepting
+            if member.upstream_id not in self._without_share
+        ]
+        return connectable if connectable or self._has_primary() else accepting
 
     def least_loaded(self, candidates: list[MemberView]) -> MemberView:
         """Return the least loaded of the candidates, at least one."""
@@ -163,6 +185,10 @@
             limit_ms += policy.cross_region_ms
         return limit_ms
 
+    def _has_primary(self) -> bool:
+        primary = _usable_primary(self.view)
+        return primary is not None and primary not in self._without_share
+
     def _is_much_faster(self, primary: MemberView, replica: MemberView) -> bool:
         policy = self._policy
         primary_ms = expected_latency_ms(primary, self._loads, policy)
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -61,6 +61,8 @@
 # Added to the time limit of a wait on a member, because its answer takes some
 # time to arrive after the wait has ended.
 _WAIT_ANSWER_MARGIN_S = 0.5
+# How long a read waits at a member without share before it is routed anew.
+_SHARE_RECHECK_S = 0.1
 _READ_ONLY_ERROR = 1290
 _PRIMARY_KINDS = frozenset((StatementKind.write, StatementKind.locking_read))
 
@@ -243,6 +245,7 @@
                 replica_wait_ms=request.settings.read_replica_wait_ms,
             ),
             known=self._directory.known_positions,
+            without_share=self._pools.without_share(view.member_ids),
             tie_breaker=self._random_number(),
         )
 
@@ -290,13 +293,20 @@
         progress: _ReadProgress,
         forward: Forward,
     ) -> StatementResult | None:
+        deadline = request.deadline
+        if not pool.limit:
+            # The first share that control grants may be at another member.
+            recheck_at = anyio.current_time() + _SHARE_RECHECK_S
+            deadline = min(deadline, recheck_at)
         try:
             connection = await pool.acquire(
-                deadline=request.deadline,
+                deadline=deadline,
                 session_statements=request.session.session_statements,
             )
         except (MemberError, TimeoutError) as error:
-            self._loads.record_failure(pool.upstream_id)
+            if pool.limit:
+                # Without a share, the member was not even asked.
+                self._loads.record_failure(pool.upstream_id)
             return await self._pause_before_retry(request, error)
         if isinstance(decision, WaitOnMember):
             if not await self._wait_for_position(pool, connection, decision):
--- a/lavendergate/tests/test_routing.py
+++ b/lavendergate/tests/test_routing.py
@@ -100,6 +100,7 @@
     now: float = 0,
     loads: Mapping[UpstreamId, MemberLoad] | None = None,
     known: Mapping[UpstreamId, LogPosition] | None = None,
+    without_share: frozenset[UpstreamId] = frozenset(),
 ) -> Decision:
     return route(
         request,
@@ -108,6 +109,7 @@
         now,
         policy=RoutingPolicy(region=Region('here')),
         known=known or {},
+        without_share=without_share,
     )
 
 
@@ -187,6 +189,20 @@
                     _route(_read(2, 110), view, loads=loads),
                 )
 
+    def test_replica_without_share(self) -> None:
+        """Guards against reads that wait where the proxy may not connect."""
+        every_member = frozenset((_P, _R1, _R2))
+        cases = (
+            (_read(2, 110), frozenset((_R1,)), WaitOnMember),
+            (_read(2, 110), frozenset((_R1, _R2)), UsePrimary),
+            (BoundedRead(max_age_ms=60), frozenset((_R1, _R2)), UsePrimary),
+            (_read(2, 110), every_member, UseMember),
+        )
+        for request, without_share, kind in cases:
+            with self.subTest(request=request, without_share=without_share):
+                decision = _route(request, without_share=without_share)
+                self.assertIsInstance(decision, kind)
+
     def test_ejected_replica(self) -> None:
         """Guards against reads on an ejected member."""
         loads = {_R1: MemberLoad(is_ejected=True)}
