Measure reads of proxies in several regions

The model places one member and a third of the proxies in each of three regions if a latency between regions is given, and callers at some of the proxies.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -23,6 +23,7 @@
     'decisions': "cost of the statement path's decisions",
     'proxy_cost': 'statements per second, added latency, memory',
     'replica_share': 'reads served by replicas, by routing policy',
+    'region_share': 'reads beside members in other regions',
     'overload': 'goodput at several times the capacity',
     'share_division': 'use of connections by leased and equal shares',
     'connection_policies': 'many proxies before few member connections',
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -52,7 +52,12 @@
     view = GroupRun(setup, Policy(), 0).view
     policy = Policy()
     given = RoutingInput(
-        view=view, loads={}, known_positions={}, now=0, tie_breaker=0.3
+        region=setup.proxy_region(0),
+        view=view,
+        loads={},
+        known_positions={},
+        now=0,
+        tie_breaker=0.3,
     )
     position = LogPosition(term=Term(1), position=10)
     keys = TokenKeys(signing=TokenKey(key_id='k', secret=b's' * 32))
--- a/benchmarks/statement_model.py
+++ b/benchmarks/statement_model.py
@@ -19,7 +19,6 @@
     MEMBERS,
     PRIMARY,
     PROXIES,
-    REGION,
     SERVICE_S,
     SESSIONS,
     Result,
@@ -127,7 +126,7 @@
             statement = Statement(
                 kind=self._random.choices(kinds, weights)[0],
                 session=self._random.randrange(SESSIONS),
-                proxy=self._random.randrange(PROXIES),
+                proxy=self._random.choice(setup.entry_proxies),
                 arrived_at=now,
                 service_s=self._random.expovariate(1 / SERVICE_S),
             )
@@ -207,6 +206,7 @@
 
     def _route(self, statement: Statement, request: Request) -> None:
         routing_input = RoutingInput(
+            region=self._setup.proxy_region(statement.proxy),
             view=self.view,
             loads=self._loads[statement.proxy],
             known_positions=self._known_positions[statement.proxy],
@@ -233,7 +233,7 @@
         timeout_s: float,
     ) -> None:
         replicated_at = self._commits[position.position - 1] + self._lag[name]
-        round_trip_s = 2 * self._setup.deployment.member_ms / 1000
+        round_trip_s = 2 * self._setup.one_way_s(statement.proxy, name)
         wait_s = max(0, replicated_at - self._now)
         is_replicated = wait_s <= timeout_s
         request = SessionRead(position=position, has_waited=True)
@@ -250,7 +250,7 @@
         )
 
     def _obtain_read_index(self, statement: Statement) -> None:
-        round_trip_s = 2 * self._setup.deployment.member_ms / 1000
+        round_trip_s = 2 * self._setup.one_way_s(statement.proxy, PRIMARY)
         round_starts_at = max(self._now, self._read_index_ends[statement.proxy])
         if round_starts_at == self._now:
             self._read_index_ends[statement.proxy] = (
@@ -275,7 +275,7 @@
         load = self._loads[statement.proxy][name]
         load.in_flight += 1
         sent_at = self._now
-        one_way_s = self._setup.deployment.member_ms / 1000
+        one_way_s = self._setup.one_way_s(statement.proxy, name)
 
         def receive_answer() -> None:
             latency_ms = (self._now - sent_at) * 1000
@@ -329,7 +329,7 @@
     def _handle_answer(self, statement: Statement, name: UpstreamId) -> None:
         wait_s = 0.0
         if statement.position and self._policy.confirms:
-            round_trip_s = 2 * self._setup.deployment.member_ms / 1000
+            round_trip_s = 2 * self._setup.one_way_s(statement.proxy, name)
             replicated_at = self._commits[statement.position - 1] + min(
                 self._setup.lags
             )
@@ -394,7 +394,7 @@
         return MemberView(
             upstream_id=name,
             group_id=GROUP,
-            region=REGION,
+            region=self._setup.member_region(name),
             failure_domain=FailureDomain(name),
             host='127.0.0.1',
             port=3306,
--- a/benchmarks/statement_policies.py
+++ b/benchmarks/statement_policies.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from benchmarks.statement_setup import REGIONS
 from lavendergate.core.decisions import (
     BoundedRead,
     Decision,
@@ -21,7 +22,7 @@
     UpstreamId,
 )
 
-_ROUTING_POLICY = RoutingPolicy(region=Region('region'))
+_ROUTING_POLICIES = {region: RoutingPolicy(region=region) for region in REGIONS}
 _LONG_WAIT_MS = 2000
 
 
@@ -30,6 +31,8 @@
 
     Attributes
     ----------
+    region
+        Region of the proxy.
     view
         The group as the proxy sees it through announcements.
     loads
@@ -42,6 +45,7 @@
         Random number that selects among equally good members.
     """
 
+    region: Region
     view: GroupView
     loads: Loads
     known_positions: Mapping[UpstreamId, LogPosition]
@@ -74,7 +78,7 @@
             routing_input.view,
             routing_input.loads,
             routing_input.now,
-            policy=_ROUTING_POLICY,
+            policy=_ROUTING_POLICIES[routing_input.region],
             known=routing_input.known_positions,
             tie_breaker=routing_input.tie_breaker,
         )
--- a/benchmarks/statement_setup.py
+++ b/benchmarks/statement_setup.py
@@ -13,7 +13,7 @@
 )
 
 GROUP = GroupId('group')
-REGION = Region('region')
+REGIONS = tuple(Region(name) for name in ('here', 'there', 'elsewhere'))
 MEMBERS = tuple(UpstreamId(name) for name in ('primary', 'r1', 'r2'))
 PRIMARY = MEMBERS[0]
 SERVICE_S = 0.004
@@ -90,6 +90,11 @@
         Offered load in multiples of the capacity of all slots of the group.
     lags
         Replication lag of each replica, in seconds.
+    region_ms
+        One-way latency between regions in milliseconds, with one member and a
+        third of the proxies in each region; None if all are in one region.
+    entry_proxies
+        Indexes of the proxies that have callers.
     duration_s
         Virtual time during which statements arrive, in seconds.
     uses_admission
@@ -101,6 +106,24 @@
     lags: tuple[float, float]
     duration_s: float
     uses_admission: bool = False
+    region_ms: float | None = None
+    entry_proxies: tuple[int, ...] = tuple(range(PROXIES))
+
+    def proxy_region(self, proxy: int) -> Region:
+        """Return the region of a proxy."""
+        return REGIONS[0 if self.region_ms is None else proxy % len(REGIONS)]
+
+    def member_region(self, name: UpstreamId) -> Region:
+        """Return the region of a member."""
+        index = 0 if self.region_ms is None else MEMBERS.index(name)
+        return REGIONS[index]
+
+    def one_way_s(self, proxy: int, name: UpstreamId) -> float:
+        """Return the network latency between a proxy and a member."""
+        one_way_ms = self.deployment.member_ms
+        if self.proxy_region(proxy) != self.member_region(name):
+            one_way_ms += self.region_ms or 0
+        return one_way_ms / 1000
 
 
 @dataclass(kw_only=True)
