Count the way to another region once, and measure idle members

Callers of the MySQL protocol read at a busy member while members in other regions were idle: with eight callers at one proxy of the demo, the member near it took 75% or more of the processor time of the three, at a lower rate.

Cause: a measured latency includes the network, but routing added the assumed 40 ms of the way to another region to it, and compared the wait at the near member with these 40 ms as well. A member that got no reads kept the latency of its last ones, or none, for ever, so nothing corrected the choice.

Change: 40 ms are assumed only before a latency was measured. A full near member is compared with the others by expected latency. A replica without reads for 5 s gets the next read that it can serve, and a sample after such a pause replaces the average, so that one failure does not keep reads away for a minute.

The test of replicas in the same region gave an idle member in another region a latency of 5 ms, which by its definition includes the way, and expected it to count as 45 ms. It now has 45 ms there, and cases with 6 ms.

--- a/benchmarks/statement_model.py
+++ b/benchmarks/statement_model.py
@@ -274,6 +274,7 @@
     ) -> None:
         load = self._loads[statement.proxy][name]
         load.in_flight += 1
+        load.routed_at = self._now
         sent_at = self._now
         one_way_s = self._setup.one_way_s(statement.proxy, name)
 
--- a/lavendergate/controllers/loads.py
+++ b/lavendergate/controllers/loads.py
@@ -11,7 +11,7 @@
     LatencySample,
     evaluate_ejections,
 )
-from lavendergate.core.member_load import MemberLoad
+from lavendergate.core.member_load import MEASURE_INTERVAL_S, MemberLoad
 from lavendergate.core.types import GroupId, GroupView, UpstreamId
 
 _MS_PER_S = 1000
@@ -30,6 +30,7 @@
         self._loads: dict[UpstreamId, MemberLoad] = {}
         self._limits: dict[UpstreamId, AdaptiveLimit] = {}
         self._samples: dict[UpstreamId, list[float]] = {}
+        self._measured_at: dict[UpstreamId, float] = {}
         self._ejections: dict[GroupId, EjectionState] = {}
 
     @property
@@ -37,6 +38,13 @@
         """Load of each member that was used."""
         return self._loads
 
+    def record_read(self, upstream_id: UpstreamId) -> None:
+        """Record that a read is sent to a member, before it has a connection.
+
+        Other reads do not measure the member's latency meanwhile.
+        """
+        self._load(upstream_id).routed_at = anyio.current_time()
+
     def begin_statement(self, upstream_id: UpstreamId) -> float:
         """Count a started statement.
 
@@ -127,5 +135,10 @@
         self, upstream_id: UpstreamId, latency_ms: float
     ) -> None:
         load = self._load(upstream_id)
-        load.latency_ms += _LATENCY_WEIGHT * (latency_ms - load.latency_ms)
+        now = anyio.current_time()
+        measured_at = self._measured_at.get(upstream_id, float('-inf'))
+        self._measured_at[upstream_id] = now
+        is_outdated = now - measured_at >= MEASURE_INTERVAL_S
+        weight = 1 if is_outdated else _LATENCY_WEIGHT
+        load.latency_ms += weight * (latency_ms - load.latency_ms)
         self._samples.setdefault(upstream_id, []).append(latency_ms)
--- a/lavendergate/core/member_load.py
+++ b/lavendergate/core/member_load.py
@@ -5,6 +5,10 @@
 
 from lavendergate.core.types import MemberView, Region, UpstreamId
 
+# A member that gets no reads for this long gets the next one, so that its
+# latency does not stay unknown or outdated.
+MEASURE_INTERVAL_S = 5.0
+
 
 @dataclass(kw_only=True, slots=True)
 class MemberLoad:
@@ -20,7 +24,10 @@
     latency_ms
         Recent latency of a statement in milliseconds, including the network
         and excluding waits for confirmation. It also reflects the load from
-        other proxies.
+        other proxies. 0 before the first statement.
+    routed_at
+        When the last read was sent to the member, on the clock of the
+        runtime, in seconds.
     is_ejected
         Whether the member is ejected because it is slow.
     """
@@ -28,6 +35,7 @@
     in_flight: int = 0
     slots: int = 1
     latency_ms: float = 0
+    routed_at: float = float('-inf')
     is_ejected: bool = False
 
     @property
@@ -41,6 +49,10 @@
         queued = self.in_flight + 1 - self.slots
         return self.latency_ms * queued / self.slots if queued > 0 else 0
 
+    def is_due(self, now: float) -> bool:
+        """Whether the next read should measure the latency of the member."""
+        return now - self.routed_at >= MEASURE_INTERVAL_S
+
 
 Loads = Mapping[UpstreamId, MemberLoad]
 NO_LOAD = MemberLoad()
@@ -58,8 +70,9 @@
         Maximum wait for a replica in milliseconds, from the setting
         `read.replica_wait_ms`.
     cross_region_ms
-        Additional latency of a statement in another region, in
-        milliseconds: two times the one-way latency between regions.
+        Assumed latency of a statement in another region before one was
+        measured, in milliseconds: two times the one-way latency between
+        regions.
     primary_read_factor
         A read goes to the primary if the expected latency on the best
         replica is more than this factor times that on the primary.
@@ -74,12 +87,14 @@
 def expected_latency_ms(
     member: MemberView, loads: Loads, policy: RoutingPolicy
 ) -> float:
-    """Return the expected latency of a statement on a member."""
+    """Return the expected latency of a statement on a member.
+
+    A measured latency includes the way to another region.
+    """
     load = loads.get(member.upstream_id, NO_LOAD)
-    latency_ms = load.latency_ms + load.queue_ms
-    if member.region == policy.region:
-        return latency_ms
-    return latency_ms + policy.cross_region_ms
+    if load.latency_ms or member.region == policy.region:
+        return load.latency_ms + load.queue_ms
+    return policy.cross_region_ms
 
 
 def least_loaded(
@@ -90,10 +105,11 @@
 ) -> MemberView:
     """Return the member that should run the next read.
 
-    Members in the proxy's region come first, unless the wait for a slot
-    there is longer than the additional latency to another region. Next the
-    member with the lowest utilization is selected, then the one with the
-    lowest latency, then one by `tie_breaker`.
+    Members in the proxy's region come first, unless the best of them has no
+    free slot and a member in another region is expected to answer sooner. In
+    the proxy's region, the member with the lowest utilization is selected,
+    then the one with the lowest latency, then one by `tie_breaker`; in other
+    regions the one that is expected to answer first.
 
     Parameters
     ----------
@@ -113,19 +129,42 @@
         rank = _rank(member, loads, policy)
         if rank < best_rank:
             best, best_rank = member, rank
-    return best
+    if best.region != policy.region or not _is_full(best, loads):
+        return best
+    return _sooner_elsewhere(best, candidates, loads, policy)
 
 
 def _rank(
     member: MemberView,
     loads: Loads,
     policy: RoutingPolicy,
-) -> tuple[int, float, int]:
+) -> tuple[int, float, float]:
     load = loads.get(member.upstream_id, NO_LOAD)
-    region_rank = 0 if member.region == policy.region else 1
-    is_full = load.in_flight >= load.slots
-    if is_full and load.queue_ms > policy.cross_region_ms:
-        region_rank += 2
-    # The latency is truncated to whole milliseconds, because smaller
+    utilization = load.in_flight / load.slots
+    # Latencies are truncated to whole milliseconds, because smaller
     # differences are noise.
-    return (region_rank, load.in_flight / load.slots, int(load.latency_ms))
+    if member.region == policy.region:
+        return (0, utilization, int(load.latency_ms))
+    return (1, int(expected_latency_ms(member, loads, policy)), utilization)
+
+
+def _is_full(member: MemberView, loads: Loads) -> bool:
+    load = loads.get(member.upstream_id, NO_LOAD)
+    return load.in_flight >= load.slots
+
+
+def _sooner_elsewhere(
+    near: MemberView,
+    candidates: list[MemberView],
+    loads: Loads,
+    policy: RoutingPolicy,
+) -> MemberView:
+    """Return the member that should answer first, the near one if equal."""
+    best = near
+    best_ms = expected_latency_ms(near, loads, policy)
+    for member in candidates:
+        if member.region != policy.region:
+            latency_ms = expected_latency_ms(member, loads, policy)
+            if latency_ms < best_ms:
+                best, best_ms = member, latency_ms
+    return best
--- a/lavendergate/core/routing.py
+++ b/lavendergate/core/routing.py
@@ -87,14 +87,14 @@
             if position is None:
                 return _read_index_or_wait(view)
             context = _RoutingContext(
-                view, loads, policy, without_share, tie_breaker
+                view, loads, policy, without_share, tie_breaker, now
             )
             return _route_session_read(request, position, context, known)
         case BoundedRead(max_age_ms=max_age_ms):
             context = _RoutingContext(
-                view, loads, policy, without_share, tie_breaker
+                view, loads, policy, without_share, tie_breaker, now
             )
-            return _route_bounded_read(max_age_ms, context, now)
+            return _route_bounded_read(max_age_ms, context)
 
 
 def known_age_ms(member: MemberView, now: float) -> float:
@@ -113,7 +113,14 @@
 class _RoutingContext:
     """Inputs of one routing decision and helpers that use them."""
 
-    __slots__ = ('_loads', '_policy', '_tie_breaker', '_without_share', 'view')
+    __slots__ = (
+        '_loads',
+        '_policy',
+        '_tie_breaker',
+        '_without_share',
+        'now',
+        'view',
+    )
 
     def __init__(
         self,
@@ -122,8 +129,10 @@
         policy: RoutingPolicy,
         without_share: Set[UpstreamId],
         tie_breaker: float,
+        now: float,
     ) -> None:
         self.view = view
+        self.now = now
         self._loads = loads
         self._policy = policy
         self._without_share = without_share
@@ -164,7 +173,17 @@
         candidates: list[MemberView],
         primary: MemberView | None,
     ) -> Decision:
-        """Use the least loaded replica, or the primary if it is much faster."""
+        """Use the least loaded replica, or the primary if it is much faster.
+
+        A replica whose latency is to be measured comes before both.
+        """
+        due = [
+            member
+            for member in candidates
+            if self._loads.get(member.upstream_id, NO_LOAD).is_due(self.now)
+        ]
+        if due:
+            return _use_member(self.least_loaded(due).upstream_id)
         replica = self.least_loaded(candidates)
         if primary is not None and self._is_much_faster(primary, replica):
             return _use_primary(primary.upstream_id, self.view.term)
@@ -182,7 +201,7 @@
         limit_ms = policy.replica_wait_ms + int(load.queue_ms)
         member = self.view.member(primary)
         if member is not None and member.region != policy.region:
-            limit_ms += policy.cross_region_ms
+            limit_ms += int(load.latency_ms) or policy.cross_region_ms
         return limit_ms
 
     def _has_primary(self) -> bool:
@@ -302,12 +321,9 @@
     )
 
 
-def _route_bounded_read(
-    max_age_ms: int,
-    context: _RoutingContext,
-    now: float,
-) -> Decision:
+def _route_bounded_read(max_age_ms: int, context: _RoutingContext) -> Decision:
     view = context.view
+    now = context.now
     fresh_replicas = [
         member
         for member in context.replicas()
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -293,6 +293,7 @@
         progress: _ReadProgress,
         forward: Forward,
     ) -> StatementResult | None:
+        self._loads.record_read(pool.upstream_id)
         deadline = request.deadline
         if not pool.limit:
             # The first share that control grants may be at another member.
--- a/lavendergate/tests/test_routing.py
+++ b/lavendergate/tests/test_routing.py
@@ -92,6 +92,14 @@
     ),
 )
 
+_FAR_VIEW = replace(
+    _VIEW,
+    members=(
+        *_VIEW.members[:2],
+        _member(_R2, _at(2, 110), 3, region='there'),
+    ),
+)
+
 
 def _route(
     request: Request,
@@ -175,20 +183,54 @@
 
     def test_least_loaded_replica_in_the_same_region(self) -> None:
         """Guards against reads that cross regions or join a long queue."""
-        far = _member(_R2, _at(2, 110), 3, region='there')
-        view = replace(_VIEW, members=(*_VIEW.members[:2], far))
-        idle = MemberLoad(slots=2, latency_ms=5)
         primary = MemberLoad(in_flight=40, slots=2, latency_ms=5)
-        cases = ((2, _R1), (40, _R2))
-        for in_flight, expected in cases:
+        cases = ((2, 45, _R1), (40, 45, _R2), (1, 6, _R1), (2, 6, _R2))
+        for in_flight, far_ms, expected in cases:
             near = MemberLoad(in_flight=in_flight, slots=2, latency_ms=5)
-            loads = {_P: primary, _R1: near, _R2: idle}
-            with self.subTest(in_flight=in_flight):
+            far = MemberLoad(slots=2, latency_ms=far_ms)
+            loads = {_P: primary, _R1: near, _R2: far}
+            with self.subTest(in_flight=in_flight, far_ms=far_ms):
                 self.assertEqual(
                     UseMember(upstream_id=expected),
-                    _route(_read(2, 110), view, loads=loads),
+                    _route(_read(2, 110), _FAR_VIEW, loads=loads),
+                )
+
+    def test_way_to_another_region_counts_once(self) -> None:
+        """Guards against idle replicas elsewhere beside a busy primary.
+
+        A measured latency includes the way, an assumed one is used before.
+        """
+        primary = MemberLoad(in_flight=7, slots=2, latency_ms=4)
+        cases = ((0, _USE_PRIMARY), (5, UseMember(upstream_id=_R2)))
+        for far_ms, expected in cases:
+            far = MemberLoad(slots=2, latency_ms=far_ms, routed_at=0)
+            with self.subTest(far_ms=far_ms):
+                self.assertEqual(
+                    expected,
+                    _route(
+                        _read(2, 110),
+                        _FAR_VIEW,
+                        loads={
+                            _P: primary,
+                            _R1: MemberLoad(is_ejected=True),
+                            _R2: far,
+                        },
+                    ),
                 )
 
+    def test_replica_without_reads_is_measured_again(self) -> None:
+        """Guards against a latency that keeps a replica idle for ever."""
+        slow = MemberLoad(slots=2, latency_ms=400, routed_at=10)
+        loads = {_P: MemberLoad(slots=2, latency_ms=4), _R1: slow}
+        for request in (_read(2, 110), BoundedRead(max_age_ms=60_000)):
+            with self.subTest(request=request):
+                loads[_R2] = replace(slow)
+                before = _route(request, loads=loads, now=14.9)
+                self.assertEqual(before, _USE_PRIMARY)
+                loads[_R2] = replace(slow, is_ejected=True)
+                after = _route(request, loads=loads, now=15)
+                self.assertEqual(after, UseMember(upstream_id=_R1))
+
     def test_replica_without_share(self) -> None:
         """Guards against reads that wait where the proxy may not connect."""
         every_member = frozenset((_P, _R1, _R2))
