Do not eject a replica for its distance

Callers of the MySQL protocol lost a healthy replica in another region as a place for reads, for 5 to 80 s at a time, whenever it ran five reads between two evaluations.

Cause: the ejection of slow members compares medians of latencies, which include the network. LatencySample says that the way to another region is subtracted; nothing subtracted it. At 40 ms beside near members of 4 ms the ratio is 11, and 4 is slow.

Evidence: test_long_way_does_not_make_a_replica_slow failed before; with 44 and 4 ms the replica was ejected after three evaluations.

Change: the lowest latency of a member in another region during the last 30 s to 60 s, less that of the members in the proxy's region, is subtracted. A replica there that becomes slow is ejected as before, and so is a slow one near the proxy, both with tests.

--- a/lavendergate/controllers/loads.py
+++ b/lavendergate/controllers/loads.py
@@ -9,10 +9,12 @@
 from lavendergate.core.ejection import (
     EjectionState,
     LatencySample,
+    RecentLowest,
     evaluate_ejections,
+    way_ms,
 )
 from lavendergate.core.member_load import MEASURE_INTERVAL_S, MemberLoad
-from lavendergate.core.types import GroupId, GroupView, UpstreamId
+from lavendergate.core.types import GroupId, GroupView, Region, UpstreamId
 
 _MS_PER_S = 1000
 # Weight of a new latency in the moving average, so that about the last ten
@@ -31,6 +33,7 @@
         self._limits: dict[UpstreamId, AdaptiveLimit] = {}
         self._samples: dict[UpstreamId, list[float]] = {}
         self._measured_at: dict[UpstreamId, float] = {}
+        self._lowest: dict[UpstreamId, RecentLowest] = {}
         self._ejections: dict[GroupId, EjectionState] = {}
 
     @property
@@ -94,7 +97,9 @@
             limit.share = share
         return min(limit.allowed, share) if share else 0
 
-    def evaluate_ejection(self, view: GroupView, *, factor: float) -> None:
+    def evaluate_ejection(
+        self, view: GroupView, *, factor: float, region: Region
+    ) -> None:
         """Eject slow replicas of a group, and readmit ejected ones.
 
         Parameters
@@ -104,14 +109,27 @@
         factor
             Ratio to the median latency of the other members from which a
             replica is slow.
+        region
+            Region of this proxy. The way to a member in another region does
+            not make it slow.
         """
         now = anyio.current_time()
+        taken = {
+            upstream_id: latencies
+            for upstream_id in view.member_ids
+            if (latencies := self._take_samples(upstream_id, now))
+        }
+        lowest_ms = {
+            upstream_id: self._lowest[upstream_id].value_ms
+            for upstream_id in view.member_ids & self._lowest.keys()
+        }
+        added_ms = way_ms(view, region, lowest_ms)
         samples = {
             upstream_id: LatencySample(
-                median_ms=median_low(latencies), count=len(latencies)
+                median_ms=median_low(latencies) - added_ms.get(upstream_id, 0),
+                count=len(latencies),
             )
-            for upstream_id in view.member_ids
-            if (latencies := self._samples.pop(upstream_id, None))
+            for upstream_id, latencies in taken.items()
         }
         state = evaluate_ejections(
             self._ejections.get(view.group_id, EjectionState()),
@@ -124,6 +142,15 @@
         for upstream_id in view.member_ids:
             self._load(upstream_id).is_ejected = upstream_id in state.ejected
 
+    def _take_samples(self, upstream_id: UpstreamId, now: float) -> list[float]:
+        latencies = self._samples.pop(upstream_id, [])
+        if latencies:
+            lowest = self._lowest.setdefault(
+                upstream_id, RecentLowest(started_at=now)
+            )
+            lowest.record(min(latencies), now)
+        return latencies
+
     def _load(self, upstream_id: UpstreamId) -> MemberLoad:
         load = self._loads.get(upstream_id)
         if load is None:
--- a/lavendergate/core/ejection.py
+++ b/lavendergate/core/ejection.py
@@ -1,10 +1,11 @@
 """Ejection of slow members with hysteresis."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from statistics import median_low
 
-from lavendergate.core.types import UpstreamId
+from lavendergate.core.types import GroupView, Region, UpstreamId
 
 # Number of consecutive slow evaluations after which a member is ejected.
 SLOW_EVALUATIONS = 3
@@ -17,6 +18,9 @@
 # After this time without ejection since its readmission, the duration of the
 # member's next ejection is `FIRST_EJECTION_S` again.
 BACKOFF_RESET_S = 60.0
+# The lowest latency of the last one to two such periods counts as that of a
+# member without a queue.
+LOWEST_PERIOD_S = 30.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,6 +40,33 @@
     count: int
 
 
+@dataclass(kw_only=True, slots=True)
+class RecentLowest:
+    """Lowest latency of a member in the present and the last period.
+
+    Parameters
+    ----------
+    started_at
+        Start of the present period, in seconds.
+    """
+
+    started_at: float
+    _present_ms: float = math.inf
+    _last_ms: float = math.inf
+
+    @property
+    def value_ms(self) -> float:
+        """Lowest latency in milliseconds; infinite before the first."""
+        return min(self._present_ms, self._last_ms)
+
+    def record(self, latency_ms: float, now: float) -> None:
+        """Record a latency, and begin another period when one has ended."""
+        if now - self.started_at >= LOWEST_PERIOD_S:
+            self.started_at = now
+            self._last_ms, self._present_ms = self._present_ms, math.inf
+        self._present_ms = min(self._present_ms, latency_ms)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _MemberState:
     slow_evaluations: int = 0
@@ -63,6 +94,36 @@
         )
 
 
+def way_ms(
+    view: GroupView, region: Region, lowest_ms: Mapping[UpstreamId, float]
+) -> dict[UpstreamId, float]:
+    """Return the additional latency of the members in other regions.
+
+    It is estimated as the difference between a member's lowest latency and
+    that of the members in the proxy's region, or of all if none is there. A
+    member in another region that has always been slow looks like one that is
+    far away.
+
+    Parameters
+    ----------
+    region
+        Region of the proxy.
+    lowest_ms
+        Lowest recent latency by member, in milliseconds.
+    """
+    near_ms = [
+        lowest_ms[member.upstream_id]
+        for member in view.members
+        if member.region == region and member.upstream_id in lowest_ms
+    ]
+    base_ms = min(near_ms or lowest_ms.values(), default=0)
+    return {
+        member.upstream_id: max(0, lowest_ms[member.upstream_id] - base_ms)
+        for member in view.members
+        if member.region != region and member.upstream_id in lowest_ms
+    }
+
+
 def evaluate_ejections(
     state: EjectionState,
     samples: Mapping[UpstreamId, LatencySample],
--- a/lavendergate/daemon/proxy.py
+++ b/lavendergate/daemon/proxy.py
@@ -185,7 +185,11 @@
             settings = tree.effective_settings(
                 tree.region_of(group_id, regions), group_id
             )
-            self._loads.evaluate_ejection(view, factor=settings.ejection_factor)
+            self._loads.evaluate_ejection(
+                view,
+                factor=settings.ejection_factor,
+                region=Region(self._context.options.region),
+            )
 
     def _make_session(self) -> MysqlSession:
         return MysqlSession(
--- a/lavendergate/tests/placement/test_member_loads.py
+++ b/lavendergate/tests/placement/test_member_loads.py
@@ -8,10 +8,30 @@
 from trio.testing import MockClock
 
 from lavendergate.controllers.loads import MemberLoads
+from lavendergate.core.ejection import (
+    LOWEST_PERIOD_S,
+    MIN_SAMPLES,
+    SLOW_EVALUATIONS,
+    RecentLowest,
+)
 from lavendergate.core.member_load import MEASURE_INTERVAL_S
-from lavendergate.core.types import UpstreamId
+from lavendergate.core.types import (
+    LOG_START,
+    FailureDomain,
+    GroupId,
+    GroupView,
+    MemberRole,
+    MemberStatus,
+    MemberView,
+    Region,
+    Term,
+    UpstreamId,
+)
 
 MEMBER = UpstreamId('r')
+PRIMARY, NEAR, FAR = (UpstreamId(name) for name in ('p', 'near', 'far'))
+NEAR_MS, WAY_MS = 4, 40
+EJECTION_FACTOR = 4
 
 
 class MemberLoadsTest(unittest.TestCase):
@@ -58,6 +78,99 @@
         return self.loads.by_member[MEMBER].is_due(anyio.current_time())
 
 
+class EjectionTest(unittest.TestCase):
+    """Ejection of a replica in another region than the proxy."""
+
+    def test_long_way_does_not_make_a_replica_slow(self) -> None:
+        """Guards against ejecting a healthy replica for its distance."""
+        self.assertFalse(self._is_ejected(FAR, far_ms=NEAR_MS + WAY_MS))
+
+    def test_slow_replica_at_the_end_of_a_long_way(self) -> None:
+        """Guards against a distance that excuses any latency."""
+        self.assertTrue(self._is_ejected(FAR, far_ms=3 * WAY_MS))
+
+    def test_slow_replica_near_the_proxy(self) -> None:
+        """Guards against taking a slow replica for a distant one."""
+        self.assertTrue(
+            self._is_ejected(NEAR, far_ms=NEAR_MS + WAY_MS, near_ms=WAY_MS)
+        )
+
+    def test_lowest_latency_is_forgotten(self) -> None:
+        """Guards against a distance measured before a member moved."""
+        lowest = RecentLowest(started_at=0)
+        for now, latency_ms, expected_ms in (
+            (0, 4, 4),
+            (LOWEST_PERIOD_S, 44, 4),
+            (2 * LOWEST_PERIOD_S - 1, 45, 4),
+            (2 * LOWEST_PERIOD_S, 46, 44),
+        ):
+            lowest.record(latency_ms, now)
+            self.assertEqual(lowest.value_ms, expected_ms)
+
+    def _is_ejected(
+        self, replica: UpstreamId, *, far_ms: int, near_ms: int = NEAR_MS
+    ) -> bool:
+        """Evaluate reads of the given latencies after ordinary ones."""
+        loads = MemberLoads()
+
+        async def scenario() -> None:
+            await _read_and_evaluate(loads, NEAR_MS, NEAR_MS + WAY_MS)
+            await _read_and_evaluate(loads, near_ms, far_ms)
+
+        _run(scenario)
+        return loads.by_member[replica].is_ejected
+
+
+async def _read_and_evaluate(
+    loads: MemberLoads, near_ms: int, far_ms: int
+) -> None:
+    view = GroupView(
+        group_id=GroupId('g'),
+        term=Term(1),
+        primary=PRIMARY,
+        member_ids=frozenset((PRIMARY, NEAR, FAR)),
+        members=(
+            _member(PRIMARY, 'here'),
+            _member(NEAR, 'here'),
+            _member(FAR, 'there'),
+        ),
+        term_history=(),
+    )
+    latencies = {PRIMARY: NEAR_MS, NEAR: near_ms, FAR: far_ms}
+    for _ in range(SLOW_EVALUATIONS):
+        for upstream_id, latency_ms in latencies.items():
+            for _ in range(MIN_SAMPLES):
+                started_at = loads.begin_statement(upstream_id)
+                await anyio.sleep(latency_ms / 1000)
+                loads.end_statement(upstream_id, started_at)
+        loads.evaluate_ejection(
+            view, factor=EJECTION_FACTOR, region=Region('here')
+        )
+
+
+def _member(upstream_id: UpstreamId, region: str) -> MemberView:
+    return MemberView(
+        upstream_id=upstream_id,
+        group_id=GroupId('g'),
+        region=Region(region),
+        failure_domain=FailureDomain(region),
+        host='127.0.0.1',
+        port=3306,
+        connection_limit=16,
+        slots=2,
+        leaving=False,
+        status=MemberStatus(
+            promised_term=Term(1),
+            last_entry=LOG_START,
+            role=MemberRole.replica,
+            primary_contact_ms=0,
+            applied_age_ms=0,
+            connections=1,
+        ),
+        observed_at=0,
+    )
+
+
 def _run(scenario: Callable[[], Awaitable[None]]) -> None:
     """Run a scenario in virtual time."""
     trio.run(scenario, clock=MockClock(autojump_threshold=0))
