Measure a member that does not answer less and less often

Change: each failure in a row doubles the interval, up to 80 s as for ejections; an answer ends that. A read without an answer counts as a failure also when it cannot be repeated, which was counted only before a repetition.

Evidence: test_silent_member_is_measured_less_and_less, which failed before, the interval being constant.

--- a/lavendergate/controllers/loads.py
+++ b/lavendergate/controllers/loads.py
@@ -72,8 +72,13 @@
 
     def record_failure(self, upstream_id: UpstreamId) -> None:
         """Record a statement to which a member gave no answer."""
+        self._load(upstream_id).record_failure()
         self._record_latency(upstream_id, _FAILURE_LATENCY_MS)
 
+    def record_answer(self, upstream_id: UpstreamId) -> None:
+        """Record that a member answered a read."""
+        self._load(upstream_id).record_answer()
+
     def set_slots(self, upstream_id: UpstreamId, slots: int) -> None:
         """Set how many statements the member executes at the same time."""
         self._load(upstream_id).slots = slots
--- a/lavendergate/core/member_load.py
+++ b/lavendergate/core/member_load.py
@@ -6,8 +6,10 @@
 from lavendergate.core.types import MemberView, Region, UpstreamId
 
 # A member that gets no reads for this long gets the next one, so that its
-# latency does not stay unknown or outdated.
+# latency does not stay unknown or outdated. Each failure in a row doubles the
+# interval, because a read at a silent member may last until its deadline.
 MEASURE_INTERVAL_S = 5.0
+_MAX_MEASURE_INTERVAL_S = 80.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -28,6 +30,8 @@
     routed_at
         When the last read was sent to the member, on the clock of the
         runtime, in seconds.
+    measure_interval_s
+        Time without reads after which the next read measures the latency.
     is_ejected
         Whether the member is ejected because it is slow.
     """
@@ -36,6 +40,7 @@
     slots: int = 1
     latency_ms: float = 0
     routed_at: float = float('-inf')
+    measure_interval_s: float = MEASURE_INTERVAL_S
     is_ejected: bool = False
 
     @property
@@ -51,7 +56,16 @@
 
     def is_due(self, now: float) -> bool:
         """Whether the next read should measure the latency of the member."""
-        return now - self.routed_at >= MEASURE_INTERVAL_S
+        return now - self.routed_at >= self.measure_interval_s
+
+    def record_failure(self) -> None:
+        """Double the time until the latency is measured again."""
+        doubled_s = 2 * self.measure_interval_s
+        self.measure_interval_s = min(doubled_s, _MAX_MEASURE_INTERVAL_S)
+
+    def record_answer(self) -> None:
+        """Measure the latency at the usual interval again."""
+        self.measure_interval_s = MEASURE_INTERVAL_S
 
 
 Loads = Mapping[UpstreamId, MemberLoad]
--- a/lavendergate/filters/route.py
+++ b/lavendergate/filters/route.py
@@ -314,11 +314,12 @@
                 progress.wait_failed = True
                 return None
         result = await self._runner.run(pool, connection, request, forward)
-        if _is_unknown(result) and self._may_retry(request):
-            # Running a read twice is harmless.
-            self._loads.record_failure(pool.upstream_id)
-            return None
-        return result
+        if not _is_unknown(result):
+            self._loads.record_answer(pool.upstream_id)
+            return result
+        self._loads.record_failure(pool.upstream_id)
+        # Running a read twice is harmless.
+        return None if self._may_retry(request) else result
 
     def _may_retry(self, request: StatementRequest) -> bool:
         group_id = request.session.group_id
--- a/lavendergate/tests/placement/test_member_loads.py
+++ b/lavendergate/tests/placement/test_member_loads.py
@@ -66,6 +66,24 @@
 
         _run(scenario)
 
+    def test_silent_member_is_measured_less_and_less(self) -> None:
+        """Guards against a read every 5 s that lasts until its deadline."""
+
+        async def scenario() -> None:
+            for expected_s in (10, 20, 40, 80, 80):
+                self.loads.record_read(MEMBER)
+                self.loads.record_failure(MEMBER)
+                await anyio.sleep(expected_s - 0.1)
+                self.assertFalse(self._is_due())
+                await anyio.sleep(0.1)
+                self.assertTrue(self._is_due())
+            self.loads.record_read(MEMBER)
+            self.loads.record_answer(MEMBER)
+            await anyio.sleep(MEASURE_INTERVAL_S)
+            self.assertTrue(self._is_due())
+
+        _run(scenario)
+
     async def _run_statement(self, duration_s: float) -> None:
         started_at = self.loads.begin_statement(MEMBER)
         await anyio.sleep(duration_s)
