Hold the first writes to a promoted member until its replicas follow

Cause: proxies sent writes as soon as they knew the primary, and took its answer for the proof. Until a replica follows the new term, none can confirm a commit of it.

A held write has no connection and no slot, and is refused at once if it has to be answered before the bound. A metric, event 8057, the field held_ms and a setting are new.

--- a/lavendergate/controllers/control_sync.py
+++ b/lavendergate/controllers/control_sync.py
@@ -60,6 +60,11 @@
         """Services that the leader did not lease in its last answer."""
         return ()
 
+    @property
+    def unfollowed(self) -> tuple[GroupId, ...]:
+        """Services whose term the last answer of the leader called new."""
+        return ()
+
     def relay_offer(self, source: str) -> RelayOffer | None:
         """Return the offer of this host to be the home of members.
 
@@ -190,6 +195,7 @@
             wait_s=wait_s,
             withheld=self._receiver.withheld_leases,
             relay=self._receiver.relay_offer(known.source),
+            unfollowed=self._receiver.unfollowed,
         )
         sent_at = self._real_clock()
         try:
--- a/lavendergate/controllers/fleet_state.py
+++ b/lavendergate/controllers/fleet_state.py
@@ -103,7 +103,7 @@
         self._real_clock = real_clock
         self._node = node
         self._leases = leases
-        leases.on_grant = self._notify_changed
+        leases.on_grant = self.notify_changed
         self._source = source
         self._clock = clock
         self._events = events
@@ -124,6 +124,10 @@
         self._restored_routes = RoutesRecord()
         self._positions: dict[GroupId, tuple[LogPosition, float]] = {}
         self._proved_at: dict[GroupId, float] = {}
+        self._primary_observers: list[Callable[[PrimaryNotice], None]] = []
+        # Returns the services whose new term is not followed; None until
+        # something watches the replicas.
+        self.unfollowed: Callable[[], tuple[GroupId, ...]] | None = None
 
     @property
     def directory(self) -> FleetDirectory:
@@ -338,6 +342,12 @@
         notice = self._primaries.get(service)
         return NO_TERM if notice is None else notice.term
 
+    def observe_primaries(
+        self, observer: Callable[[PrimaryNotice], None]
+    ) -> None:
+        """Call an observer for each primary that is new to this host."""
+        self._primary_observers.append(observer)
+
     def publish_primary(self, notice: PrimaryNotice) -> None:
         """Publish the primary of a service, unless its term is old."""
         known = self._primaries.get(notice.service)
@@ -354,6 +364,8 @@
             service=notice.service,
             term=notice.term,
         )
+        for observer in self._primary_observers:
+            observer(notice)
         self._changed.notify()
 
     def record_position(
@@ -464,9 +476,21 @@
             or known.version < self._version
             or request.routes_version < self.routes.version
             or any(map(self._leases.is_granted, request.withheld))
+            or self._are_any_followed(request.unfollowed)
         )
 
-    def _notify_changed(self) -> None:
+    def _are_any_followed(self, services: tuple[GroupId, ...]) -> bool:
+        known = self._known_unfollowed()
+        return known is not None and not set(services).issubset(known)
+
+    def _known_unfollowed(self) -> tuple[GroupId, ...] | None:
+        """Return the services whose new term is not followed, if known."""
+        if self.unfollowed is None or not self.is_leading:
+            return None
+        return self.unfollowed()
+
+    def notify_changed(self) -> None:
+        """Answer waiting requests that a change concerns."""
         self._changed.notify()
 
     def _reply(self, request: SyncRequest, held_s: float) -> SyncReply:
@@ -500,6 +524,7 @@
             proxy_changes=self._proxy_changes(request),
             leader_term=view.term if self.is_leading else 0,
             previous_term=view.previous_term if self.is_leading else 0,
+            unfollowed=self._known_unfollowed(),
         )
 
     def _proxy_changes(self, request: SyncRequest) -> ProxyChanges | None:
--- a/lavendergate/controllers/fleet_view.py
+++ b/lavendergate/controllers/fleet_view.py
@@ -41,6 +41,7 @@
         self._denied_primaries: dict[GroupId, tuple[UpstreamId, float]] = {}
         self._changed = Signal()
         self._proxies: int | None = None
+        self._primary_observers: list[Callable[[PrimaryNotice], None]] = []
 
     @property
     def routes(self) -> RouteTable:
@@ -95,6 +96,12 @@
             self._changed.notify()
         return changed
 
+    def observe_primaries(
+        self, observer: Callable[[PrimaryNotice], None]
+    ) -> None:
+        """Call an observer for each primary that is new to this host."""
+        self._primary_observers.append(observer)
+
     def record_primaries(self, notices: Iterable[PrimaryNotice]) -> None:
         """Record primaries that a control host published or this host saw.
 
@@ -108,6 +115,8 @@
                 self._primaries[notice.service] = notice
                 if known is None or known.term < notice.term:
                     self._denied_primaries.pop(notice.service, None)
+                for observer in self._primary_observers:
+                    observer(notice)
                 self._changed.notify()
 
     def primary_of(self, service: GroupId) -> MemberEntry | None:
--- /dev/null
+++ b/lavendergate/controllers/promotions/__init__.py
@@ -0,0 +1,1 @@
+"""Watches and holds the time right after a promotion."""
--- /dev/null
+++ b/lavendergate/core/promotions/__init__.py
@@ -0,0 +1,1 @@
+"""Rules about the time right after a promotion."""
--- a/lavendergate/daemon/control_operations.py
+++ b/lavendergate/daemon/control_operations.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 from result import Ok
 
+from lavendergate.controllers.promotions.new_terms import NewTerms
 from lavendergate.controllers.takeover import TakeoverController
 from lavendergate.controllers.tolerance_watch import ToleranceWatch
 from lavendergate.core.bounds.decoding import InvalidValueError
@@ -42,6 +43,7 @@
     RoutesRequest,
 )
 from lavendergate.rpc.http import serve_http
+from lavendergate.supervision.boundary import GuardedTasks
 
 
 class ControlOperations(ControlCalls):
@@ -79,6 +81,14 @@
             settings=settings, events=process.events, metrics=self._metrics
         )
         process.observe(self._gates.change)
+        self._new_terms = NewTerms(
+            fleet=self._fleet,
+            poller=control.poller,
+            routes=self._current_routes,
+            tasks=GuardedTasks(tasks=tasks, boundary=process.boundary),
+            clock=anyio.current_time,
+            bound_s=process.own_settings.first_write_hold_s,
+        )
         self._takeover = TakeoverController(
             node=self._node,
             fleet=self._fleet,
--- a/lavendergate/daemon/fleet_view_receiver.py
+++ b/lavendergate/daemon/fleet_view_receiver.py
@@ -11,6 +11,7 @@
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.limits.owner import LimitOwner
 from lavendergate.controllers.positions import PrimaryPositions
+from lavendergate.controllers.promotions.first_writes import FirstWrites
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.bounds.addresses import is_address
@@ -58,6 +59,8 @@
         Connections to members; those to departed members are closed.
     positions
         Receives the log positions that control hosts have read.
+    first_writes
+        Receives which terms are new to the leader.
     relays
         Receives the live proxies; None if this host uses no homes.
     offer
@@ -77,6 +80,7 @@
         view: FleetView,
         pools: SessionPools,
         positions: PrimaryPositions,
+        first_writes: FirstWrites,
         relays: RelayClient | None = None,
         offer: Callable[[int], RelayOffer] | None = None,
         customers: CustomerRegistry | None = None,
@@ -90,12 +94,14 @@
         self._offer = offer
         self._proxies: dict[str, _KnownProxies] = {}
         self._positions = positions
+        self._first_writes = first_writes
         self._view = view
         self._pools = pools
         self._events = events
         self._boundary = boundary
         self._published: dict[str, dict[GroupId, PrimaryNotice]] = {}
         self._withheld: tuple[GroupId, ...] = ()
+        self._unfollowed = frozenset[GroupId]()
         self._unreadable_version = 0
 
     @property
@@ -103,6 +109,18 @@
         """Services that the leader did not lease in its last answer."""
         return self._withheld
 
+    @property
+    def unfollowed(self) -> tuple[GroupId, ...]:
+        """Services with held writes that the leader named in its last answer.
+
+        The leader answers at once for others, whose terms it may not know yet.
+        """
+        return tuple(
+            service
+            for service in self._first_writes.unfollowed
+            if service in self._unfollowed
+        )
+
     def relay_offer(self, source: str) -> RelayOffer | None:
         """Return the offer of this host to be the home of members."""
         known = self._proxies.get(source)
@@ -159,6 +177,9 @@
         self._view.record_primaries(reply.primaries)
         published = self._published_by(reply.version.source)
         published.update({notice.service: notice for notice in reply.primaries})
+        if reply.unfollowed is not None:
+            self._unfollowed = frozenset(reply.unfollowed)
+            self._first_writes.record_control(published, self._unfollowed)
         for notice in reply.positions:
             primary = published.get(notice.service)
             if primary is not None:
--- a/lavendergate/daemon/hosted/start.py
+++ b/lavendergate/daemon/hosted/start.py
@@ -9,6 +9,10 @@
 import anyio
 
 from lavendergate.core.types import HostId
+from lavendergate.daemon.hosted.own_settings import (
+    OwnSettings,
+    read_own_settings,
+)
 from lavendergate.daemon.hosted.settings_wait import (
     WaitedSettings,
     wait_for_settings,
@@ -44,6 +48,7 @@
         write_error(f'unknown role {role!r}: expected "proxy" or "control"')
         return ExitCode.usage
     try:
+        own_settings = read_own_settings(os.environ)
         waited = wait_for_settings(role)
     except SettingsFileError as error:
         write_error(
@@ -51,7 +56,7 @@
         )
         return ExitCode.settings
     run_role = partial(_run_or_refuse, _load_role(role), waited)
-    anyio.run(_run, run_role, waited.settings, role)
+    anyio.run(_run, run_role, waited.settings, own_settings, role)
     return ExitCode.stopped
 
 
@@ -102,9 +107,16 @@
     return run_control
 
 
-async def _run(run_role: RunRole, settings: HostSettings, role: str) -> None:
+async def _run(
+    run_role: RunRole,
+    settings: HostSettings,
+    own_settings: OwnSettings,
+    role: str,
+) -> None:
     events = _open_log(settings)
-    process = HostedProcess(settings=settings, events=events)
+    process = HostedProcess(
+        settings=settings, events=events, own_settings=own_settings
+    )
     process.end.report_previous()
     events.emit(
         ProcessEvent.process_started,
--- a/lavendergate/daemon/hosted_process.py
+++ b/lavendergate/daemon/hosted_process.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from lavendergate.daemon.hosted.own_settings import OwnSettings
 from lavendergate.daemon.process_end import ProcessEnd
 from lavendergate.observability.log import EventLog
 from lavendergate.observability.process_events import ProcessEvent
@@ -44,10 +45,19 @@
         Settings at the start.
     events
         Event log.
+    own_settings
+        Settings that the settings file does not hold.
     """
 
-    def __init__(self, *, settings: HostSettings, events: EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        settings: HostSettings,
+        events: EventLog,
+        own_settings: OwnSettings | None = None,
+    ) -> None:
         self._settings = settings
+        self._own_settings = own_settings or OwnSettings()
         self._events = events
         self._boundary = Boundary(events=events)
         self._end = ProcessEnd(data_dir=settings.data_dir, events=events)
@@ -65,6 +75,11 @@
         """Current settings."""
         return self._settings
 
+    @property
+    def own_settings(self) -> OwnSettings:
+        """Settings that the settings file does not hold."""
+        return self._own_settings
+
     @property
     def events(self) -> EventLog:
         """Event log of the process."""
--- a/lavendergate/daemon/hosted_proxy.py
+++ b/lavendergate/daemon/hosted_proxy.py
@@ -13,6 +13,7 @@
 from lavendergate.controllers.limits.owner import LimitOwner
 from lavendergate.controllers.limits.reports import LimitReports
 from lavendergate.controllers.positions import PrimaryPositions
+from lavendergate.controllers.promotions.first_writes import FirstWrites
 from lavendergate.controllers.relays.client import RelayClient
 from lavendergate.controllers.relays.session import RelayDialer
 from lavendergate.controllers.session_pools import SessionPools
@@ -156,6 +157,16 @@
             clock=boottime_s,
             monotonic=anyio.current_time,
         )
+        self._first_writes = FirstWrites(
+            view=self._view,
+            pools=self._pools,
+            tasks=guarded,
+            clock=boottime_s,
+            monotonic=anyio.current_time,
+            events=self._events,
+            metrics=self._metrics,
+            bound_s=process.own_settings.first_write_hold_s,
+        )
         self._home = RelayHome(
             view=self._view,
             pools=self._pools,
@@ -172,6 +183,7 @@
                 view=self._view,
                 pools=self._pools,
                 positions=self._positions,
+                first_writes=self._first_writes,
                 relays=self._relays,
                 offer=self._offer,
                 customers=self._customers,
@@ -293,6 +305,7 @@
             view=self._view,
             pools=self._pools,
             positions=positions,
+            first_writes=self._first_writes,
             monotonic=anyio.current_time,
             metrics=self._metrics,
         )
--- a/lavendergate/filters/sessions/base.py
+++ b/lavendergate/filters/sessions/base.py
@@ -128,6 +128,8 @@
         Log position that the member must have applied before a read, and
         when the primary was asked for it, on the clock of
         `PrimaryPositions`.
+    held_s
+        Time that it waited for the replicas of a new primary, in seconds.
     holds_key
         Returns whether the customer still holds the session's key; None if
         callers are not identified.
@@ -145,6 +147,7 @@
     home: str | None = None
     position: LogPosition | None = None
     position_asked_at: float | None = None
+    held_s: float = 0
     holds_key: Callable[[], bool] | None = None
 
     @property
--- a/lavendergate/filters/sessions/member_selection.py
+++ b/lavendergate/filters/sessions/member_selection.py
@@ -5,6 +5,10 @@
 
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.positions import PrimaryPositions
+from lavendergate.controllers.promotions.first_writes import (
+    FirstWrites,
+    HeldWrite,
+)
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.fleet_directory import MemberEntry
 from lavendergate.core.leases.evidence import CommitProof, PrimaryCommit
@@ -99,6 +103,8 @@
         Connections to members, with their latency and failures.
     positions
         Known log positions of primaries.
+    first_writes
+        Holds the first writes to promoted members.
     monotonic
         Monotonic time, in seconds.
     metrics
@@ -111,6 +117,7 @@
         view: FleetView,
         pools: SessionPools,
         positions: PrimaryPositions,
+        first_writes: FirstWrites,
         monotonic: Callable[[], float],
         metrics: HttpMetrics,
     ) -> None:
@@ -118,6 +125,7 @@
         self._view = view
         self._pools = pools
         self._positions = positions
+        self._first_writes = first_writes
         self._monotonic = monotonic
         self._placement = ReadPlacement(pools=pools, monotonic=monotonic)
 
@@ -306,6 +314,18 @@
             route.service, give_up_at
         )
 
+    async def hold_first_write(self, request: SessionRequest) -> HeldWrite:
+        """Wait until the replicas of a new primary can confirm a write.
+
+        The primary may have been replaced when the wait is over.
+        """
+        route = request.known_route
+        if not self._has_replica_confirmation(route):
+            return HeldWrite()
+        held = await self._first_writes.wait(route.service, request.deadline)
+        request.held_s += held.held_s
+        return held
+
     async def acknowledge_write(
         self,
         request: SessionRequest,
--- a/lavendergate/filters/sessions/single_statement.py
+++ b/lavendergate/filters/sessions/single_statement.py
@@ -219,6 +219,14 @@
                 return last_answer
             if not await self._selector.can_acknowledge(request):
                 return last_answer
+            held = await self._selector.hold_first_write(request)
+            if held.refusal is not None:
+                return SessionAnswer(
+                    outcome=held.refusal, phase=request.session.phase
+                )
+            if held.held_s:
+                # The primary or its lease may be another one by now.
+                continue
             answer = await self._try_write(request, statement, primary)
             if not _did_not_run(answer):
                 return answer
--- a/lavendergate/filters/sessions/transaction.py
+++ b/lavendergate/filters/sessions/transaction.py
@@ -356,6 +356,10 @@
         position: LogPosition | None,
     ) -> Refused | None:
         session = request.session
+        if not (transaction.read_only or position):
+            held = await self._selector.hold_first_write(request)
+            if held.refusal is not None:
+                return held.refusal
         request.served_by = member.upstream_id
         give_up_at = member_wait_deadline(
             transaction.route, self._monotonic(), request.deadline
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -411,6 +411,8 @@
             'routes_version': self._view.routes.version,
             'customer': request.context.customer,
         }
+        if request.held_s:
+            routing_fields['held_ms'] = round(request.held_s * _MS_PER_S)
         route = request.route
         if route is not None:
             primary = self._view.primary_of(route.service)
--- a/lavendergate/observability/explanation.py
+++ b/lavendergate/observability/explanation.py
@@ -19,6 +19,7 @@
         SessionEvent.member_regained,
         SessionEvent.member_suspected,
         SessionEvent.primary_noticed,
+        SessionEvent.first_writes_released,
         SessionEvent.routes_in_force,
         SessionEvent.control_lost,
         SessionEvent.control_regained,
--- a/lavendergate/observability/exposition.py
+++ b/lavendergate/observability/exposition.py
@@ -123,6 +123,13 @@
             ('proof',),
             registry=registry,
         )
+        self.held_writes = Counter(
+            'lavendergate_held_writes',
+            'Writes that waited for the replicas of a new primary, by how the '
+            'wait ended; "deadline" was answered BUSY',
+            ('end',),
+            registry=registry,
+        )
         self.customer_operations = Counter(
             'lavendergate_customer_operations',
             'Operations of the largest customers by outcome; shows who is '
--- a/lavendergate/observability/session_events.py
+++ b/lavendergate/observability/session_events.py
@@ -16,6 +16,7 @@
     'position',
     'position_age_ms',
     'customer',
+    'held_ms',
 )
 
 
@@ -140,6 +141,15 @@
         'service {service}, address {address}, sequence {sequence}',
         'Look for another writer that uses the id of this member.',
     )
+    first_writes_released = define(
+        8057,
+        Level.info,
+        'writes to member {upstream}, the new primary of service {service} in '
+        'term {term}, were held for {held_ms} ms: {outcome}',
+        'Nothing for "followed"; for "bound", check that the replicas receive '
+        'from the new primary. See docs/operations/first-writes.md.',
+        extra=('held', 'refused'),
+    )
     lease_granted = define(
         8054,
         Level.info,
--- a/lavendergate/rpc/fleet_service.py
+++ b/lavendergate/rpc/fleet_service.py
@@ -144,6 +144,9 @@
         leader replies as soon as it leases one of them again.
     relay
         Offer of a proxy to be the home of members.
+    unfollowed
+        Services whose writes the proxy holds; the leader replies as soon as
+        it has seen enough replicas follow one of their terms.
     """
 
     host_id: HostId
@@ -154,6 +157,7 @@
     wait_s: DurationS
     withheld: tuple[GroupId, ...] = ()
     relay: RelayOffer | None = None
+    unfollowed: tuple[GroupId, ...] = ()
 
 
 class SyncReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -187,6 +191,9 @@
         Term of the replying leader; 0 if it is not known.
     previous_term
         Newest earlier term in which a leader can have published proxies.
+    unfollowed
+        Services whose term is new to the leader and which too few replicas
+        have reported to it; None if it does not know.
     """
 
     separable_fields: ClassVar[tuple[str, ...]] = (
@@ -211,6 +218,7 @@
     proxy_changes: ProxyChanges | None = None
     leader_term: Count = 0
     previous_term: Count = 0
+    unfollowed: tuple[GroupId, ...] | None = None
 
 
 class MergeRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/lavendergate/tests/customers/test_key_lease_replies.py
+++ b/lavendergate/tests/customers/test_key_lease_replies.py
@@ -31,6 +31,7 @@
                 view=proxy.view,
                 pools=proxy.pools,
                 positions=proxy.positions,
+                first_writes=proxy.first_writes,
                 customers=proxy.registry,
                 events=proxy.events,
                 boundary=Boundary(events=proxy.events),
--- /dev/null
+++ b/lavendergate/tests/promotions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the time right after a promotion."""
--- a/lavendergate/tests/session_fixture.py
+++ b/lavendergate/tests/session_fixture.py
@@ -12,6 +12,7 @@
 from lavendergate.controllers.customers.registry import CustomerRegistry
 from lavendergate.controllers.fleet_view import FleetView
 from lavendergate.controllers.positions import PrimaryPositions
+from lavendergate.controllers.promotions.first_writes import FirstWrites
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.core.customers.table import CustomerTable
 from lavendergate.core.fleet_directory import MemberEntry
@@ -118,12 +119,23 @@
             clock=anyio.current_time,
             monotonic=anyio.current_time,
         )
+        self.metrics = HttpMetrics()
+        self.first_writes = FirstWrites(
+            view=self.view,
+            pools=self.pools,
+            tasks=tasks,
+            clock=anyio.current_time,
+            monotonic=anyio.current_time,
+            events=self.events,
+            metrics=self.metrics,
+        )
         selector = MemberSelector(
             view=self.view,
             pools=self.pools,
             positions=self.positions,
+            first_writes=self.first_writes,
             monotonic=anyio.current_time,
-            metrics=HttpMetrics(),
+            metrics=self.metrics,
         )
         self.transactions = TransactionFilter(
             selector=selector,
@@ -153,7 +165,7 @@
         self._ids = itertools.count(1)
         self.publish(1)
         self.announce()
-        self.notice('a', 1, lease_s=lease_s)
+        self.notice('a', 1, lease_s=lease_s, is_new=False)
 
     def publish(self, version: int, databases: tuple[str, ...] = ()) -> None:
         """Put a route table into force."""
@@ -196,8 +208,21 @@
             tuple(member.entry for member in self.group.members.values())
         )
 
-    def notice(self, name: str, term: int, *, lease_s: float = 60) -> None:
-        """Tell the proxy which member is the primary, and lease it."""
+    def notice(
+        self,
+        name: str,
+        term: int,
+        *,
+        lease_s: float = 60,
+        is_new: bool = True,
+    ) -> None:
+        """Tell the proxy which member is the primary, and lease it.
+
+        Parameters
+        ----------
+        is_new
+            Whether the term is new to the control leader.
+        """
         member = self.group.member(name)
         notice = PrimaryNotice(
             service=self.group.service,
@@ -205,6 +230,9 @@
             term=Term(term),
         )
         self.view.record_primaries((notice,))
+        self.first_writes.record_control(
+            {notice.service: notice}, (notice.service,) if is_new else ()
+        )
         if lease_s:
             self.positions.extend_leases(
                 (notice,), anyio.current_time() + lease_s
--- a/lavendergate/tests/takeover_fixture.py
+++ b/lavendergate/tests/takeover_fixture.py
@@ -16,6 +16,7 @@
 from lavendergate.controllers.fleet_state import FleetState
 from lavendergate.controllers.leases.grants import LeaseGrants
 from lavendergate.controllers.member_poller import MemberPoller
+from lavendergate.controllers.promotions.new_terms import NewTerms
 from lavendergate.controllers.takeover import TakeoverController
 from lavendergate.core.commands import Command
 from lavendergate.core.consensus.errors import NoQuorum
@@ -118,6 +119,13 @@
             real_clock=anyio.current_time,
             events=self.events,
         )
+        self.new_terms = NewTerms(
+            fleet=self.fleet,
+            poller=self.poller,
+            routes=self._routes,
+            tasks=tasks,
+            clock=anyio.current_time,
+        )
         self.boundary = Boundary(events=self.events)
         self.takeover = TakeoverController(
             node=node,
--- a/lavendergate/tests/test_explanation.py
+++ b/lavendergate/tests/test_explanation.py
@@ -58,6 +58,29 @@
         self.assertIn('code: busy', text)
         self.assertIn('takeover_begun', text)
 
+    def test_hold_of_a_first_write_is_named(self) -> None:
+        """Guards against a late write whose wait nobody can explain."""
+        timeline = Timeline(
+            lines=(
+                line(
+                    SessionEvent.first_writes_released,
+                    950,
+                    service='s',
+                    outcome='bound',
+                ),
+                line(
+                    SessionEvent.request_delayed,
+                    1000,
+                    request_id='r1',
+                    service='s',
+                    held_ms=300,
+                ),
+            )
+        )
+        text = render_explanation(explain_request(timeline, 'r1'))
+        self.assertIn('held_ms: 300', text)
+        self.assertIn('first_writes_released', text)
+
     def test_request_without_an_event_is_reported(self) -> None:
         """Guards against an empty output that looks like a result."""
         found = explain_request(Timeline(lines=()), 'r1')
--- a/lavendergate/tests/test_fleet_view_receiver.py
+++ b/lavendergate/tests/test_fleet_view_receiver.py
@@ -9,7 +9,7 @@
 from trio.testing import MockClock
 
 from lavendergate.core.control_routes import pack_routes
-from lavendergate.core.types import GroupId, LogPosition, Term
+from lavendergate.core.types import GroupId, LogPosition, Term, UpstreamId
 from lavendergate.daemon.fleet_view_receiver import FleetViewReceiver
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.rpc.fleet_service import (
@@ -34,6 +34,7 @@
                 view=proxy.view,
                 pools=proxy.pools,
                 positions=proxy.positions,
+                first_writes=proxy.first_writes,
                 events=MemoryEventLog(),
                 boundary=Boundary(events=MemoryEventLog()),
             )
@@ -73,6 +74,64 @@
     return evidence.is_confirmed_at(anyio.current_time())
 
 
+class NewTermReplyTest(unittest.TestCase):
+    """Word of the leader on new terms in sync replies."""
+
+    def test_writes_are_held_until_the_leader_has_seen_a_follower(
+        self,
+    ) -> None:
+        """Guards against a hold that the leader's word does not end."""
+
+        async def scenario(
+            proxy: SessionFixture, receiver: FleetViewReceiver
+        ) -> None:
+            service = proxy.group.service
+            for member in proxy.group.members.values():
+                member.is_silent = True
+            notice = PrimaryNotice(
+                service=service, upstream_id=UpstreamId('b'), term=Term(2)
+            )
+            new = reply(proxy, primaries=(notice,), unfollowed=(service,))
+            receiver.apply(new, anyio.current_time())
+            await anyio.sleep(0.1)
+            self.assertEqual(receiver.unfollowed, (service,))
+            self.assertEqual(proxy.first_writes.unfollowed, (service,))
+            followed = reply(proxy, primaries=(), unfollowed=())
+            receiver.apply(followed, anyio.current_time())
+            self.assertEqual(proxy.first_writes.unfollowed, ())
+
+        play(scenario)
+
+    def test_leader_is_asked_only_for_terms_that_it_called_new(self) -> None:
+        """Guards against requests in a loop about a term it does not know."""
+
+        async def scenario(
+            proxy: SessionFixture, receiver: FleetViewReceiver
+        ) -> None:
+            receiver.apply(reply(proxy, unfollowed=()), anyio.current_time())
+            proxy.group.member('b').term = Term(1)
+            proxy.notice('b', 2, lease_s=0)
+            self.assertTrue(proxy.first_writes.unfollowed)
+            self.assertEqual(receiver.unfollowed, ())
+
+        play(scenario)
+
+    def test_word_of_a_host_that_does_not_lead_is_not_needed(self) -> None:
+        """Guards against a hold that a host without knowledge ends."""
+
+        async def scenario(
+            proxy: SessionFixture, receiver: FleetViewReceiver
+        ) -> None:
+            proxy.notice('b', 2, lease_s=0)
+            receiver.apply(
+                reply(proxy, is_leader=False, primaries=()),
+                anyio.current_time(),
+            )
+            self.assertTrue(proxy.first_writes.unfollowed)
+
+        play(scenario)
+
+
 class LeaseReplyTest(unittest.TestCase):
     """Leases in sync replies."""
 
--- a/properties/promotion_schedule.py
+++ b/properties/promotion_schedule.py
@@ -244,6 +244,7 @@
             view=proxy.view,
             pools=proxy.pools,
             positions=proxy.positions,
+            first_writes=proxy.first_writes,
             events=MemoryEventLog(),
             boundary=Boundary(events=MemoryEventLog()),
         )
