Show why empty control hosts must not found a group after two lost disks

The model of the founding now follows which hosts may hold what a group has acknowledged, and a further host in the place of a silent voter. No product code changes.

--- a/lavendergate/tests/start/founding_model.py
+++ b/lavendergate/tests/start/founding_model.py
@@ -58,12 +58,42 @@
     """Disks, processes, and the groups that ever had a majority at once.
 
     Only such a group can have elected a leader and acknowledged a change.
+
+    Parameters
+    ----------
+    holders
+        Hosts and numbers of their disks that belonged to a group while it had
+        a majority, so that they may hold what it acknowledged.
+    replacement
+        Group in which a further host, which is no seed, took the place of a
+        silent voter; it may hold what that group acknowledged. Empty for none.
     """
 
     disks: tuple[Disk, ...] = (Disk(), Disk(), Disk())
     processes: tuple[Process, ...] = (Process(), Process(), Process())
     acted: frozenset[Configuration] = frozenset()
     losses: int = 0
+    holders: frozenset[tuple[int, int]] = frozenset()
+    replacement: Configuration = ()
+
+    @property
+    def has_group_beside_state(self) -> bool:
+        """Whether a group has a majority while a host holds another's state."""
+        return any(
+            self.majority_of(group) and self._is_held(other)
+            for group, other in permutations(self.acted, 2)
+        )
+
+    def majority_of(self, group: Configuration) -> bool:
+        """Return whether a majority of the seeds belongs to a group."""
+        return sum(disk.group == group for disk in self.disks) >= _MAJORITY
+
+    def _is_held(self, group: Configuration) -> bool:
+        return group == self.replacement or any(
+            self.disks[host].number == number
+            and self.disks[host].group == group
+            for host, number in self.holders
+        )
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -87,6 +117,9 @@
     empty_may_found
         Whether each host may found, also one without a record, a rule that
         was weighed. Its rounds are as short as those of a first start.
+    has_replacement
+        Whether a further host may take the place of a silent voter. It takes
+        no step then, as if it were cut off.
     """
 
     decide: Decide = Founder.decide
@@ -95,9 +128,32 @@
     keeps_record: bool = False
     has_long_rounds: bool = False
     empty_may_found: bool = False
+    has_replacement: bool = False
 
     def groups_with_majority(self) -> tuple[int, int]:
         """Return the most groups that had a majority, and the states seen."""
+        most = states = 0
+        for state in self._reachable():
+            states += 1
+            most = max(most, len(state.acted))
+            if most > 1:
+                break
+        return most, states
+
+    def has_group_beside_state(self) -> tuple[bool, int]:
+        """Return whether two histories can exist at once, and the states seen.
+
+        See `State.has_group_beside_state`.
+        """
+        states = 0
+        for state in self._reachable():
+            states += 1
+            if state.has_group_beside_state:
+                return True, states
+        return False, states
+
+    def _reachable(self) -> Iterator[State]:
+        """Yield all states in the order of their distance from the start."""
         start = State()
         if not self.has_first_starts:
             start = State(
@@ -106,19 +162,20 @@
             )
         seen = {_canonical(start)}
         waiting = deque((start,))
-        most = 0
+        yield start
         while waiting:
             for following in self._following(waiting.popleft()):
                 key = _canonical(following)
                 if key not in seen:
                     seen.add(key)
                     waiting.append(following)
-                    most = max(most, len(following.acted))
-            if most > 1:
-                break
-        return most, len(seen)
+                    yield following
 
     def _following(self, state: State) -> Iterator[State]:
+        if self.has_replacement and not state.replacement:
+            for group in state.acted:
+                if state.majority_of(group):
+                    yield replace(state, replacement=group)
         for host in _HOSTS:
             disk, process = state.disks[host], state.processes[host]
             if state.losses < self.max_losses:
@@ -216,9 +273,16 @@
     joined = _with_disk(state, host, disk)
     process = replace(state.processes[host], round=_NO_ANSWERS)
     joined = _with_process(joined, host, process)
-    if sum(held.group == group for held in joined.disks) < _MAJORITY:
+    if not joined.majority_of(group):
         return joined
-    return replace(joined, acted=state.acted | {group})
+    holders = {
+        (number, held.number)
+        for number, held in enumerate(joined.disks)
+        if held.group == group
+    }
+    return replace(
+        joined, acted=state.acted | {group}, holders=state.holders | holders
+    )
 
 
 def _with_disk(state: State, host: int, disk: Disk) -> State:
@@ -255,4 +319,14 @@
         for process in renamed(state.processes)
     )
     acted = tuple(sorted(renamed(group) for group in state.acted))
-    return disks, processes, acted, state.losses
+    holders = tuple(
+        sorted((order.index(host), number) for host, number in state.holders)
+    )
+    return (
+        disks,
+        processes,
+        acted,
+        state.losses,
+        holders,
+        renamed(state.replacement),
+    )
--- a/lavendergate/tests/start/test_group_founding.py
+++ b/lavendergate/tests/start/test_group_founding.py
@@ -74,6 +74,25 @@
             groups, _ = model.groups_with_majority()
             self.assertEqual(groups, expected, f'{losses} lost disks')
 
+    def test_replaced_voter_is_what_forbids_a_founding_by_empty_hosts(
+        self,
+    ) -> None:
+        """Guards against a second group beside what the first acknowledged.
+
+        With the seeds alone, two lost disks leave no host that holds it.
+        """
+        for has_replacement in (False, True):
+            model = Model(
+                decide=_without_records,
+                max_losses=2,
+                has_first_starts=False,
+                empty_may_found=True,
+                has_replacement=has_replacement,
+            )
+            found, states = model.has_group_beside_state()
+            self.assertEqual(found, has_replacement)
+            self.assertGreater(states, 1000)
+
     def test_record_that_outlives_its_log_is_found(self) -> None:
         """Guards against a reset that keeps the founding record."""
         model = Model(max_losses=3, has_first_starts=False, keeps_record=True)
