--- a/lavendergate/tests/bounds/test_earlier_state.py
+++ b/lavendergate/tests/bounds/test_earlier_state.py
@@ -91,7 +91,8 @@
     def test_fields_of_a_newer_build_are_ignored(self) -> None:
         """Guards against an update in which hosts drop each other's answers."""
         terms = [7, 6]
-        present = [*earlier_sync_reply(), *terms]
+        unfollowed = ['rounds']
+        present = [*earlier_sync_reply(), *terms, unfollowed]
         self.assertEqual(len(present), len(SyncReply.__struct_fields__))
         newer = [*present, {'new': 1}]
         reply = self.codec.decode(msgspec.msgpack.encode(newer), SyncReply)
