Keep the whole output of the tests

Six failures in KNOWN-RED.txt have no names, since only the end of the output had been kept. tools/run_tests.py writes all of it to build/tests.log, too.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,6 +5,7 @@
 tests are removed from the list.
 """
 
+import os
 import subprocess
 import sys
 from dataclasses import dataclass
@@ -13,6 +14,8 @@
 
 _ROOT = Path(__file__).resolve().parent.parent
 _REPORT = _ROOT / 'build' / 'junit.xml'
+_OUTPUT = _ROOT / 'build' / 'tests.log'
+_CHUNK_BYTES = 65536
 _KNOWN_FAILURES = _ROOT / 'KNOWN-RED.txt'
 
 
@@ -56,13 +59,30 @@
     )
 
 
+def _run_and_keep(command: list[str]) -> None:
+    """Run a command; show its output, and keep all of it in `_OUTPUT`.
+
+    The names of tests that fail now and then were lost where only the end of
+    the output had been kept.
+    """
+    reader, writer = os.pipe()
+    process = subprocess.Popen(
+        command, cwd=_ROOT, stdout=writer, stderr=subprocess.STDOUT
+    )
+    os.close(writer)
+    with open(reader, 'rb', buffering=0) as output, _OUTPUT.open('wb') as kept:
+        while chunk := output.read(_CHUNK_BYTES):
+            kept.write(chunk)
+            sys.stdout.buffer.write(chunk)
+            sys.stdout.flush()
+    process.wait()
+
+
 def main() -> int:
     """Run nose2, print the counts and return the exit status."""
     _REPORT.parent.mkdir(exist_ok=True)
     _REPORT.unlink(missing_ok=True)
-    subprocess.run(
-        [sys.executable, '-m', 'nose2', *sys.argv[1:]], cwd=_ROOT, check=False
-    )
+    _run_and_keep([sys.executable, '-m', 'nose2', *sys.argv[1:]])
     if not _REPORT.exists():
         print('the test runner wrote no report; see its output above')
         return 1
