--- a/lavendergate/controllers/positions.py
+++ b/lavendergate/controllers/positions.py
@@ -12,6 +12,7 @@
     MemberAnswer,
     MemberQuestions,
 )
+from lavendergate.controllers.promotions.term_followers import claim_of
 from lavendergate.controllers.session_pools import SessionPools
 from lavendergate.controllers.waiters import TaskStarter
 from lavendergate.core.fleet_directory import MemberEntry
@@ -119,7 +120,7 @@
         services = []
         for notice in notices:
             evidence = self.evidence(notice.service)
-            evidence.lease(_claim_of(notice), until)
+            evidence.lease(claim_of(notice), until)
             services.append(notice.service)
         self._kept_connections.open_missing(services)
 
@@ -135,7 +136,7 @@
         proved_at
             When they were asked, on the clock of samples, in seconds.
         """
-        self._confirm(notice.service, _claim_of(notice), proved_at)
+        self._confirm(notice.service, claim_of(notice), proved_at)
 
     def record_replacing(self, services: Iterable[GroupId]) -> None:
         """Record the services whose primary the control leader replaces."""
@@ -368,7 +369,7 @@
             for member in self._view.members_of(notice.service):
                 if member.upstream_id != notice.upstream_id:
                     tasks.start_soon(ask, member)
-        claim = _claim_of(notice)
+        claim = claim_of(notice)
         reports = [
             None if answer is None else answer.report for answer in answers
         ]
@@ -396,7 +397,3 @@
             synchronous_replicas=self._synchronous_replicas(notice.service),
         )
         return _CONFIRMED_DELAY_S
-
-
-def _claim_of(notice: PrimaryNotice) -> PrimaryClaim:
-    return PrimaryClaim(upstream_id=notice.upstream_id, term=notice.term)
