Answer a long statement for which there is no room

Cause: the time limit of the room was handled like a lost connection.

Change: the rest of the line is dropped in parts, and the statement, which did not run, is answered BUSY; the session goes on.

Test: test_long_line_without_room_is_answered; without the change the third caller is never answered, and the test ends with its time limit.

--- a/lavendergate/frontend/caller_channel.py
+++ b/lavendergate/frontend/caller_channel.py
@@ -37,11 +37,14 @@
     Parameters
     ----------
     statement
-        The statement; None if it could not be parsed.
+        The statement; None if it could not be parsed, or was refused.
+    refusal
+        Why it was not read; None if it was.
     """
 
     request_id: str
     statement: CallerStatement | None
+    refusal: Refused | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/lavendergate/frontend/session_service.py
+++ b/lavendergate/frontend/session_service.py
@@ -326,12 +326,12 @@
     ) -> SessionAnswer:
         state = session.state
         if received.statement is None:
+            malformed = Refused(
+                code=RefusalCode.malformed,
+                text='the statement cannot be parsed',
+            )
             return SessionAnswer(
-                outcome=Refused(
-                    code=RefusalCode.malformed,
-                    text='the statement cannot be parsed',
-                ),
-                phase=state.phase,
+                outcome=received.refusal or malformed, phase=state.phase
             )
         arrived_at_monotonic = self._monotonic()
         request = SessionRequest(
--- a/lavendergate/platform/callers.py
+++ b/lavendergate/platform/callers.py
@@ -30,6 +30,7 @@
     LOST_CONNECTION_ERRORS,
     LOST_OR_TIMEOUT_ERRORS,
     LineStream,
+    LongLineRefusedError,
     LongLines,
 )
 from lavendergate.supervision.boundary import Boundary
@@ -53,6 +54,14 @@
     text='this host serves as many callers as it can; connect again',
 )
 
+# A START line is never so long.
+_START_ERRORS = (*LOST_OR_TIMEOUT_ERRORS, LongLineRefusedError)
+_NO_ROOM_FOR_LINE = Refused(
+    code=RefusalCode.busy,
+    text='this host has no room for so long a statement now; retry in 1 s',
+    retry_after_s=1,
+)
+
 _START_ANSWER = SessionAnswer(outcome=Completed())
 
 ServeCaller = Callable[[CallerChannel], Awaitable[None]]
@@ -93,7 +102,7 @@
         try:
             with anyio.fail_after(_START_TIMEOUT_S):
                 word, rest = await self._stream.read()
-        except LOST_OR_TIMEOUT_ERRORS as error:
+        except _START_ERRORS as error:
             raise CallerDisconnectedError(repr(error)) from error
         self._on_start()
         database, _, key = rest.partition(' ')
@@ -117,6 +126,10 @@
             word, rest = await self._stream.read()
         except LOST_CONNECTION_ERRORS as error:
             raise CallerDisconnectedError(repr(error)) from error
+        except LongLineRefusedError:
+            return CallerRequest(
+                request_id='-', statement=None, refusal=_NO_ROOM_FOR_LINE
+            )
         if word == 'BYE':
             return SessionEndRequest()
         request_id, statement = parse_request(rest)
--- a/lavendergate/platform/line_stream.py
+++ b/lavendergate/platform/line_stream.py
@@ -45,6 +45,7 @@
 
 # Lines above this length are read only while there is room for them.
 _SHORT_LINE_BYTES = 64 * 1024
+_SKIPPED_BYTES = _SHORT_LINE_BYTES - 1
 # Time for room for a long line and for its end to arrive, in seconds. A
 # caller waits no longer for a statement.
 LONG_LINE_TIMEOUT_S = 5.0
@@ -52,6 +53,14 @@
 # statement and the bytes for the member.
 _COPIES = 4
 
+
+class LongLineRefusedError(Exception):
+    """There was no room for a long line in time, and it was dropped.
+
+    The next line can be read.
+    """
+
+
 # Room for the long lines of all connections.
 LongLines = anyio.Semaphore
 
@@ -87,9 +96,10 @@
 
         Raises
         ------
+        LongLineRefusedError
+            If there was no room for a long line within `LONG_LINE_TIMEOUT_S`.
         TimeoutError
-            If there was no room for a long line, or its end did not arrive,
-            within `LONG_LINE_TIMEOUT_S`.
+            If the end of a long line did not arrive within this time.
         """
         self._release_long_line()
         try:
@@ -126,10 +136,28 @@
     async def _read_long_line(self) -> bytes:
         if self._long_lines is None:
             return await self._buffer.receive_until(LINE_END, MAX_LINE_BYTES)
-        with anyio.fail_after(LONG_LINE_TIMEOUT_S):
+        with anyio.move_on_after(LONG_LINE_TIMEOUT_S):
             await self._long_lines.acquire()
             self._holds_long_line = True
-            return await self._buffer.receive_until(LINE_END, MAX_LINE_BYTES)
+        with anyio.fail_after(LONG_LINE_TIMEOUT_S):
+            if self._holds_long_line:
+                return await self._buffer.receive_until(
+                    LINE_END, MAX_LINE_BYTES
+                )
+            await self._skip_line()
+        raise LongLineRefusedError
+
+    async def _skip_line(self) -> None:
+        """Drop the rest of a line, which is held in parts only."""
+        for _ in range(MAX_LINE_BYTES // _SKIPPED_BYTES + 1):
+            try:
+                await self._buffer.receive_until(LINE_END, _SHORT_LINE_BYTES)
+            except anyio.DelimiterNotFound:
+                # The last byte may be the first one of the line end.
+                await self._buffer.receive(_SKIPPED_BYTES)
+            else:
+                return
+        raise LineError(f'a line is longer than {MAX_LINE_BYTES} bytes')
 
     def _release_long_line(self) -> None:
         if self._holds_long_line and self._long_lines is not None:
--- a/lavendergate/tests/connections/test_caller_limits.py
+++ b/lavendergate/tests/connections/test_caller_limits.py
@@ -13,13 +13,14 @@
 from lavendergate.core.sessions.statements import (
     Completed,
     Phase,
+    RefusalCode,
     SessionAnswer,
 )
 from lavendergate.frontend.caller_channel import CallerChannel, CallerRequest
 from lavendergate.observability.exposition import HttpMetrics
 from lavendergate.observability.log import MemoryEventLog
 from lavendergate.observability.process_events import ProcessEvent
-from lavendergate.platform import callers
+from lavendergate.platform import callers, line_stream
 from lavendergate.platform.callers import serve_callers
 from lavendergate.platform.line_stream import make_long_lines
 from lavendergate.rpc.http import HttpRequest, HttpResponse, serve_http
@@ -249,6 +250,36 @@
 
         play(scenario, serve=serve, buffered_bytes=8 * _MIB)
 
+    def test_long_line_without_room_is_answered(self) -> None:
+        """Guards against a statement that did not run and got no answer."""
+        refusals: list[object] = []
+
+        async def serve(channel: CallerChannel) -> None:
+            await channel.receive_start()
+            received = await channel.receive()
+            assert isinstance(received, CallerRequest)
+            if received.refusal is None:
+                await anyio.sleep(30)
+                return
+            refusals.append(received.refusal.code)
+            following = await channel.receive()
+            assert isinstance(following, CallerRequest)
+            refusals.append(following.request_id)
+
+        async def scenario(address: str, gates: _Gates) -> None:
+            for _ in range(3):
+                _, writer = await _start(address)
+                writer.write(b'QUERY 1 READ ' + b'x' * (_MIB // 2) + b'\r\n')
+                writer.write(b'QUERY 2 READ x\r\n')
+            while len(refusals) < 2:
+                await anyio.sleep(0.01)
+            self.assertEqual(refusals, [RefusalCode.busy, '2'])
+
+        with unittest.mock.patch.object(
+            line_stream, 'LONG_LINE_TIMEOUT_S', 0.3
+        ):
+            play(scenario, serve=serve, buffered_bytes=8 * _MIB)
+
     def test_caller_that_reads_nothing_is_disconnected(self) -> None:
         """Guards against sessions that are held by answers nobody reads."""
         ended: list[object] = []
