Do not begin to watch a connection before a waiting request

Found by reading: with two requests to a member at the same time, the second one waits for the lock behind the watch, cannot interrupt it, and gets no answer within its 0.6 s. Control would take the member for silent.

The watch ends at once if a request waits.

--- a/lavendergate/controllers/member_poller.py
+++ b/lavendergate/controllers/member_poller.py
@@ -614,7 +614,9 @@
             return False
         async with member.lock:
             session = member.session
-            if session is None:
+            # A request that came while the lock was taken could not interrupt
+            # the watch, and would wait for its end.
+            if session is None or member.lock.statistics().tasks_waiting:
                 return False
             is_lost = await member.idle_watch.is_lost_within(session, seconds)
             if is_lost:
--- a/lavendergate/tests/promotions/test_losses_in_a_row.py
+++ b/lavendergate/tests/promotions/test_losses_in_a_row.py
@@ -3,16 +3,83 @@
 import unittest
 
 import anyio
+import trio
+from trio.testing import MockClock
 
+from lavendergate.backends.sessions import MemberSession, ReportRequest
 from lavendergate.controllers.members.idle_watch import IdleWatch
-from lavendergate.core.types import UpstreamId
-from lavendergate.tests.takeover_fixture import TakeoverFixture, run_scenario
+from lavendergate.core.fleet_directory import MemberEntry
+from lavendergate.core.sessions.context import (
+    SYSTEM_CONTEXT,
+    StatementContext,
+)
+from lavendergate.core.sessions.statements import (
+    MemberReport,
+    Refused,
+    ReportStatus,
+    SessionAnswer,
+    Statement,
+)
+from lavendergate.core.types import LogPosition, UpstreamId
+from lavendergate.tests.takeover_fixture import (
+    TakeoverFixture,
+    run_scenario,
+    three_members,
+)
 from standin.session_group import GroupDialer
 
 _SETTLED_S = 5.0
 # Longest time without a primary that a takeover needs: detection, the end of
 # the leases and the order.
 _TAKEOVER_S = 4.0
+_ANSWER_S = 0.05
+
+
+class SlowSession(MemberSession):
+    """A connection to a member that takes some time to answer."""
+
+    def __init__(self, *, session: MemberSession) -> None:
+        self._session = session
+
+    async def run(
+        self,
+        statement: Statement,
+        *,
+        request_id: str | None = None,
+        after: LogPosition | None = None,
+    ) -> SessionAnswer:
+        """Run a statement."""
+        return await self._session.run(
+            statement, request_id=request_id, after=after
+        )
+
+    async def request_report(
+        self, request: ReportRequest
+    ) -> MemberReport | Refused:
+        """Request a report, which comes late."""
+        await anyio.sleep(_ANSWER_S)
+        return await self._session.request_report(request)
+
+    async def wait_until_lost(self) -> None:
+        """Wait until the member crashes."""
+        await self._session.wait_until_lost()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._session.close()
+
+
+class SlowDialer(GroupDialer):
+    """Opens connections to members that answer slowly."""
+
+    async def dial(
+        self,
+        member: MemberEntry,
+        context: StatementContext = SYSTEM_CONTEXT,
+    ) -> tuple[MemberSession, LogPosition | None]:
+        """Open a connection."""
+        session, position = await super().dial(member, context)
+        return SlowSession(session=session), position
 
 
 class LossesInARowTest(unittest.TestCase):
@@ -53,6 +120,35 @@
 
         run_scenario(scenario)
 
+    def test_requests_at_the_same_time_are_answered(self) -> None:
+        """Guards against a watch that begins before a waiting request."""
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                group = three_members()
+                control = TakeoverFixture(
+                    tasks=tasks, group=group, dialer=SlowDialer(groups=(group,))
+                )
+                await anyio.sleep(_SETTLED_S)
+                reports = []
+
+                async def ask() -> None:
+                    report = await control.poller.ask(
+                        UpstreamId('c'), ReportStatus()
+                    )
+                    reports.append(report)
+
+                began_at = anyio.current_time()
+                async with anyio.create_task_group() as requests:
+                    for _ in range(4):
+                        requests.start_soon(ask)
+                        await anyio.sleep(_ANSWER_S / 3)
+                self.assertNotIn(None, reports)
+                self.assertLess(anyio.current_time() - began_at, 0.5)
+                tasks.cancel_scope.cancel()
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+
     def test_request_interrupts_the_watch(self) -> None:
         """Guards against a request that waits for the next poll."""
 
